Lay out the repository: shared types, protocols, and the parts' first versions

Cause: nothing existed; the parts are built side by side against one contract. Change: configuration and request types, the wire protocols towards platform and upstreams, the reducer's events and effects, first versions of routing, claims, gossip, ledger, rollout, lease and the stand-ins.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,71 @@
+# The one list of commands. `make help` prints it.
+
+SHELL := bash
+GO ?= go
+BIN := $(CURDIR)/.bin
+GOLANGCI_VERSION := v2.15.0
+GOFUMPT_VERSION := v0.12.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_GO_GRPC_VERSION := v1.6.2
+OWN_GO = $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v -e '^gen/' -e '\.pb\.go$$')
+
+.PHONY: help
+help: ## print this list
+	@grep -E '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
+
+.PHONY: build
+build: ## build azurechute and azurechute-standin into .bin/
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+.PHONY: test
+test: ## run every test, with the race detector
+	$(GO) test -race -count=1 -timeout 20m ./...
+
+.PHONY: proofs
+proofs: ## run the proofs of docs/PROOFS.md, one line each
+	@$(GO) test -race -count=1 -timeout 15m -run '^TestProof' -v ./internal/chuteproof/ | grep -E '^(proof|FAIL|panic|--- FAIL|ok )' ; exit $${PIPESTATUS[0]}
+
+.PHONY: demo
+demo: build ## serve the Kura example through separate processes and check every answer
+	@sh examples/demo.sh $(BIN)
+
+.PHONY: measure
+measure: build ## measure the policy against the baseline: make measure SCENARIO=name
+	@bash examples/measure.sh $(BIN) $(SCENARIO)
+
+.PHONY: bench
+bench: ## run the benchmarks with allocations
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+
+.PHONY: fuzz
+fuzz: ## run each fuzz target for a few seconds
+	@sh .ci/fuzz 5s
+
+.PHONY: lint
+lint: $(BIN)/golangci-lint $(BIN)/gofumpt ## check formatting and run the linters
+	@unformatted=$$($(BIN)/gofumpt -l $(OWN_GO)); \
+	if [ -n "$$unformatted" ]; then echo "not formatted, run make fmt:"; echo "$$unformatted"; exit 1; fi
+	$(BIN)/golangci-lint run ./...
+
+.PHONY: fmt
+fmt: $(BIN)/gofumpt ## format the sources
+	@$(BIN)/gofumpt -w $(OWN_GO)
+
+.PHONY: generate
+generate: $(BIN)/protoc-gen-go $(BIN)/protoc-gen-go-grpc ## make gen/ and the peer protocol anew (needs protoc)
+	$(GO) run goa.design/goa/v3/cmd/goa gen azurechute.example/azurechute/design
+	PATH="$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative internal/chutepeer/chutepeerpb/*.proto
+
+$(BIN)/golangci-lint:
+	GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+$(BIN)/gofumpt:
+	GOBIN=$(BIN) $(GO) install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+
+$(BIN)/protoc-gen-go:
+	GOBIN=$(BIN) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+
+$(BIN)/protoc-gen-go-grpc:
+	GOBIN=$(BIN) $(GO) install google.golang.org/grpc/cmd/protoc-gen-go-grpc@$(PROTOC_GEN_GO_GRPC_VERSION)
--- /dev/null
+++ b/internal/chutecore/arrive.go
@@ -0,0 +1,130 @@
+package chutecore
+
+import (
+	"strconv"
+	"time"
+
+	"azurechute.example/azurechute/internal/chuteadmission"
+	"azurechute.example/azurechute/internal/chuterequest"
+)
+
+// unreadyRetryAfter is when a caller may try again at a node that can't take work; the balancer will have moved on by then.
+const unreadyRetryAfter = time.Second
+
+// handleText writes a handle in its short form.
+func handleText(handle uint64) string {
+	return strconv.FormatUint(handle, 36)
+}
+
+// handleOf reads what handleText wrote.
+func handleOf(key chuterequest.Key) uint64 {
+	handle, err := strconv.ParseUint(key.RequestID, 36, 64)
+	if err != nil {
+		return 0
+	}
+
+	return handle
+}
+
+// arrive admits a request or turns it away before anything of it runs.
+func (st *step) arrive(e RequestArrived) {
+	if refusal, ok := st.refusal(e); ok {
+		st.do(Answer{Handle: e.Handle, Outcome: refusal})
+		st.do(Release{Handle: e.Handle})
+
+		return
+	}
+	r := st.newRequest(e)
+	if refusal, ok := st.admit(r); !ok {
+		st.do(Answer{Handle: e.Handle, Outcome: refusal})
+		st.do(Release{Handle: e.Handle})
+
+		return
+	}
+	st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
+	st.startStage(r)
+}
+
+// refusal says why the node can't take the request at all.
+func (st *step) refusal(e RequestArrived) (chuterequest.Outcome, bool) {
+	pipeline, known := st.config.Pipelines[e.Pipeline]
+	switch {
+	case st.draining:
+		return notRun("this VM is shutting down", unreadyRetryAfter), true
+	case st.version == 0:
+		return notRun("this VM has no configuration yet", unreadyRetryAfter), true
+	case !known || len(pipeline.Stages) == 0:
+		return chuterequest.Outcome{
+			Kind: chuterequest.OutcomeNotRun, Reason: "no such pipeline", Field: "Pipeline", Value: e.Pipeline,
+		}, true
+	case !st.now.Before(e.Deadline):
+		return chuterequest.Outcome{
+			Kind: chuterequest.OutcomeNotRun, Reason: "the deadline has passed", Field: "Deadline",
+		}, true
+	case st.requests.Len() >= st.config.Limits.MaxInFlight:
+		return notRun("this VM is at its limit of requests in flight", unreadyRetryAfter), true
+	}
+
+	return chuterequest.Outcome{}, false
+}
+
+// newRequest builds the request; it keeps the stages of the configuration at arrival to its end.
+func (st *step) newRequest(e RequestArrived) Request {
+	pipeline := st.config.Pipelines[e.Pipeline]
+
+	return Request{
+		Handle: e.Handle, Key: e.Key, Team: pipeline.Team, Pipeline: e.Pipeline,
+		Stages: pipeline.Stages, Priority: pipeline.Priority,
+		ArrivedAt: st.now, Deadline: e.Deadline, Unrepeatable: e.Unrepeatable, Blocks: e.Blocks,
+	}
+}
+
+// admit asks whether the request can finish in time.
+//
+// Without this check an overloaded node starts work that it abandons later: the
+// early stages are paid for and the caller hears of it only near the deadline.
+// The prediction errs on the side of admitting, and Hopeless catches the rest.
+func (st *step) admit(r Request) (chuterequest.Outcome, bool) {
+	pool := r.stage().Pool
+	if st.queue.Len(pool) >= st.config.Limits.MaxQueued {
+		return notRun("the queue for pool "+pool+" is full", unreadyRetryAfter), false
+	}
+	if !st.config.Policy.Admission {
+		return chuterequest.Outcome{}, true
+	}
+	prediction := st.queue.Predict(st.waiter(r), st.routing.Free(st.query(r)), st.now)
+	if prediction.CanFinish {
+		return chuterequest.Outcome{}, true
+	}
+
+	return notRun("pool "+pool+" can't finish this within its deadline", prediction.RetryAfter), false
+}
+
+// waiter describes a request to the queue of its present stage's pool.
+func (st *step) waiter(r Request) chuteadmission.Waiter {
+	workspace := st.config.Workspaces[r.Key.Workspace]
+
+	return chuteadmission.Waiter{
+		Key: queueKey(r), Stage: r.Stage, Pool: r.stage().Pool,
+		Team: workspace.Team, Workspace: r.Key.Workspace,
+		TeamWeight: max(1, st.config.Teams[workspace.Team].Weight), WorkspaceWeight: max(1, workspace.Weight),
+		Deadline: r.Deadline, Needs: st.needs(r), Since: st.now, Started: r.HandedOver > 0,
+	}
+}
+
+// needs sums the learned service times of the present and all later stages.
+func (st *step) needs(r Request) time.Duration {
+	total := time.Duration(0)
+	for _, stage := range r.Stages[r.Stage:] {
+		total += st.routing.ServiceTime(stage.Pool, stage.Name)
+	}
+
+	return total
+}
+
+// notRun builds the outcome of a request of which nothing ran.
+func notRun(reason string, retryAfter time.Duration) chuterequest.Outcome {
+	return chuterequest.Outcome{
+		Kind: chuterequest.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter, SafeToRepeat: true,
+	}
+}
--- /dev/null
+++ b/internal/chutecore/attempt.go
@@ -0,0 +1,157 @@
+package chutecore
+
+import (
+	"azurechute.example/azurechute/internal/chuteledger"
+	"azurechute.example/azurechute/internal/chuterequest"
+)
+
+// attemptFinished takes a stage's result once and goes on to the next stage.
+func (st *step) attemptFinished(e AttemptFinished) {
+	st.routing = st.routing.
+		WithFinished(e.Upstream, e.Work.Stage, e.Took, e.Usage.Units, st.now).
+		WithReport(e.Upstream, e.Load, st.now)
+	st.noteLeaving(e.Upstream, e.Load)
+	r, ok := st.requests.Get(e.Handle)
+	if !ok {
+		st.charge(e.Attempt, e.Work, e.Usage, true)
+		st.pump(e.Work.Pool)
+
+		return
+	}
+	attempt, current := r.attempt(e.Attempt)
+	// An attempt that is not among the running ones of the present stage lost a
+	// race or was given up. Taking its result would hand a stage's output on
+	// twice; dropping it is enough, since the one taken is complete.
+	st.charge(e.Attempt, e.Work, e.Usage, !current)
+	if current {
+		st.takeResult(r, attempt, e)
+	}
+	st.pump(e.Work.Pool)
+}
+
+// takeResult makes the attempt's result the stage's result.
+func (st *step) takeResult(r Request, taken Attempt, e AttemptFinished) {
+	st.queue = st.queue.WithDone(r.stage().Pool, st.config.Workspaces[r.Key.Workspace].Team, r.Key.Workspace, taken.age(st.now))
+	st.retries = st.retries.WithSuccess()
+	st.hedges = st.hedges.WithSuccess()
+	st.rememberCached(r, e)
+	for _, other := range r.Running {
+		if other.ID != taken.ID {
+			st.cancel(r.Handle, other)
+		}
+	}
+	last := r.Stage == len(r.Stages)-1
+	if last {
+		st.finish(r, chuterequest.Outcome{Kind: chuterequest.OutcomeAnswered}, taken.ID)
+
+		return
+	}
+	st.startStage(r.WithStageTaken(taken.ID, e.NextBlocks))
+}
+
+// rememberCached tells routing which prompt blocks the engine now holds.
+func (st *step) rememberCached(r Request, e AttemptFinished) {
+	if len(r.Blocks) > 0 {
+		st.routing = st.routing.WithCached(e.Upstream, r.Blocks, e.Usage.CachedUnits)
+	}
+}
+
+// cancel stops an attempt and frees its place in routing.
+func (st *step) cancel(handle uint64, a Attempt) {
+	st.routing = st.routing.WithReleased(a.Upstream, st.now)
+	st.do(CancelAttempt{Handle: handle, Attempt: a.ID})
+}
+
+// attemptFailed decides between waiting for a sibling, another attempt, and giving up.
+func (st *step) attemptFailed(e AttemptFailed) {
+	if e.Usage != (chuterequest.Usage{}) {
+		st.charge(e.Attempt, e.Work, e.Usage, true)
+	}
+	r, ok := st.requests.Get(e.Handle)
+	if !ok {
+		st.pump(e.Work.Pool)
+
+		return
+	}
+	attempt, current := r.attempt(e.Attempt)
+	if !current {
+		st.pump(e.Work.Pool)
+
+		return
+	}
+	st.routing = st.routing.WithFailed(e.Upstream, e.Failure, st.now)
+	st.noteRefusal(attempt, e.Failure)
+	r = r.WithoutAttempt(attempt, e.Failure.NotTaken).WithOffset(e.Offset)
+	st.put(r)
+	if len(r.Running) == 0 {
+		st.afterFailure(r, e.Failure)
+	}
+	st.pump(e.Work.Pool)
+}
+
+// noteRefusal spreads an upstream's own word that it is leaving.
+func (st *step) noteRefusal(a Attempt, f chuterequest.Failure) {
+	if f.Leaving {
+		st.markLeaving(a.Upstream, st.routing.Incarnation(a.Upstream))
+	}
+}
+
+// afterFailure retries the stage where that is allowed and worth it, and else gives up at once.
+func (st *step) afterFailure(r Request, f chuterequest.Failure) {
+	if r.atMostOnce() && !f.NotTaken && !resumable(r) {
+		// The call may have run. A second hand-over could enrol a student twice,
+		// so the caller hears Unknown and asks again with the same RequestID.
+		st.finish(r, chuterequest.Outcome{
+			Kind: chuterequest.OutcomeUnknown, Reason: "the call may have run: " + string(f.Kind),
+			RetryAfter: unreadyRetryAfter,
+		}, "")
+
+		return
+	}
+	if reason, ok := st.mayRetry(r, f); !ok {
+		st.giveUp(r, reason+" ("+string(f.Kind)+" at "+r.Tried[len(r.Tried)-1]+")", max(f.RetryAfter, unreadyRetryAfter))
+
+		return
+	}
+	st.startStage(r)
+}
+
+// resumable says whether the stage has produced tokens: going on from them is not a second run.
+func resumable(r Request) bool {
+	return r.Offset > 0
+}
+
+// mayRetry asks attempts, deadline, candidates and budget, in this order.
+//
+// Retries without a budget multiply the load of a failing stage by the number
+// of attempts just when it can bear least. A budget in proportion to recent
+// successes shrinks to nothing as the stage fails, so the load stays bounded.
+func (st *step) mayRetry(r Request, f chuterequest.Failure) (string, bool) {
+	if r.Tries >= st.config.Policy.MaxAttempts {
+		return "all attempts failed", false
+	}
+	if !st.now.Before(r.Deadline) {
+		return "the deadline passed", false
+	}
+	if st.routing.Candidates(st.query(r)) == 0 {
+		return "no other upstream can be used", false
+	}
+	if f.Kind == chuterequest.FailureUnreachable || f.Leaving || resumable(r) {
+		return "", true
+	}
+	budget, allowed := st.retries.Take()
+	if !allowed {
+		return "the retry budget is used up", false
+	}
+	st.retries = budget
+
+	return "", true
+}
+
+// charge adds an attempt's usage to the ledger, once per attempt.
+func (st *step) charge(id chuterequest.AttemptID, w Work, usage chuterequest.Usage, wasted bool) {
+	st.ledger = st.ledger.WithCharge(chuteledger.Charge{
+		Attempt: id, Team: w.Team, Workspace: w.Workspace, Pipeline: w.Pipeline, Stage: w.Stage,
+		Usage: usage, Cost: chuteledger.Cost(st.config.Pools[w.Pool], usage), Wasted: wasted,
+	})
+}
--- /dev/null
+++ b/internal/chutemember/set.go
@@ -0,0 +1,245 @@
+package chutemember
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+)
+
+// Set is one node's view of the others and of what they tell; the zero value is not usable.
+type Set struct {
+	self     string
+	selfID   uint64
+	settings Settings
+	// at is the time of the last heartbeat or merge, by this node's clock.
+	at time.Time
+	// resumed is when this node last found that it had been paused.
+	resumed time.Time
+	// nodes holds this node too.
+	nodes *immutable.SortedMap[string, *node]
+	names *immutable.Map[uint64, string]
+	seeds []Seed
+	marks *immutable.SortedMap[LeavingMark, mark]
+	// markHashes tells differing sets of marks apart, a bucket at a time.
+	markHashes [markBuckets]uint32
+	// config is in force here; heard is the highest that any node offered.
+	config   Config
+	configAt time.Time
+	heard    Config
+	rows     *immutable.SortedMap[string, row]
+	// loads waits for its turn to be published.
+	loads   []PoolLoad
+	loadsAt time.Time
+}
+
+// node is one incarnation's state; it is never changed once it is in a Set.
+type node struct {
+	id       uint64
+	member   Member
+	recordAt uint64
+	status   Status
+	statusAt uint64
+	// seen is when the version last grew, by this node's clock.
+	seen time.Time
+}
+
+// New returns the view of a node that knows only itself, with the default settings.
+func New(self Member) Set {
+	self.State = StateLive
+	self.Heartbeat = 1
+	own := &node{id: memberID(self.Name, self.Incarnation), member: self, recordAt: 1, statusAt: 1}
+	s := Set{
+		self:     self.Name,
+		selfID:   own.id,
+		settings: DefaultSettings(),
+		nodes:    immutable.NewSortedMap[string, *node](nil),
+		names:    immutable.NewMap[uint64, string](nil),
+		marks:    immutable.NewSortedMap[LeavingMark, mark](markOrder{}),
+		rows:     immutable.NewSortedMap[string, row](nil),
+	}
+	return s.withNode(own)
+}
+
+// WithSettings replaces the settings.
+func (s Set) WithSettings(settings Settings) Set {
+	s.settings = settings
+	return s
+}
+
+// WithSeeds replaces the nodes named by the platform's list; they are tried until they have been met.
+func (s Set) WithSeeds(seeds []Seed) Set {
+	sorted := slices.Clone(seeds)
+	slices.SortFunc(sorted, func(a, b Seed) int { return cmp.Compare(a.Name, b.Name) })
+	s.seeds = slices.CompactFunc(sorted, func(a, b Seed) bool { return a.Name == b.Name })
+	return s
+}
+
+// WithHeartbeat raises this node's version, publishes its loads when their turn has come and drops what is too old.
+func (s Set) WithHeartbeat(now time.Time) Set {
+	s = s.withTime(now)
+	s = s.withOwn(func(own *node, _ uint64) { own.seen = now })
+	s = s.withPublishedLoads()
+	return s.withoutAged()
+}
+
+// WithLeavingSelf tells the others that this node is shutting down.
+func (s Set) WithLeavingSelf() Set {
+	return s.withOwn(func(own *node, version uint64) {
+		own.member.State = StateLeaving
+		own.recordAt = version
+	})
+}
+
+// WithConfig states that a configuration is in force here and that its body can be had here; a lower version is ignored.
+func (s Set) WithConfig(version uint64, digest string) Set {
+	if version <= s.config.Version {
+		return s
+	}
+	s.config = Config{Version: version, Digest: digest}
+	s.configAt = s.at
+	s.heard = higher(s.heard, s.config)
+	return s.withOwn(func(own *node, at uint64) {
+		own.status.ConfigVersion = version
+		own.statusAt = at
+	})
+}
+
+// WithPoolLoad sets this node's work in flight at a pool; it is published no more often than Settings.LoadEvery.
+func (s Set) WithPoolLoad(zone, pool string, inFlight int) Set {
+	load := PoolLoad{Zone: zone, Pool: pool, InFlight: inFlight}
+	i, found := slices.BinarySearchFunc(s.loads, load, comparePools)
+	s.loads = slices.Clone(s.loads)
+	if found {
+		s.loads[i] = load
+	} else {
+		s.loads = slices.Insert(s.loads, i, load)
+	}
+	return s
+}
+
+// withPublishedLoads publishes the waiting loads. The pace is bounded because
+// loads change with every request: published each time, they would use up the
+// control traffic of a zone of 80 nodes.
+func (s Set) withPublishedLoads() Set {
+	if slices.Equal(s.ownNode().status.Loads, s.loads) || s.at.Sub(s.loadsAt) < s.settings.LoadEvery {
+		return s
+	}
+	s.loadsAt = s.at
+	return s.withOwn(func(own *node, version uint64) {
+		own.status.Loads = s.loads
+		own.statusAt = version
+	})
+}
+
+// withOwn changes a copy of this node's state under its next version.
+func (s Set) withOwn(change func(own *node, version uint64)) Set {
+	own := *s.ownNode()
+	own.member.Heartbeat++
+	change(&own, own.member.Heartbeat)
+	return s.withNode(&own)
+}
+
+// withNode puts a node's state in place of the one before.
+func (s Set) withNode(n *node) Set {
+	old, ok := s.nodes.Get(n.member.Name)
+	if !ok || old.id != n.id {
+		if ok {
+			s.names = s.names.Delete(old.id)
+		}
+		s.names = s.names.Set(n.id, n.member.Name)
+	}
+	s.nodes = s.nodes.Set(n.member.Name, n)
+	return s
+}
+
+// withTime moves the view's clock. Where the node itself was paused, all others
+// seem dead when it wakes, and it would act on that; they get a fresh period
+// instead, counted from the waking, which is as long as a live member ever needs.
+func (s Set) withTime(now time.Time) Set {
+	if !s.at.IsZero() && now.Sub(s.at) > s.settings.SuspectAfter {
+		s.resumed = now
+	}
+	if now.After(s.at) {
+		s.at = now
+	}
+	return s
+}
+
+// withoutAged drops dead members, marks and ledger rows that are past their age.
+func (s Set) withoutAged() Set {
+	for _, n := range s.allNodes() {
+		if n.id != s.selfID && s.age(n, s.at) > s.settings.ForgetAfter {
+			s.nodes = s.nodes.Delete(n.member.Name)
+			s.names = s.names.Delete(n.id)
+		}
+	}
+	return s.withoutAgedMarks().withoutAgedRows()
+}
+
+func (s Set) ownNode() *node {
+	own, _ := s.nodes.Get(s.self)
+	return own
+}
+
+// nodeByID finds the incarnation that a digest names.
+func (s Set) nodeByID(id uint64) (*node, bool) {
+	name, ok := s.names.Get(id)
+	if !ok {
+		return nil, false
+	}
+	return s.nodes.Get(name)
+}
+
+// allNodes lists the nodes by name.
+func (s Set) allNodes() []*node {
+	all := make([]*node, 0, s.nodes.Len())
+	for itr := s.nodes.Iterator(); !itr.Done(); {
+		_, n, _ := itr.Next()
+		all = append(all, n)
+	}
+	return all
+}
+
+// age is the time since the node's version last grew, not counting a pause of this node.
+func (s Set) age(n *node, now time.Time) time.Duration {
+	if n.id == s.selfID {
+		return 0
+	}
+	from := n.seen
+	if s.resumed.After(from) {
+		from = s.resumed
+	}
+	return now.Sub(from)
+}
+
+// stretched is a heartbeat age that applies to the node, longer for other zones.
+func (s Set) stretched(n *node, age time.Duration) time.Duration {
+	if n.member.Zone == s.ownNode().member.Zone {
+		return age
+	}
+	return age * time.Duration(max(1, s.settings.OtherZoneFactor))
+}
+
+func (s Set) dead(n *node, now time.Time) bool {
+	return s.age(n, now) > s.stretched(n, s.settings.DeadAfter)
+}
+
+func higher(a, b Config) Config {
+	if a.Version != b.Version {
+		if a.Version > b.Version {
+			return a
+		}
+		return b
+	}
+	// The table never gives one version to two digests; the order only makes merges agree.
+	if a.Digest >= b.Digest {
+		return a
+	}
+	return b
+}
+
+func comparePools(a, b PoolLoad) int {
+	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Pool, b.Pool))
+}
--- /dev/null
+++ b/internal/chuterouting/entry.go
@@ -0,0 +1,103 @@
+package chuterouting
+
+import (
+	"time"
+
+	"azurechute.example/azurechute/internal/chuterequest"
+)
+
+// entry is all that this node knows of one upstream; it is immutable once in a Table.
+type entry struct {
+	upstream Upstream
+	// listed, listedIncarnation and listedLeaving repeat the platform's last list.
+	listed            bool
+	listedIncarnation string
+	listedLeaving     bool
+	absentSince       time.Time
+	// previous is the reported incarnation that a newer report has replaced.
+	previous string
+	// reported says that the upstream itself has named its present incarnation.
+	reported bool
+	// leaving is true while the current incarnation has a leaving mark.
+	leaving    bool
+	lastAnswer time.Time
+
+	inFlight int
+	// quietSince is when this node's calls there last made progress; meaningful while inFlight > 0.
+	quietSince time.Time
+	report     chuterequest.Load
+	reportAt   time.Time
+	// others is the work that the last report ascribes to other nodes.
+	others int
+
+	speed speed
+	aside aside
+	cache cacheIndex
+}
+
+// newIncarnation forgets what was learned about the process that ran before.
+func (e *entry) newIncarnation(incarnation string) {
+	e.upstream.Incarnation = incarnation
+	e.reported = false
+	e.report = chuterequest.Load{}
+	e.reportAt = time.Time{}
+	e.others = 0
+	e.speed = speed{}
+	e.aside = aside{}
+	e.cache = cacheIndex{}
+}
+
+// othersNow is the other nodes' work believed there now: less the older the report, none past limit.
+func (e *entry) othersNow(now time.Time, limit time.Duration) float64 {
+	if e.others == 0 {
+		return 0
+	}
+	age := now.Sub(e.reportAt)
+	if age >= limit {
+		return 0
+	}
+	if age <= 0 {
+		return float64(e.others)
+	}
+
+	return float64(e.others) * (1 - float64(age)/float64(limit))
+}
+
+func (e *entry) slots(settings Settings) int {
+	if e.report.Slots > 0 {
+		return e.report.Slots
+	}
+
+	return settings.slots(e.upstream.Pool)
+}
+
+// ended takes one of this node's calls off the count.
+func (e *entry) ended(now time.Time) {
+	if e.inFlight > 0 {
+		e.inFlight--
+	}
+	e.quietSince = now
+}
+
+// answers says whether an upstream that the list no longer names may still be used.
+func (e *entry) answers(now time.Time, limit time.Duration) bool {
+	return now.Sub(e.lastAnswer) <= limit && now.Sub(e.absentSince) <= absentLimit
+}
+
+func (e *entry) view() UpstreamView {
+	return UpstreamView{
+		Upstream:   e.upstream,
+		Listed:     e.listed,
+		Leaving:    e.leaving || e.listedLeaving,
+		InFlight:   e.inFlight,
+		Report:     e.report,
+		ReportAt:   e.reportAt,
+		Slowness:   e.speed.slowness(),
+		Failures:   e.aside.failures,
+		Aside:      e.aside.reason,
+		AsideUntil: e.aside.until,
+		AsideCount: e.aside.count,
+		Cached:     e.cache.blocks.size,
+		Belief:     e.cache.belief(),
+	}
+}
--- /dev/null
+++ b/pkg/chuteconfig/defaults.go
@@ -0,0 +1,64 @@
+package chuteconfig
+
+import "time"
+
+// DefaultPolicy returns the policy of a configuration that states none; docs/OPERATING.md gives the reasons.
+func DefaultPolicy() Policy {
+	return Policy{
+		Balancing:       BalancingExpectedFinish,
+		Admission:       true,
+		FairSharing:     true,
+		MaxAttempts:     3,
+		RetryBudget:     0.1,
+		HedgeBudget:     0.02,
+		StallTimeout:    Duration(2 * time.Second),
+		ReportAgeLimit:  Duration(3 * time.Second),
+		ClaimTimeout:    Duration(1 * time.Second),
+		LeaseDuration:   Duration(15 * time.Second),
+		OrderTimeout:    Duration(3 * time.Second),
+		OrdersPerMinute: 6,
+		LedgerFlush:     Duration(5 * time.Second),
+		DrainTimeout:    Duration(60 * time.Second),
+	}
+}
+
+// DefaultLimits returns the limits of a configuration that states none.
+func DefaultLimits() Limits {
+	return Limits{MaxBodyBytes: 1 << 20, MaxInFlight: 2000, MaxQueued: 1000}
+}
+
+// WithDefaults fills in what a configuration built in code leaves out; Load does the same for files, field by field.
+//
+// A policy or limits of all zeros is replaced whole. In a policy that states
+// anything, only fields for which zero is no valid choice are filled in:
+// switches that are off and budgets of 0 are taken as meant.
+func WithDefaults(cfg Config) Config {
+	if cfg.Policy == (Policy{}) {
+		cfg.Policy = DefaultPolicy()
+	}
+	p, d := &cfg.Policy, DefaultPolicy()
+	fill(&p.Balancing, d.Balancing)
+	fill(&p.MaxAttempts, d.MaxAttempts)
+	fill(&p.StallTimeout, d.StallTimeout)
+	fill(&p.ReportAgeLimit, d.ReportAgeLimit)
+	fill(&p.ClaimTimeout, d.ClaimTimeout)
+	fill(&p.LeaseDuration, d.LeaseDuration)
+	fill(&p.OrderTimeout, d.OrderTimeout)
+	fill(&p.OrdersPerMinute, d.OrdersPerMinute)
+	fill(&p.LedgerFlush, d.LedgerFlush)
+	fill(&p.DrainTimeout, d.DrainTimeout)
+
+	l, dl := &cfg.Limits, DefaultLimits()
+	fill(&l.MaxBodyBytes, dl.MaxBodyBytes)
+	fill(&l.MaxInFlight, dl.MaxInFlight)
+	fill(&l.MaxQueued, dl.MaxQueued)
+
+	return cfg
+}
+
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
