Join the parts: one loop per node over one reducer, the whole path runs

Cause: the parts stood side by side with nothing between them. Change: chutecore takes all events (requests, claims, rollout, lease, orders, peers, ledger) and gives effects; chutenode carries them out; azurechute serve.

--- /dev/null
+++ b/cmd/azurechute/main.go
@@ -0,0 +1,61 @@
+// Command azurechute serves model pipelines and lets operators drive it; see its --help.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"azurechute.example/azurechute/internal/chutecli"
+	"azurechute.example/azurechute/internal/chutenode"
+	"azurechute.example/azurechute/internal/chutesettings"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+
+	// The first signal asks for a graceful end; a second one ends the process at once.
+	go func() {
+		<-ctx.Done()
+		stop()
+	}()
+
+	app := chutecli.New(version())
+	app.Serve = serve
+
+	return app.Run(ctx, os.Args[1:])
+}
+
+// serve runs an entry node with the settings in a file.
+func serve(ctx context.Context, path string) error {
+	settings, err := chutesettings.Load(path, os.Environ())
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+
+	return chutenode.Serve(ctx, settings, log)
+}
+
+// version returns the module's version, or the commit that a build from a checkout was made of.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+
+	return info.Main.Version
+}
--- a/internal/chuteadmission/level.go
+++ b/internal/chuteadmission/level.go
@@ -1,10 +1,6 @@
 package chuteadmission
 
-import (
-	"time"
-
-	"github.com/benbjohnson/immutable"
-)
+import "time"
 
 // level shares service among its members by start-time fair queueing.
 //
@@ -13,13 +9,9 @@
 // weight; so over any span backlogged members get service in proportion to their
 // weights, and one that was idle cannot claim the time it left unused. Immutable.
 type level[B body] struct {
-	// now is the virtual time: the start tag of the work picked last.
+	// now is the virtual time: the highest start tag picked so far.
 	now     int64
-	members *immutable.Map[string, *member[B]]
-	// waiting ranks the backlogged members by tag.
-	waiting *immutable.SortedMap[rank, string]
-	// owing ranks the idle members whose tag is still ahead of the virtual time.
-	owing *immutable.SortedMap[rank, string]
+	members treap[*member[B]]
 	// weight is the sum of the backlogged members' weights.
 	weight int64
 	seq    uint64
@@ -27,14 +19,13 @@
 
 // body is what a member of a level holds.
 type body interface {
-	comparable
 	// backlog counts the waiters in it.
 	backlog() int
 }
 
 // member is one team, or one workspace of a team.
 type member[B body] struct {
-	name   string
+	key    treapKey
 	seq    uint64
 	weight int64
 	tag    int64
@@ -44,36 +35,37 @@
 	body    B
 }
 
-func newLevel[B body]() level[B] {
-	return level[B]{
-		members: immutable.NewMap[string, *member[B]](nameHasher{}),
-		waiting: newRanking[string](),
-		owing:   newRanking[string](),
-	}
+func (m *member[B]) waits() bool {
+	return m.body.backlog() > 0
 }
 
-func (l level[B]) backlogged(m *member[B]) bool {
-	return m.body.backlog() > 0
+func (m *member[B]) idle() bool {
+	return !m.waits() && m.picked == 0
 }
 
-func (l level[B]) rank(m *member[B]) rank {
+// rank puts members by tag; those whose work is all running come last, for they have no turn to wait for.
+func (m *member[B]) rank() rank {
+	if !m.waits() && m.picked > 0 {
+		return rank{at: never, seq: m.seq}
+	}
+
 	return rank{at: m.tag, seq: m.seq}
 }
 
 // get returns a copy of the member, which is a new one if there was none.
-func (l level[B]) get(name string, weight int, empty B) member[B] {
-	if known, ok := l.members.Get(name); ok {
+func (l level[B]) get(key treapKey, weight int) member[B] {
+	if known, ok := l.members.get(key); ok {
 		return *known
 	}
 
-	return member[B]{name: name, weight: int64(max(weight, 1)), tag: l.now, body: empty}
+	return member[B]{key: key, weight: int64(max(weight, 1)), tag: l.now}
 }
 
 // share is the part of the level's service that the member has while it is backlogged.
 func (l level[B]) share(m *member[B], weight int) float64 {
 	own := int64(max(weight, 1))
 	sum := l.weight + own
-	if l.backlogged(m) {
+	if m.waits() {
 		sum -= m.weight
 	}
 
@@ -82,57 +74,51 @@
 
 // put replaces the member by its changed copy.
 func (l level[B]) put(m member[B]) level[B] {
-	known, ok := l.members.Get(m.name)
-	if ok {
-		l = l.unranked(known)
-	} else {
+	known, ok := l.members.get(m.key)
+	if !ok {
 		l.seq++
 		m.seq = l.seq
 	}
+	waited := ok && known.waits()
+	if waited {
+		l.weight -= known.weight
+	}
+	if m.waits() {
+		l.weight += m.weight
+	}
 	// A member that becomes backlogged starts at the present, or where its debt ends.
-	if l.backlogged(&m) && (!ok || !l.backlogged(known)) {
+	if m.waits() && !waited {
 		m.tag = max(m.tag, l.now)
 	}
-
-	return l.ranked(&m)
-}
-
-func (l level[B]) unranked(m *member[B]) level[B] {
-	if l.backlogged(m) {
-		l.waiting = l.waiting.Delete(l.rank(m))
-		l.weight -= m.weight
-	} else {
-		l.owing = l.owing.Delete(l.rank(m))
+	if !m.idle() || m.tag > l.now {
+		l.members = l.members.with(m.key, m.rank(), &m)
+	} else if ok {
+		// Idle and without debt: a new member would be treated alike.
+		l.members = l.members.without(m.key)
 	}
 
-	return l
+	return l.trimmed()
 }
 
-func (l level[B]) ranked(m *member[B]) level[B] {
-	switch {
-	case l.backlogged(m):
-		l.waiting = l.waiting.Set(l.rank(m), m.name)
-		l.weight += m.weight
-	case m.picked == 0 && m.tag <= l.now:
-		// Idle and without debt: a new member would be treated alike.
-		l.members = l.members.Delete(m.name)
-
-		return l
-	case m.picked == 0:
-		l.owing = l.owing.Set(l.rank(m), m.name)
+// trimmed drops idle members that come before all who wait: their debt is over by the next pick.
+//
+// It keeps the memory to those who wait, run or owe, out of tens of thousands of workspaces.
+func (l level[B]) trimmed() level[B] {
+	for {
+		m, _, ok := l.members.lowest()
+		if !ok || !m.idle() {
+			return l
+		}
+		l.members = l.members.without(m.key)
 	}
-	l.members = l.members.Set(m.name, m)
-
-	return l
 }
 
 // first returns the backlogged member whose turn it is.
 func (l level[B]) first() *member[B] {
-	_, name, ok := first(l.waiting)
-	if !ok {
+	m, _, ok := l.members.lowest()
+	if !ok || !m.waits() {
 		return nil
 	}
-	m, _ := l.members.Get(name)
 
 	return m
 }
@@ -144,7 +130,7 @@
 	m.picked++
 	m.charged += cost
 
-	return l.forgotten()
+	return l
 }
 
 // settle replaces the estimate by what the work really took.
@@ -157,20 +143,3 @@
 	m.charged -= estimate
 	m.tag += (int64(took) - estimate) / m.weight
 }
-
-// forgotten drops idle members that the virtual time has caught up with.
-//
-// With tens of thousands of workspaces the memory would only grow; two for each
-// pick keep pace, because one pick leaves at most one behind.
-func (l level[B]) forgotten() level[B] {
-	for range 2 {
-		at, name, ok := first(l.owing)
-		if !ok || at.at > l.now {
-			return l
-		}
-		l.owing = l.owing.Delete(at)
-		l.members = l.members.Delete(name)
-	}
-
-	return l
-}
--- a/internal/chuteadmission/pool.go
+++ b/internal/chuteadmission/pool.go
@@ -17,11 +17,8 @@
 	count      int
 }
 
-// teamBody makes a team comparable as a pointer.
-type teamBody struct{ *team }
-
-func (t teamBody) backlog() int {
-	if t.team == nil {
+func (t *team) backlog() int {
+	if t == nil {
 		return 0
 	}
 
@@ -30,7 +27,7 @@
 
 // pool is the waiting work of one pool; immutable.
 type pool struct {
-	teams level[teamBody]
+	teams level[*team]
 	count int
 	// inFlight counts the picked work that is not yet done.
 	inFlight int
@@ -39,10 +36,6 @@
 	samples int
 }
 
-func newPool() pool {
-	return pool{teams: newLevel[teamBody]()}
-}
-
 // cost is the estimated time of one call, in nanoseconds.
 func (p pool) cost() int64 {
 	if p.samples == 0 {
@@ -54,19 +47,17 @@
 
 // path leads to one workspace's share of a pool; its parts are copies that may be changed until it is filed.
 type path struct {
-	team      member[teamBody]
+	team      member[*team]
 	inside    team
 	workspace member[line]
 }
 
 func (p pool) path(s *sharer) path {
-	at := path{team: p.teams.get(s.team, s.teamWeight, teamBody{})}
-	if at.team.body.team != nil {
-		at.inside = *at.team.body.team
-	} else {
-		at.inside.workspaces = newLevel[line]()
+	at := path{team: p.teams.get(s.team, s.teamWeight)}
+	if at.team.body != nil {
+		at.inside = *at.team.body
 	}
-	at.workspace = at.inside.workspaces.get(s.workspace, s.workspaceWeight, line{})
+	at.workspace = at.inside.workspaces.get(s.workspace, s.workspaceWeight)
 
 	return at
 }
@@ -75,12 +66,13 @@
 func (p pool) filed(at *path, added int) pool {
 	at.inside.workspaces = at.inside.workspaces.put(at.workspace)
 	at.inside.count += added
-	at.team.body = teamBody{&at.inside}
+	inside := at.inside
+	at.team.body = &inside
 	p.teams = p.teams.put(at.team)
 	p.count += added
 	// A busy period ends when nothing waits and nothing runs: debts end with it.
-	if p.count == 0 && p.inFlight == 0 && p.teams.members.Len() > 0 {
-		p.teams = newLevel[teamBody]()
+	if p.count == 0 && p.inFlight == 0 {
+		p.teams = level[*team]{}
 	}
 
 	return p
@@ -137,9 +129,8 @@
 	if t == nil {
 		return nil
 	}
-	_, i, _ := first(t.body.workspaces.first().body.items)
 
-	return i
+	return t.body.workspaces.first().body.first()
 }
 
 // wait estimates how long an item that comes now would wait for a slot.
--- a/internal/chuteadmission/queue.go
+++ b/internal/chuteadmission/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -13,25 +12,16 @@
 
 // Queue is one node's waiting work over all pools; immutable.
 type Queue struct {
-	fair  bool
-	seq   uint64
-	items *immutable.Map[chuterequest.Key, *item]
+	fair bool
+	seq  uint64
+	// items ranks all waiters by their latest start, so that Hopeless costs one comparison when there is none.
+	items treap[*item]
 	pools *immutable.Map[string, *pool]
-	// latest ranks the items that have a deadline by their latest start.
-	latest *immutable.SortedMap[rank, *item]
-	// earliest is the lowest latest start, so that Hopeless costs one comparison when there is none.
-	earliest int64
 }
 
 // NewQueue returns an empty queue; not fair means first come, first served.
 func NewQueue(fair bool) Queue {
-	return Queue{
-		fair:     fair,
-		items:    immutable.NewMap[chuterequest.Key, *item](keyHasher{}),
-		pools:    immutable.NewMap[string, *pool](nameHasher{}),
-		latest:   newRanking[*item](),
-		earliest: math.MaxInt64,
-	}
+	return Queue{fair: fair, pools: immutable.NewMap[string, *pool](nameHasher{})}
 }
 
 // WithWaiter adds a waiter, in place of any that has its key.
@@ -39,24 +29,21 @@
 	q = q.Without(w.Key)
 	q.seq++
 	i := q.item(w)
-	q.items = q.items.Set(w.Key, i)
-	if at := i.latestStart(); at.at != math.MaxInt64 {
-		q.latest = q.latest.Set(at, i)
-		q.earliest = min(q.earliest, at.at)
-	}
+	q.items = q.items.with(requestKey(w.Key), i.latestStart(), i)
 
 	return q.withPool(w.Pool, q.pool(w.Pool).with(i, q.fair))
 }
 
 // Without takes a waiter out, if it is there, and charges nobody.
 func (q Queue) Without(key chuterequest.Key) Queue {
-	i, ok := q.items.Get(key)
+	i, ok := q.items.get(requestKey(key))
 	if !ok {
 		return q
 	}
+	q.items = q.items.without(requestKey(key))
 	name := i.waiter.Pool
 
-	return q.unlisted(i).withPool(name, q.pool(name).without(i, q.fair))
+	return q.withPool(name, q.pool(name).without(i, q.fair))
 }
 
 // WithFair returns the queue under the other rule, with the same waiters in their order of arrival.
@@ -66,17 +53,13 @@
 	if q.fair == fair {
 		return q
 	}
-	items := make([]*item, 0, q.items.Len())
-	for itr := q.items.Iterator(); !itr.Done(); {
-		_, i, _ := itr.Next()
-		items = append(items, i)
-	}
+	items := make([]*item, 0, q.items.size)
+	q.items.each(func(i *item) { items = append(items, i) })
 	slices.SortFunc(items, func(a, b *item) int { return cmp.Compare(a.seq, b.seq) })
 	next := NewQueue(fair)
 	for itr := q.pools.Iterator(); !itr.Done(); {
 		name, p, _ := itr.Next()
-		rates := newPool()
-		rates.took, rates.samples, rates.inFlight = p.took, p.samples, p.inFlight
+		rates := pool{took: p.took, samples: p.samples, inFlight: p.inFlight}
 		next = next.withPool(name, rates)
 	}
 	for _, i := range items {
@@ -107,7 +90,9 @@
 		return Waiter{}, q, false
 	}
 
-	return i.waiter, q.unlisted(i).withPool(pool, p.picked(i, q.fair)), true
+	q.items = q.items.without(requestKey(i.waiter.Key))
+
+	return i.waiter, q.withPool(pool, p.picked(i, q.fair)), true
 }
 
 // WithDone ends one call that Next had let go: its share is charged with the
@@ -121,13 +106,14 @@
 // Hopeless takes out the waiters that can no longer finish: now and what they need is past their deadline.
 func (q Queue) Hopeless(now time.Time) ([]Waiter, Queue) {
 	var hopeless []Waiter
-	for q.earliest < now.UnixNano() {
-		_, i, _ := first(q.latest)
+	for {
+		i, latest, ok := q.items.lowest()
+		if !ok || latest.at >= now.UnixNano() {
+			return hopeless, q
+		}
 		hopeless = append(hopeless, i.waiter)
 		q = q.Without(i.waiter.Key)
 	}
-
-	return hopeless, q
 }
 
 // Len counts the waiters of a pool.
@@ -171,7 +157,7 @@
 		return *p
 	}
 
-	return newPool()
+	return pool{}
 }
 
 func (q Queue) withPool(name string, p pool) Queue {
@@ -180,30 +166,13 @@
 	return q
 }
 
-// unlisted takes the item out of the lists that span all pools.
-func (q Queue) unlisted(i *item) Queue {
-	q.items = q.items.Delete(i.waiter.Key)
-	at := i.latestStart()
-	if at.at == math.MaxInt64 {
-		return q
-	}
-	q.latest = q.latest.Delete(at)
-	if at.at == q.earliest {
-		q.earliest = math.MaxInt64
-		if next, _, ok := first(q.latest); ok {
-			q.earliest = next.at
-		}
-	}
-
-	return q
-}
-
 // item files a waiter under the share that it is charged to.
 func (q Queue) item(w Waiter) *item {
 	i := &item{waiter: w, seq: q.seq}
 	if q.fair {
 		i.sharer = sharer{
-			team: w.Team, workspace: w.Workspace, teamWeight: w.TeamWeight, workspaceWeight: w.WorkspaceWeight,
+			team: nameKey(w.Team), workspace: nameKey(w.Workspace),
+			teamWeight: w.TeamWeight, workspaceWeight: w.WorkspaceWeight,
 		}
 	}
 
--- /dev/null
+++ b/internal/chuteadmission/treap.go
@@ -0,0 +1,209 @@
+package chuteadmission
+
+import (
+	"cmp"
+
+	"github.com/cespare/xxhash/v2"
+
+	"azurechute.example/azurechute/internal/chuterequest"
+)
+
+// treap is an immutable map that knows its entry of lowest rank: a binary search
+// tree by key and a heap by rank at once.
+//
+// Keys are ordered by hash, which has nothing to do with rank, so the tree stays
+// balanced as a treap with random priorities does. A general sorted map beside a
+// general map would serve as well, but it costs several times the copying on
+// every change; docs and benchmarks of this package hold the comparison.
+type treap[V any] struct {
+	root *treapNode[V]
+	size int
+}
+
+// treapNode is never changed once its treap has been returned.
+type treapNode[V any] struct {
+	key   treapKey
+	rank  rank
+	left  *treapNode[V]
+	right *treapNode[V]
+	value V
+}
+
+// treapKey is a request's key or a name; the words decide between equal hashes.
+type treapKey struct {
+	hash      uint64
+	name      string
+	requestID string
+}
+
+func nameKey(name string) treapKey {
+	return treapKey{hash: xxhash.Sum64String(name), name: name}
+}
+
+func requestKey(key chuterequest.Key) treapKey {
+	// The multiplier keeps a workspace and a request id of equal text from cancelling out.
+	hash := xxhash.Sum64String(key.Workspace)*31 + xxhash.Sum64String(key.RequestID)
+
+	return treapKey{hash: hash, name: key.Workspace, requestID: key.RequestID}
+}
+
+func (k treapKey) compare(other treapKey) int {
+	if k.hash != other.hash {
+		return cmp.Compare(k.hash, other.hash)
+	}
+
+	return cmp.Or(cmp.Compare(k.name, other.name), cmp.Compare(k.requestID, other.requestID))
+}
+
+// lowest returns the value of lowest rank.
+func (t treap[V]) lowest() (V, rank, bool) {
+	if t.root == nil {
+		var none V
+
+		return none, rank{}, false
+	}
+
+	return t.root.value, t.root.rank, true
+}
+
+func (t treap[V]) find(key treapKey) *treapNode[V] {
+	n := t.root
+	for n != nil {
+		switch order := key.compare(n.key); {
+		case order < 0:
+			n = n.left
+		case order > 0:
+			n = n.right
+		default:
+			return n
+		}
+	}
+
+	return nil
+}
+
+func (t treap[V]) get(key treapKey) (V, bool) {
+	if n := t.find(key); n != nil {
+		return n.value, true
+	}
+	var none V
+
+	return none, false
+}
+
+// with returns the treap with the value under the key, in place of any that is there.
+func (t treap[V]) with(key treapKey, at rank, value V) treap[V] {
+	known := t.find(key)
+	if known != nil && known.rank == at {
+		return treap[V]{root: t.root.replaced(key, value), size: t.size}
+	}
+	if known != nil {
+		t = t.without(key)
+	}
+
+	return treap[V]{root: t.root.inserted(&treapNode[V]{key: key, rank: at, value: value}), size: t.size + 1}
+}
+
+// without returns the treap less the key, which must be there.
+func (t treap[V]) without(key treapKey) treap[V] {
+	return treap[V]{root: t.root.removed(key), size: t.size - 1}
+}
+
+// each visits all values in the order of their keys' hashes.
+func (t treap[V]) each(visit func(V)) {
+	t.root.each(visit)
+}
+
+func (n *treapNode[V]) each(visit func(V)) {
+	if n == nil {
+		return
+	}
+	n.left.each(visit)
+	visit(n.value)
+	n.right.each(visit)
+}
+
+func (n *treapNode[V]) replaced(key treapKey, value V) *treapNode[V] {
+	next := *n
+	switch order := key.compare(n.key); {
+	case order < 0:
+		next.left = n.left.replaced(key, value)
+	case order > 0:
+		next.right = n.right.replaced(key, value)
+	default:
+		next.value = value
+	}
+
+	return &next
+}
+
+// inserted puts added, which may still be changed, where the heap order wants it.
+func (n *treapNode[V]) inserted(added *treapNode[V]) *treapNode[V] {
+	if n == nil {
+		return added
+	}
+	if added.rank.less(n.rank) {
+		added.left, added.right = n.split(added.key)
+
+		return added
+	}
+	next := *n
+	if added.key.compare(n.key) < 0 {
+		next.left = n.left.inserted(added)
+	} else {
+		next.right = n.right.inserted(added)
+	}
+
+	return &next
+}
+
+// split returns the parts with lower and with higher keys.
+func (n *treapNode[V]) split(key treapKey) (lower, higher *treapNode[V]) {
+	if n == nil {
+		return nil, nil
+	}
+	next := *n
+	if key.compare(n.key) < 0 {
+		lower, next.left = n.left.split(key)
+
+		return lower, &next
+	}
+	next.right, higher = n.right.split(key)
+
+	return &next, higher
+}
+
+func (n *treapNode[V]) removed(key treapKey) *treapNode[V] {
+	order := key.compare(n.key)
+	if order == 0 {
+		return joined(n.left, n.right)
+	}
+	next := *n
+	if order < 0 {
+		next.left = n.left.removed(key)
+	} else {
+		next.right = n.right.removed(key)
+	}
+
+	return &next
+}
+
+// joined returns both parts as one; all keys of lower are below those of higher.
+func joined[V any](lower, higher *treapNode[V]) *treapNode[V] {
+	switch {
+	case lower == nil:
+		return higher
+	case higher == nil:
+		return lower
+	case lower.rank.less(higher.rank):
+		next := *lower
+		next.right = joined(lower.right, higher)
+
+		return &next
+	default:
+		next := *higher
+		next.left = joined(lower, higher.left)
+
+		return &next
+	}
+}
--- a/internal/chuteadmission/workspace.go
+++ b/internal/chuteadmission/workspace.go
@@ -1,9 +1,6 @@
 package chuteadmission
 
 import (
-	"math"
-	"time"
-
 	"github.com/benbjohnson/immutable"
 )
 
@@ -16,8 +13,8 @@
 
 // sharer names the line in which a waiter stands; without fair sharing there is only the zero one.
 type sharer struct {
-	team            string
-	workspace       string
+	team            treapKey
+	workspace       treapKey
 	teamWeight      int
 	workspaceWeight int
 }
@@ -42,22 +39,13 @@
 // latestStart ranks by the last moment at which the waiter can still start and finish in time.
 func (i *item) latestStart() rank {
 	at := nanos(i.waiter.Deadline)
-	if at != math.MaxInt64 {
+	if at != never {
 		at -= int64(i.waiter.Needs)
 	}
 
 	return rank{at: at, seq: i.seq}
 }
 
-// nanos is the time as a number; no time at all counts as the far future.
-func nanos(at time.Time) int64 {
-	if at.IsZero() {
-		return math.MaxInt64
-	}
-
-	return at.UnixNano()
-}
-
 // line is the waiting work of one workspace in one pool, earliest deadline first.
 type line struct {
 	items *immutable.SortedMap[rank, *item]
@@ -73,7 +61,7 @@
 
 func (l line) with(i *item, fair bool) line {
 	if l.items == nil {
-		l.items = newRanking[*item]()
+		l.items = immutable.NewSortedMap[rank, *item](rankComparer{})
 	}
 
 	return line{items: l.items.Set(i.rank(fair), i)}
@@ -88,6 +76,13 @@
 	return line{items: items}
 }
 
+// first returns the item with the earliest deadline; the line must not be empty.
+func (l line) first() *item {
+	_, i, _ := l.items.Iterator().Next()
+
+	return i
+}
+
 // walkLimit bounds how many items before counts one by one.
 const walkLimit = 32
 
@@ -105,7 +100,7 @@
 		if i == 0 {
 			earliest = at.at
 		}
-		if (rankComparer{}).Compare(at, r) > 0 {
+		if r.less(at) {
 			return i
 		}
 	}
--- /dev/null
+++ b/internal/chutecli/serve.go
@@ -0,0 +1,37 @@
+package chutecli
+
+import (
+	"context"
+	"errors"
+)
+
+var errNoServer = errors.New("this build has no server")
+
+type serveCommand struct {
+	Settings string `env:"AZURECHUTE_SETTINGS" help:"JSON file with the node's settings." placeholder:"FILE" required:"" type:"existingfile"`
+}
+
+// Help returns the command's detailed help.
+func (serveCommand) Help() string {
+	return `Runs until told to end by SIGTERM or an interrupt; then it takes no new work,
+finishes what is in flight and exits.
+
+Example:
+  azurechute serve --settings /etc/azurechute/settings.json`
+}
+
+// Run serves until ctx ends.
+func (c serveCommand) Run(ctx context.Context, s session) error {
+	if s.Serve == nil {
+		return errNoServer
+	}
+
+	return s.Serve(ctx, c.Settings)
+}
+
+type versionCommand struct{}
+
+// Run prints the version.
+func (versionCommand) Run(s session) error {
+	return s.print(struct{ Version string }{s.Version}, func() { s.line("azurechute %s", s.Version) })
+}
--- a/internal/chutecore/arrive.go
+++ b/internal/chutecore/arrive.go
@@ -49,8 +49,6 @@
 func (st *step) refusal(e RequestArrived) (chuterequest.Outcome, bool) {
 	pipeline, known := st.config.Pipelines[e.Pipeline]
 	switch {
-	case st.draining:
-		return notRun("this VM is shutting down", unreadyRetryAfter), true
 	case st.version == 0:
 		return notRun("this VM has no configuration yet", unreadyRetryAfter), true
 	case !known || len(pipeline.Stages) == 0:
--- a/internal/chutecore/rollout.go
+++ b/internal/chutecore/rollout.go
@@ -40,7 +40,8 @@
 		st.do(ReadHead{})
 	}
 	if wants.Fetch != nil {
-		st.do(FetchConfig{Fetch: *wants.Fetch})
+		peer, _ := st.members.Member(wants.Fetch.Peer)
+		st.do(FetchConfig{Fetch: *wants.Fetch, PeerAddress: peer.PeerAddress})
 	}
 	if wants.Adopt != nil {
 		st.adopt(*wants.Adopt, fetched)
--- a/internal/chutehttp/outcome.go
+++ b/internal/chutehttp/outcome.go
@@ -12,6 +12,11 @@
 
 // refusalOf words an outcome other than Answered; unready is the node's reason for not welcoming work, if any.
 func refusalOf(outcome chuterequest.Outcome, unready error) *requests.Refusal {
+	if outcome.Kind != chuterequest.OutcomeNotRun && outcome.Kind != chuterequest.OutcomeFailed {
+		// An outcome of no known kind must not be told as safer than it is.
+		outcome.Kind = chuterequest.OutcomeUnknown
+	}
+
 	refusal := refuse(codeOf(outcome, unready), outcome.Field, outcome.Value, outcome.Reason)
 	kind := string(outcome.Kind)
 	refusal.Outcome = &kind
@@ -28,7 +33,7 @@
 // A NotRun that names a field blames the input; as the form of a RequestID has
 // been checked before, one that names RequestID is about its use. Other NotRun
 // are Overloaded where coming back helps and the node welcomes work, else
-// Unavailable. An outcome of no known kind must not be told as safer than it is.
+// Unavailable.
 func codeOf(outcome chuterequest.Outcome, unready error) code {
 	switch {
 	case outcome.Kind == chuterequest.OutcomeFailed:
@@ -50,7 +55,7 @@
 func answerOf(key chuterequest.Key, answer chuterequest.Answer) *requests.Answer {
 	told := &requests.Answer{
 		RequestID: key.RequestID,
-		Outcome:   string(answer.Outcome.Kind),
+		Outcome:   string(chuterequest.OutcomeAnswered),
 		Output:    answer.Output,
 	}
 
@@ -62,6 +67,7 @@
 	}
 
 	refusal := refusalOf(answer.Outcome, nil)
+	told.Outcome = *refusal.Outcome
 	told.Problem = &refusal.Problem
 	told.RetryAfterMilliseconds = refusal.RetryAfterMilliseconds
 	told.SafeToRepeat = refusal.SafeToRepeat
--- a/internal/chuteledger/ledger_test.go
+++ b/internal/chuteledger/ledger_test.go
@@ -33,7 +33,8 @@
 	counters := chuteledger.NewCounters()
 	for range rapid.IntRange(0, 6).Draw(t, "counters") {
 		n := rapid.IntRange(0, 5).Draw(t, "key")
-		key := chuteledger.Key{Team: fmt.Sprint("t", n%2), Workspace: fmt.Sprint("w", n), Wasted: n == 5}
+		names := rapid.SampledFrom([]string{"", "a", `"}\\`, "<é\x00", "b"})
+		key := chuteledger.Key{Team: names.Draw(t, "team"), Stage: names.Draw(t, "stage"), Wasted: n == 5}
 		small := rapid.Int64Range(0, 4)
 		counters = counters.With(key, chuteledger.Count{Calls: small.Draw(t, "calls"), Cost: small.Draw(t, "cost")})
 	}
--- a/internal/chutemember/digest.go
+++ b/internal/chutemember/digest.go
@@ -151,7 +151,9 @@
 
 // nodeNews lists the news about the members in the digest's scope. Members that
 // are dead by this node's judgement are left out: passed on, a dead member
-// would come back at nodes that have forgotten it, and go round for ever.
+// would come back at nodes that have forgotten it, and go round for ever. Only
+// the peer itself is told of its own dead incarnation, so that it can go above
+// its epoch, see withRaisedEpoch.
 func (s Set) nodeNews(peer string, known Digest, b *budget) ([]NodeNews, []Beat) {
 	var news []NodeNews
 	var beats []Beat
@@ -160,7 +162,7 @@
 	for i := range all {
 		n := all[(start+i)%len(all)]
 		have, listed := known.version(n.id)
-		if n.member.Heartbeat <= have || !known.covers(n, listed) || n.member.Name == peer || s.dead(n, s.at) {
+		if n.member.Heartbeat <= have || !known.covers(n, listed) || (s.dead(n, s.at) && n.member.Name != peer) {
 			continue
 		}
 		entry := n.newsSince(have)
--- a/internal/chutemember/failure_test.go
+++ b/internal/chutemember/failure_test.go
@@ -13,14 +13,24 @@
 	// the one before, so its epoch is lower. The others hold the old incarnation
 	// and would ignore the new one for ever. Told of the old one, the new one
 	// goes above its epoch; from then on only the new incarnation is listed.
-	for name, clock := range map[string]time.Duration{"clock right": time.Minute, "clock behind": -time.Hour} {
-		t.Run(name, func(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		clock time.Duration
+		away  int
+	}{
+		{"clock right", 0, 5},
+		{"clock behind", -time.Hour, 5},
+		{"clock behind, held for dead meanwhile", -time.Hour, 300},
+	} {
+		t.Run(test.name, func(t *testing.T) {
 			w := newNetwork(1)
 			w.grow(9)
 			w.steps(20)
 			w.expectMembers(t, w.incarnations()...)
 
-			again := memberNumber(4, w.now.Add(clock))
+			delete(w.nodes, "entry-004")
+			w.steps(test.away)
+			again := memberNumber(4, w.now.Add(test.clock))
 			again.Incarnation = "entry-004-2"
 			w.nodes["entry-004"] = New(again).WithSeeds([]Seed{{Name: "entry-000", PeerAddress: "10.0.0.0:7300"}})
 			w.steps(60)
@@ -83,7 +93,7 @@
 	w.steps(60)
 	expectMarks(mark)
 
-	w.now = w.now.Add(DefaultSettings().MarkAge - 70*time.Second)
+	w.now = w.now.Add(DefaultSettings().MarkAge - 80*time.Second)
 	w.steps(10)
 	expectMarks(mark)
 	w.steps(70)
--- a/internal/chutenode/loop.go
+++ b/internal/chutenode/loop.go
@@ -74,7 +74,7 @@
 	case chutecore.ReadHead:
 		n.spawn(n.readHead)
 	case chutecore.FetchConfig:
-		n.spawn(func(ctx context.Context) { n.fetchConfig(ctx, e.Fetch) })
+		n.spawn(func(ctx context.Context) { n.fetchConfig(ctx, e) })
 	case chutecore.ConfigInForce:
 		n.configInForce(e)
 	case chutecore.ReadLease:
--- a/internal/chutenode/submit.go
+++ b/internal/chutenode/submit.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 
-
 	"azurechute.example/azurechute/internal/chutecore"
 	"azurechute.example/azurechute/internal/chuteprompt"
 	"azurechute.example/azurechute/internal/chuterequest"
@@ -169,4 +168,3 @@
 
 	return e.results[id].Output
 }
-
--- a/internal/chutestore/fake_test.go
+++ b/internal/chutestore/fake_test.go
@@ -35,10 +35,10 @@
 	return &fakePlatform{rows: map[string]chutetable.Row{}, objects: map[string][]byte{}}
 }
 
-func (f *fakePlatform) store(tokens ...string) Store {
+func (f *fakePlatform) store(name string) Store {
 	s := New(Platform{f.transact, f.read, f.putObject, f.getObject}, clockwork.NewFakeClock())
 	n := 0
-	s.newToken = func() string { n++; return fmt.Sprint(tokens, n) }
+	s.newID = func() string { n++; return fmt.Sprint(name, n) }
 	s.pause = func(ctx context.Context, _ time.Duration) error { return ctx.Err() }
 
 	return s
--- a/internal/chutestore/publish.go
+++ b/internal/chutestore/publish.go
@@ -54,11 +54,11 @@
 		return Published{}, s.conflict(ctx, expect, head)
 	}
 	next := Head{
-		Version:  set.Version,
-		Digest:   chuteconfig.Digest(body),
-		Operator: operator,
-		At:       s.clock.Now().UTC(),
-		Token:    s.newToken(),
+		Version:   set.Version,
+		Digest:    chuteconfig.Digest(body),
+		Operator:  operator,
+		At:        s.clock.Now().UTC(),
+		PublishID: s.newID(),
 	}
 	next.Object = objectName(next.Digest)
 	// The object goes first: a head that names an object not yet there would
@@ -113,7 +113,7 @@
 // An answer can be lost after the write took effect, and a write can take
 // effect late. Sending the same transaction again settles both: it can take
 // effect only once, because its conditions fail afterwards, and then the
-// version's history row tells by its token whose write it was. Reading the
+// version's history row tells by its PublishID whose write it was. Reading the
 // head alone would not do: another operator may have published on top of ours,
 // or our write may still be under way.
 func (s Store) commit(ctx context.Context, next Head, tx chutetable.Transaction) (Published, error) {
@@ -156,7 +156,7 @@
 		if err != nil {
 			return err
 		}
-		if winner.Token == next.Token {
+		if winner.PublishID == next.PublishID {
 			return nil
 		}
 	}
--- a/internal/chutestore/publish_test.go
+++ b/internal/chutestore/publish_test.go
@@ -52,7 +52,7 @@
 			return nil
 		}
 		expectConflict(c, f.store("c"), 3, 1, "ben", weightPath)
-		expectInForce(c, f.store(), 2, 2)
+		expectInForce(c, f.store("reader"), 2, 2)
 	})
 	t.Run("same content", func(t *testing.T) {
 		c := qt.New(t)
@@ -77,7 +77,7 @@
 		f := newFake()
 		f.lose = func(n int) bool { return n == 1 }
 		expectPublished(c, f.store("a"), 1, 0, "ann")
-		expectInForce(c, f.store(), 1, 1)
+		expectInForce(c, f.store("reader"), 1, 1)
 		c.Assert(f.version, qt.Equals, uint64(2), qt.Commentf("the head and its history row are written once"))
 	})
 	t.Run("not written", func(t *testing.T) {
@@ -105,7 +105,7 @@
 			return nil
 		}
 		expectPublished(c, f.store("a"), 1, 0, "ann")
-		expectInForce(c, f.store(), 2, 2)
+		expectInForce(c, f.store("reader"), 2, 2)
 	})
 	t.Run("another was first", func(t *testing.T) {
 		c := qt.New(t)
