--- a/internal/chutecli/app.go
+++ b/internal/chutecli/app.go
@@ -1,6 +1,7 @@
 package chutecli
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -115,7 +116,15 @@
 		return a.report(usageError{err})
 	}
 
-	return a.report(parsed.Run(session{App: a, json: cmds.Output == "json"}))
+	s := session{App: a, json: cmds.Output == "json", out: bufio.NewWriter(a.Stdout)}
+	err = parsed.Run(s)
+
+	// A result that did not get out, as to a full disk, must not look like success.
+	if flushErr := s.out.Flush(); flushErr != nil {
+		return a.report(fmt.Errorf("cannot write the result: %w", flushErr))
+	}
+
+	return a.report(err)
 }
 
 // session is one run of one command.
@@ -123,6 +132,8 @@
 	App
 
 	json bool
+	// out is Stdout; it remembers a failed write until Run flushes it.
+	out *bufio.Writer
 }
 
 func (a App) report(err error) int {
@@ -131,7 +142,7 @@
 	}
 	code, text := explain(err)
 	if text != "" {
-		fmt.Fprintln(a.Stderr, "azurechute: "+text)
+		_, _ = fmt.Fprintln(a.Stderr, "azurechute: "+text)
 	}
 
 	return code
--- a/internal/chutehttp/outcome.go
+++ b/internal/chutehttp/outcome.go
@@ -31,7 +31,8 @@
 // codeOf picks the HTTP status of an outcome.
 //
 // A NotRun that names a field blames the input; as the form of a RequestID has
-// been checked before, one that names RequestID is about its use. Other NotRun
+// been checked before, one that names RequestID is about its use, and one that
+// names Pipeline about a pipeline that a newer configuration took out. Other NotRun
 // are Overloaded where coming back helps and the node welcomes work, else
 // Unavailable.
 func codeOf(outcome chuterequest.Outcome, unready error) code {
@@ -42,6 +43,8 @@
 		return codeUnknown
 	case outcome.Field == "RequestID":
 		return codeConflict
+	case outcome.Field == "Pipeline":
+		return codeNotFound
 	case outcome.Field != "":
 		return codeInvalid
 	case unready == nil && outcome.RetryAfter > 0:
--- a/internal/chutenode/serve.go
+++ b/internal/chutenode/serve.go
@@ -25,12 +25,13 @@
 
 // Serve runs one node from its settings until ctx ends, and then drains it.
 func Serve(ctx context.Context, settings chutesettings.Settings, log zerolog.Logger) error {
-	node := New(settings, clockwork.NewRealClock(), log)
-	defer node.stop()
-	peers, err := node.servePeers(ctx)
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", settings.ListenPeer)
 	if err != nil {
-		return err
+		return oops.In("serve").With("step", "listen for peers", "peer", settings.ListenPeer).Wrap(err)
 	}
+	node := New(withPeerAddress(settings, listener.Addr()), clockwork.NewRealClock(), log)
+	defer node.stop()
+	peers := node.servePeers(listener)
 	node.start()
 	stopWatch := context.AfterFunc(ctx, node.beginDrain)
 	defer stopWatch()
@@ -58,15 +59,20 @@
 // started logs where the node is reached.
 func (n *Node) started(callers, operators net.Addr) {
 	n.log.Info().Str("Callers", callers.String()).Str("Operators", operators.String()).
-		Str("Incarnation", n.identity.Incarnation).Msg("serving")
+		Str("Peers", n.settings.AdvertisePeer).Str("Incarnation", n.identity.Incarnation).Msg("serving")
 }
 
-// servePeers opens the address for other nodes.
-func (n *Node) servePeers(ctx context.Context) (*chutepeer.Server, error) {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", n.settings.ListenPeer)
-	if err != nil {
-		return nil, oops.In("serve").With("step", "listen for peers", "peer", n.settings.ListenPeer).Wrap(err)
+// withPeerAddress advertises the bound address where the settings leave the port to the system.
+func withPeerAddress(settings chutesettings.Settings, bound net.Addr) chutesettings.Settings {
+	if _, port, err := net.SplitHostPort(settings.AdvertisePeer); err == nil && port != "0" {
+		return settings
 	}
+
+	return settings.WithAdvertise(settings.AdvertiseHTTP, bound.String())
+}
+
+// servePeers answers the other nodes on the listener.
+func (n *Node) servePeers(listener net.Listener) *chutepeer.Server {
 	server := chutepeer.NewServer(chutepeer.DefaultSettings(n.settings.Site, n.settings.NodeName), n.handlers(), n.log)
 	go func() {
 		if err := server.Serve(listener); err != nil {
@@ -74,7 +80,7 @@
 		}
 	}()
 
-	return server, nil
+	return server
 }
 
 // start begins the loop and the reading of the platform's list.
--- a/pkg/chuteconfig/defaults.go
+++ b/pkg/chuteconfig/defaults.go
@@ -2,23 +2,31 @@
 
 import "time"
 
-// DefaultPolicy returns the policy of a configuration that states none; docs/OPERATING.md gives the reasons.
+// DefaultPolicy returns the policy of a configuration that states none.
+//
+// None of the values is measured; they are starting points for an operator.
 func DefaultPolicy() Policy {
 	return Policy{
-		Balancing:       BalancingExpectedFinish,
-		Admission:       true,
-		FairSharing:     true,
-		MaxAttempts:     3,
-		RetryBudget:     0.1,
-		HedgeBudget:     0.02,
-		StallTimeout:    Duration(2 * time.Second),
-		ReportAgeLimit:  Duration(3 * time.Second),
-		ClaimTimeout:    Duration(1 * time.Second),
+		Balancing:   BalancingExpectedFinish,
+		Admission:   true,
+		FairSharing: true,
+		// One retry and one hedge beside the first attempt.
+		MaxAttempts: 3,
+		// Small shares, so that retries cannot multiply the load of an outage.
+		RetryBudget: 0.1,
+		HedgeBudget: 0.02,
+		// Far above the gap between two tokens, and short enough to resume elsewhere within a deadline of seconds.
+		StallTimeout:   Duration(2 * time.Second),
+		ReportAgeLimit: Duration(3 * time.Second),
+		// A claim that takes longer is told NotRun, which a caller prefers to waiting out the deadline.
+		ClaimTimeout: Duration(1 * time.Second),
+		// Room for several orders in one lease, and a successor that has to wait seconds rather than minutes.
 		LeaseDuration:   Duration(15 * time.Second),
 		OrderTimeout:    Duration(3 * time.Second),
 		OrdersPerMinute: 6,
 		LedgerFlush:     Duration(5 * time.Second),
-		DrainTimeout:    Duration(60 * time.Second),
+		// Requests with deadlines of up to a minute end within it.
+		DrainTimeout: Duration(60 * time.Second),
 	}
 }
 
