Tell overload apart from failure; test the reducer's words one by one

Cause: NotRun with the table down came as 429, as if there were too much work, since the HTTP side guessed from readiness and RetryAfter. Change: Outcome carries Overloaded, set where admission or a full queue turned the request away; only that is 429, every other NotRun without a field is 503. The status test lost its readiness column and gained the table-down row. Unrepeatable calls keep away from upstreams on trial.

--- a/cmd/azurechute-standin/main.go
+++ b/cmd/azurechute-standin/main.go
@@ -1,4 +1,4 @@
-// Command azurechute-standin runs one of the platform's stand-ins for tests and the demo.
+// Command azurechute-standin runs one of the platform's stand-ins for tests and the demo, or loads and checks nodes.
 package main
 
 import (
@@ -20,6 +20,11 @@
 	VMs     vmsCommand     `cmd:"" help:"The list of VMs."                           name:"vms"`
 	Engine  engineCommand  `cmd:"" help:"A model engine."`
 	Service serviceCommand `cmd:"" help:"An encoder, retriever, reranker or plain service."`
+
+	Load     loadCommand     `cmd:"" help:"Generate load and check every answer."`
+	Demo     demoCommand     `cmd:"" help:"Check running nodes with a request of every kind."`
+	Verify   verifyCommand   `cmd:"" help:"Sum up what the stand-ins ran; fails when something ran twice that must not."`
+	Register registerCommand `cmd:"" help:"Enter a VM into a VM list."`
 }
 
 type listenFlags struct {
@@ -121,7 +126,7 @@
 	}()
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	parsed := kong.Parse(&commands{}, kong.Name("azurechute-standin"),
-		kong.Description("Stand-ins for the platform, for tests and the demo."),
+		kong.Description("Stand-ins for the platform and for callers, for tests and the demo."),
 		kong.BindTo(ctx, (*context.Context)(nil)), kong.Bind(log))
 	parsed.FatalIfErrorf(parsed.Run())
 }
--- a/internal/chuteadmission/pool.go
+++ b/internal/chuteadmission/pool.go
@@ -5,8 +5,6 @@
 const (
 	// timeWeight is the weight of the newest call in the pool's mean time.
 	timeWeight = 0.1
-	// firstSamples are averaged evenly before the weight applies.
-	firstSamples = 10
 	// assumedCost is charged for a call while the pool has finished none.
 	assumedCost = 100 * time.Millisecond
 )
--- a/internal/chuteadmission/queue.go
+++ b/internal/chuteadmission/queue.go
@@ -29,7 +29,7 @@
 	q = q.Without(w.Key)
 	q.seq++
 	i := q.item(w)
-	q.items = q.items.with(requestKey(w.Key), i.latestStart(), i)
+	q.items = q.items.with(i.latestStart(), i)
 
 	return q.withPool(w.Pool, q.pool(w.Pool).with(i, q.fair))
 }
@@ -40,7 +40,7 @@
 	if !ok {
 		return q
 	}
-	q.items = q.items.without(requestKey(key))
+	q.items = q.items.without(i.key)
 	name := i.waiter.Pool
 
 	return q.withPool(name, q.pool(name).without(i, q.fair))
@@ -90,7 +90,7 @@
 		return Waiter{}, q, false
 	}
 
-	q.items = q.items.without(requestKey(i.waiter.Key))
+	q.items = q.items.without(i.key)
 
 	return i.waiter, q.withPool(pool, p.picked(i, q.fair)), true
 }
@@ -168,7 +168,7 @@
 
 // item files a waiter under the share that it is charged to.
 func (q Queue) item(w Waiter) *item {
-	i := &item{waiter: w, seq: q.seq}
+	i := &item{waiter: w, key: requestKey(w.Key), seq: q.seq}
 	if q.fair {
 		i.sharer = sharer{
 			team: nameKey(w.Team), workspace: nameKey(w.Workspace),
--- a/internal/chuteadmission/treap.go
+++ b/internal/chuteadmission/treap.go
@@ -15,14 +15,19 @@
 // balanced as a treap with random priorities does. A general sorted map beside a
 // general map would serve as well, but it costs several times the copying on
 // every change; docs and benchmarks of this package hold the comparison.
-type treap[V any] struct {
+type treap[V keyed] struct {
 	root *treapNode[V]
 	size int
 }
 
-// treapNode is never changed once its treap has been returned.
-type treapNode[V any] struct {
-	key   treapKey
+// keyed is a value that knows its own key.
+type keyed interface {
+	treapKey() treapKey
+}
+
+// treapNode is never changed once its treap has been returned; it is kept small, for changes copy many of them.
+type treapNode[V keyed] struct {
+	hash  uint64
 	rank  rank
 	left  *treapNode[V]
 	right *treapNode[V]
@@ -47,10 +52,12 @@
 	return treapKey{hash: hash, name: key.Workspace, requestID: key.RequestID}
 }
 
-func (k treapKey) compare(other treapKey) int {
-	if k.hash != other.hash {
-		return cmp.Compare(k.hash, other.hash)
+// order tells on which side of the node the key belongs; 0 means that it is the node's own.
+func (n *treapNode[V]) order(k treapKey) int {
+	if k.hash != n.hash {
+		return cmp.Compare(k.hash, n.hash)
 	}
+	other := n.value.treapKey()
 
 	return cmp.Or(cmp.Compare(k.name, other.name), cmp.Compare(k.requestID, other.requestID))
 }
@@ -69,7 +76,7 @@
 func (t treap[V]) find(key treapKey) *treapNode[V] {
 	n := t.root
 	for n != nil {
-		switch order := key.compare(n.key); {
+		switch order := n.order(key); {
 		case order < 0:
 			n = n.left
 		case order > 0:
@@ -91,8 +98,9 @@
 	return none, false
 }
 
-// with returns the treap with the value under the key, in place of any that is there.
-func (t treap[V]) with(key treapKey, at rank, value V) treap[V] {
+// with returns the treap with the value, in place of any that has its key.
+func (t treap[V]) with(at rank, value V) treap[V] {
+	key := value.treapKey()
 	known := t.find(key)
 	if known != nil && known.rank == at {
 		return treap[V]{root: t.root.replaced(key, value), size: t.size}
@@ -101,7 +109,9 @@
 		t = t.without(key)
 	}
 
-	return treap[V]{root: t.root.inserted(&treapNode[V]{key: key, rank: at, value: value}), size: t.size + 1}
+	added := &treapNode[V]{hash: key.hash, rank: at, value: value}
+
+	return treap[V]{root: t.root.inserted(key, added), size: t.size + 1}
 }
 
 // without returns the treap less the key, which must be there.
@@ -125,7 +135,7 @@
 
 func (n *treapNode[V]) replaced(key treapKey, value V) *treapNode[V] {
 	next := *n
-	switch order := key.compare(n.key); {
+	switch order := n.order(key); {
 	case order < 0:
 		next.left = n.left.replaced(key, value)
 	case order > 0:
@@ -138,20 +148,20 @@
 }
 
 // inserted puts added, which may still be changed, where the heap order wants it.
-func (n *treapNode[V]) inserted(added *treapNode[V]) *treapNode[V] {
+func (n *treapNode[V]) inserted(key treapKey, added *treapNode[V]) *treapNode[V] {
 	if n == nil {
 		return added
 	}
 	if added.rank.less(n.rank) {
-		added.left, added.right = n.split(added.key)
+		added.left, added.right = n.split(key)
 
 		return added
 	}
 	next := *n
-	if added.key.compare(n.key) < 0 {
-		next.left = n.left.inserted(added)
+	if n.order(key) < 0 {
+		next.left = n.left.inserted(key, added)
 	} else {
-		next.right = n.right.inserted(added)
+		next.right = n.right.inserted(key, added)
 	}
 
 	return &next
@@ -163,7 +173,7 @@
 		return nil, nil
 	}
 	next := *n
-	if key.compare(n.key) < 0 {
+	if n.order(key) < 0 {
 		lower, next.left = n.left.split(key)
 
 		return lower, &next
@@ -174,7 +184,7 @@
 }
 
 func (n *treapNode[V]) removed(key treapKey) *treapNode[V] {
-	order := key.compare(n.key)
+	order := n.order(key)
 	if order == 0 {
 		return joined(n.left, n.right)
 	}
@@ -189,7 +199,7 @@
 }
 
 // joined returns both parts as one; all keys of lower are below those of higher.
-func joined[V any](lower, higher *treapNode[V]) *treapNode[V] {
+func joined[V keyed](lower, higher *treapNode[V]) *treapNode[V] {
 	switch {
 	case lower == nil:
 		return higher
--- a/internal/chutecore/arrive.go
+++ b/internal/chutecore/arrive.go
@@ -60,7 +60,7 @@
 			Kind: chuterequest.OutcomeNotRun, Reason: "the deadline has passed", Field: "Deadline",
 		}, true
 	case st.requests.Len() >= st.config.Limits.MaxInFlight:
-		return notRun("this VM is at its limit of requests in flight", unreadyRetryAfter), true
+		return overloaded("this VM is at its limit of requests in flight", unreadyRetryAfter), true
 	}
 
 	return chuterequest.Outcome{}, false
@@ -85,7 +85,7 @@
 func (st *step) admit(r Request) (chuterequest.Outcome, bool) {
 	pool := r.stage().Pool
 	if st.queue.Len(pool) >= st.config.Limits.MaxQueued {
-		return notRun("the queue for pool "+pool+" is full", unreadyRetryAfter), false
+		return overloaded("the queue for pool "+pool+" is full", unreadyRetryAfter), false
 	}
 	if !st.config.Policy.Admission {
 		return chuterequest.Outcome{}, true
@@ -95,7 +95,7 @@
 		return chuterequest.Outcome{}, true
 	}
 
-	return notRun("pool "+pool+" can't finish this within its deadline", prediction.RetryAfter), false
+	return overloaded("pool "+pool+" can't finish this within its deadline", prediction.RetryAfter), false
 }
 
 // waiter describes a request to the queue of its present stage's pool.
@@ -126,3 +126,11 @@
 		Kind: chuterequest.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter, SafeToRepeat: true,
 	}
 }
+
+// overloaded builds the outcome of a request that was turned away for too much work.
+func overloaded(reason string, retryAfter time.Duration) chuterequest.Outcome {
+	outcome := notRun(reason, max(retryAfter, unreadyRetryAfter))
+	outcome.Overloaded = true
+
+	return outcome
+}
--- a/internal/chutecore/finish.go
+++ b/internal/chutecore/finish.go
@@ -42,6 +42,13 @@
 	st.finish(r, withoutResult(r, reason, retryAfter), "")
 }
 
+// giveUpOverloaded ends a queued request for which there is too much work ahead.
+func (st *step) giveUpOverloaded(r Request, reason string, retryAfter time.Duration) {
+	outcome := withoutResult(r, reason, retryAfter)
+	outcome.Overloaded = true
+	st.finish(r, outcome, "")
+}
+
 // withoutResult says what may truly be told of a request that has no result.
 func withoutResult(r Request, reason string, retryAfter time.Duration) chuterequest.Outcome {
 	switch {
--- a/internal/chutecore/platform.go
+++ b/internal/chutecore/platform.go
@@ -55,7 +55,7 @@
 				continue
 			}
 			retryAfter := max(unreadyRetryAfter, st.queue.Predict(waiter, 0, st.now).RetryAfter)
-			st.giveUp(r, "pool "+waiter.Pool+" can't finish this within its deadline", retryAfter)
+			st.giveUpOverloaded(r, "pool "+waiter.Pool+" can't finish this within its deadline", retryAfter)
 		}
 	}
 	st.pumpAll()
--- /dev/null
+++ b/internal/chutecore/reduce_test.go
@@ -0,0 +1,271 @@
+package chutecore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azurechute.example/azurechute/internal/chuterequest"
+	"azurechute.example/azurechute/internal/chuterollout"
+	"azurechute.example/azurechute/internal/chuterouting"
+	"azurechute.example/azurechute/pkg/chuteconfig"
+)
+
+var testStart = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+// driver feeds events to a state and keeps the effects of the last one.
+type driver struct {
+	state   State
+	now     time.Time
+	effects []Effect
+}
+
+func newDriver(tb testing.TB, upstreams int, change func(cfg *chuteconfig.Config)) *driver {
+	tb.Helper()
+	d := &driver{now: testStart, state: NewState(Identity{Node: "entry-1", Zone: "a", Incarnation: "i"}, 7, testStart)}
+	cfg := testConfig()
+	if change != nil {
+		change(&cfg)
+	}
+	d.adopt(tb, 1, cfg)
+	d.list(upstreams, false)
+
+	return d
+}
+
+func testConfig() chuteconfig.Config {
+	pool := func(kind chuteconfig.PoolKind) chuteconfig.Pool {
+		return chuteconfig.Pool{Kind: kind, Slots: 4, UnitPrice: 1, Typical: chuteconfig.Duration(10 * time.Millisecond)}
+	}
+	cfg := chuteconfig.Config{
+		Site:       "site",
+		Teams:      map[string]chuteconfig.Team{"team": {Weight: 1}},
+		Workspaces: map[string]chuteconfig.Workspace{"w": {Team: "team", Weight: 1}},
+		Pools: map[string]chuteconfig.Pool{
+			"encoder": pool(chuteconfig.PoolEncoder), "model": pool(chuteconfig.PoolEngine), "forum": pool(chuteconfig.PoolService),
+		},
+		Models: map[string]chuteconfig.Model{"general": {}},
+		Pipelines: map[string]chuteconfig.Pipeline{
+			"digest": {Team: "team", Stages: []chuteconfig.Stage{
+				{Name: "encode", Pool: "encoder"}, {Name: "generate", Pool: "model", Model: "general", MaxTokens: 10},
+			}},
+			"post": {Team: "team", Stages: []chuteconfig.Stage{{Name: "post", Pool: "forum", Unrepeatable: true}}},
+		},
+	}
+
+	return chuteconfig.WithDefaults(cfg)
+}
+
+func (d *driver) stamp() Stamp { return Stamp{At: d.now} }
+
+func (d *driver) reduce(e Event) { d.state, d.effects = Reduce(d.state, e) }
+
+func (d *driver) adopt(tb testing.TB, version uint64, cfg chuteconfig.Config) {
+	tb.Helper()
+	id := chuterollout.ID{Version: version, Digest: fmt.Sprint("digest-", version)}
+	d.reduce(HeadRead{Stamp: d.stamp(), Read: chuterollout.HeadRead{ID: id, Object: "o", Started: d.now, At: d.now}})
+	fetch, ok := find[FetchConfig](d.effects)
+	if !ok {
+		tb.Fatal("the head was read, but no fetch followed")
+	}
+	d.reduce(BodyFetched{Stamp: d.stamp(), Fetch: fetch.Fetch, Digest: id.Digest, Config: cfg})
+}
+
+func (d *driver) list(n int, leaving bool) {
+	var listed []chuterouting.Listed
+	for _, pool := range []string{"encoder", "forum", "model"} {
+		for i := range n {
+			name := fmt.Sprintf("%s-%d", pool, i)
+			listed = append(listed, chuterouting.Listed{
+				Name: name, Address: name, Zone: "a", Pool: pool, Incarnation: "1", Leaving: leaving,
+			})
+		}
+	}
+	d.reduce(UpstreamsListed{Stamp: d.stamp(), Upstreams: listed})
+}
+
+func (d *driver) arrive(handle uint64, pipeline string) {
+	d.reduce(RequestArrived{
+		Stamp: d.stamp(), Handle: handle, Key: chuterequest.Key{Workspace: "w", RequestID: fmt.Sprint(handle)},
+		Pipeline: pipeline, Deadline: d.now.Add(5 * time.Second),
+	})
+}
+
+func (d *driver) fail(dispatch Dispatch, f chuterequest.Failure, offset int) {
+	d.reduce(AttemptFailed{
+		Stamp: d.stamp(), Handle: dispatch.Handle, Attempt: dispatch.Attempt, Upstream: dispatch.Upstream,
+		Work: dispatch.Work, Failure: f, Offset: offset,
+	})
+}
+
+func (d *driver) finish(dispatch Dispatch) {
+	d.reduce(AttemptFinished{
+		Stamp: d.stamp(), Handle: dispatch.Handle, Attempt: dispatch.Attempt, Upstream: dispatch.Upstream,
+		Work: dispatch.Work, Took: 10 * time.Millisecond, Usage: chuterequest.Usage{Units: 3},
+		Load: chuterequest.Load{Incarnation: "1", Slots: 4},
+	})
+}
+
+// find returns the first effect of a type.
+func find[E Effect](effects []Effect) (E, bool) {
+	for _, effect := range effects {
+		if e, ok := effect.(E); ok {
+			return e, true
+		}
+	}
+	var none E
+
+	return none, false
+}
+
+func expectEffect[E Effect](t *testing.T, d *driver) E {
+	t.Helper()
+	e, ok := find[E](d.effects)
+	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("effects: %+v", d.effects))
+
+	return e
+}
+
+func expectNone[E Effect](t *testing.T, d *driver) {
+	t.Helper()
+	_, ok := find[E](d.effects)
+	qt.Assert(t, ok, qt.IsFalse, qt.Commentf("effects: %+v", d.effects))
+}
+
+func expectOutcome(t *testing.T, d *driver, kind chuterequest.OutcomeKind) chuterequest.Outcome {
+	t.Helper()
+	answer := expectEffect[Answer](t, d)
+	qt.Assert(t, answer.Outcome.Kind, qt.Equals, kind)
+
+	return answer.Outcome
+}
+
+func TestStagesRunInOrder(t *testing.T) {
+	d := newDriver(t, 2, nil)
+	d.arrive(1, "digest")
+	first := expectEffect[Dispatch](t, d)
+	qt.Assert(t, first.Stage.Name, qt.Equals, "encode")
+	d.finish(first)
+	second := expectEffect[Dispatch](t, d)
+	qt.Assert(t, second.Stage.Name, qt.Equals, "generate")
+	qt.Assert(t, second.Context, qt.Equals, first.Attempt)
+	d.finish(second)
+	qt.Assert(t, expectEffect[Answer](t, d).Result, qt.Equals, second.Attempt)
+	qt.Assert(t, d.state.InFlight(), qt.Equals, 0)
+}
+
+// A stream breaks after 4 tokens. The caller sees the text go on: the stage is
+// dispatched to another upstream with a resume, and without the retry budget,
+// since giving up would waste the tokens that were paid for.
+func TestBrokenStreamIsResumedElsewhere(t *testing.T) {
+	d := newDriver(t, 2, func(cfg *chuteconfig.Config) { cfg.Policy.RetryBudget = 0 })
+	d.arrive(1, "digest")
+	d.finish(expectEffect[Dispatch](t, d))
+	broken := expectEffect[Dispatch](t, d)
+	d.fail(broken, chuterequest.Failure{Kind: chuterequest.FailureBroken}, 4)
+	resumed := expectEffect[Dispatch](t, d)
+	qt.Assert(t, resumed.Resume, qt.IsTrue)
+	qt.Assert(t, resumed.Upstream, qt.Not(qt.Equals), broken.Upstream)
+}
+
+// The post was handed over and its connection broke. The caller hears Unknown at
+// once: it may have been posted, and a second hand-over could post it twice.
+func TestBrokenUnrepeatableIsUnknown(t *testing.T) {
+	d := newDriver(t, 2, nil)
+	d.arrive(1, "post")
+	expectNone[Dispatch](t, d)
+	expectEffect[TakeClaim](t, d)
+	d.reduce(ClaimTaken{Stamp: d.stamp(), Handle: 1})
+	d.fail(expectEffect[Dispatch](t, d), chuterequest.Failure{Kind: chuterequest.FailureBroken}, 0)
+	expectOutcome(t, d, chuterequest.OutcomeUnknown)
+	expectNone[Dispatch](t, d)
+	expectEffect[FinishClaim](t, d)
+}
+
+// The upstream refused the post by its own word, so nothing was posted: it goes
+// to another one under the same claim.
+func TestRefusedUnrepeatableGoesElsewhere(t *testing.T) {
+	d := newDriver(t, 2, func(cfg *chuteconfig.Config) { cfg.Policy.RetryBudget = 1 })
+	d.arrive(1, "post")
+	d.reduce(ClaimTaken{Stamp: d.stamp(), Handle: 1})
+	d.fail(expectEffect[Dispatch](t, d), chuterequest.Failure{Kind: chuterequest.FailureUnreachable, NotTaken: true}, 0)
+	expectEffect[Dispatch](t, d)
+}
+
+// The claim comes after the request was answered NotRun at its deadline. It is
+// given up and never used: the caller may have published again meanwhile.
+func TestLateClaimIsGivenUp(t *testing.T) {
+	d := newDriver(t, 2, nil)
+	d.arrive(1, "post")
+	d.reduce(DeadlinePassed{Stamp: d.stamp(), Handle: 1})
+	expectOutcome(t, d, chuterequest.OutcomeNotRun)
+	d.reduce(ClaimTaken{Stamp: d.stamp(), Handle: 1})
+	expectNone[Dispatch](t, d)
+	expectEffect[GiveUpClaim](t, d)
+}
+
+func TestOutcomeTellsWhatIsTrue(t *testing.T) {
+	t.Run("nothing handed over", func(t *testing.T) {
+		d := newDriver(t, 0, nil)
+		d.arrive(1, "digest")
+		outcome := expectOutcome(t, d, chuterequest.OutcomeNotRun)
+		qt.Assert(t, outcome.RetryAfter > 0, qt.IsTrue)
+	})
+	t.Run("part of it ran", func(t *testing.T) {
+		d := newDriver(t, 1, nil)
+		d.arrive(1, "digest")
+		d.fail(expectEffect[Dispatch](t, d), chuterequest.Failure{Kind: chuterequest.FailureErrored}, 0)
+		outcome := expectOutcome(t, d, chuterequest.OutcomeFailed)
+		qt.Assert(t, outcome.SafeToRepeat, qt.IsTrue)
+	})
+	t.Run("refused by all", func(t *testing.T) {
+		d := newDriver(t, 1, nil)
+		d.arrive(1, "digest")
+		d.fail(expectEffect[Dispatch](t, d), chuterequest.Failure{Kind: chuterequest.FailureRefused, NotTaken: true}, 0)
+		expectOutcome(t, d, chuterequest.OutcomeNotRun)
+	})
+	t.Run("another attempt holds the claim", func(t *testing.T) {
+		d := newDriver(t, 1, nil)
+		d.arrive(1, "post")
+		d.reduce(ClaimHeld{Stamp: d.stamp(), Handle: 1})
+		d.reduce(DeadlinePassed{Stamp: d.stamp(), Handle: 1})
+		expectOutcome(t, d, chuterequest.OutcomeUnknown)
+	})
+}
+
+func TestLeavingUpstreamIsLeftAlone(t *testing.T) {
+	d := newDriver(t, 1, nil)
+	d.reduce(LoadReported{
+		Stamp: d.stamp(), Upstream: "encoder-0", Load: chuterequest.Load{Incarnation: "1", Slots: 4, Leaving: true},
+	})
+	d.list(1, false)
+	d.arrive(1, "digest")
+	expectOutcome(t, d, chuterequest.OutcomeNotRun)
+}
+
+// BenchmarkRequest reduces the events of one request of two stages.
+func BenchmarkRequest(b *testing.B) {
+	for _, upstreams := range []int{3, 30, 200} {
+		b.Run(fmt.Sprint("upstreams=", 3*upstreams), func(b *testing.B) {
+			d := newDriver(b, upstreams, nil)
+			b.ReportAllocs()
+			events := 0
+			for i := range b.N {
+				d.now = d.now.Add(time.Millisecond)
+				d.arrive(uint64(i+1), "digest")
+				events++
+				for {
+					dispatch, ok := find[Dispatch](d.effects)
+					if !ok {
+						break
+					}
+					d.finish(dispatch)
+					events++
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(events), "µs/event")
+		})
+	}
+}
--- a/internal/chutecore/stage.go
+++ b/internal/chutecore/stage.go
@@ -27,7 +27,7 @@
 
 	return chuterouting.Query{
 		Pool: stage.Pool, Stage: stage.Name, Model: stage.Model, Version: st.config.Models[stage.Model].Version,
-		Exclude: r.Tried, Blocks: r.Blocks, Now: st.now,
+		Exclude: r.Tried, Blocks: r.Blocks, Careful: r.atMostOnce(), Now: st.now,
 	}
 }
 
--- a/internal/chutehttp/refusal_test.go
+++ b/internal/chutehttp/refusal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -156,25 +155,24 @@
 func TestOutcomesBecomeStatuses(t *testing.T) {
 	for name, test := range map[string]struct {
 		outcome chuterequest.Outcome
-		unready error
 		status  int
 		retry   string
 	}{
-		"overload":    {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, RetryAfter: 1200 * time.Millisecond}, nil, 429, "2"},
-		"draining":    {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, RetryAfter: time.Second}, errors.New("leaving"), 503, "1"},
-		"hopeless":    {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun}, nil, 503, ""},
-		"bad input":   {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, Field: "Input"}, nil, 400, ""},
-		"id in use":   {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, Field: "RequestID"}, nil, 409, ""},
-		"taken out":   {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, Field: "Pipeline"}, nil, 404, ""},
-		"failed":      {chuterequest.Outcome{Kind: chuterequest.OutcomeFailed, SafeToRepeat: true, RetryAfter: 1}, nil, 502, "1"},
-		"unknown":     {chuterequest.Outcome{Kind: chuterequest.OutcomeUnknown}, nil, 504, ""},
-		"no kind set": {chuterequest.Outcome{}, nil, 504, ""},
+		"overload":    {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, Overloaded: true, RetryAfter: 1200 * time.Millisecond}, 429, "2"},
+		"table down":  {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, RetryAfter: 1200 * time.Millisecond}, 503, "2"},
+		"draining":    {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, RetryAfter: time.Second}, 503, "1"},
+		"hopeless":    {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun}, 503, ""},
+		"bad input":   {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, Field: "Input"}, 400, ""},
+		"id in use":   {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, Field: "RequestID"}, 409, ""},
+		"taken out":   {chuterequest.Outcome{Kind: chuterequest.OutcomeNotRun, Field: "Pipeline"}, 404, ""},
+		"failed":      {chuterequest.Outcome{Kind: chuterequest.OutcomeFailed, SafeToRepeat: true, RetryAfter: 1}, 502, "1"},
+		"unknown":     {chuterequest.Outcome{Kind: chuterequest.OutcomeUnknown}, 504, ""},
+		"no kind set": {chuterequest.Outcome{}, 504, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
 			test.outcome.Reason = "for a reason"
 			f.answer(test.outcome)
-			f.backend.Ready = func() error { return test.unready }
 
 			for _, accept := range []string{"application/json", "text/event-stream"} {
 				w := f.submit(goodBody, "Accept", accept)
--- a/internal/chuteload/plan.go
+++ b/internal/chuteload/plan.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 
 	"github.com/samber/oops"
 
@@ -36,6 +38,16 @@
 	Weight    float64
 }
 
+// MixOf returns a mix of pipelines by weight, in the order of their names.
+func MixOf(weights map[string]float64) []Share {
+	mix := make([]Share, 0, len(weights))
+	for _, pipeline := range slices.Sorted(maps.Keys(weights)) {
+		mix = append(mix, Share{Pipeline: pipeline, Weight: weights[pipeline]})
+	}
+
+	return mix
+}
+
 // Shape says how requests to one pipeline look.
 type Shape struct {
 	// InputBytes is the size of the text that is a request's own.
--- a/internal/chutemember/digest.go
+++ b/internal/chutemember/digest.go
@@ -39,12 +39,10 @@
 func (s Set) digestOf(scope Scope) Digest {
 	d := Digest{
 		Scope:         scope,
+		Zone:          s.ownZone(),
 		ConfigVersion: s.config.Version,
 		Marks:         s.digestMarks(),
 	}
-	if scope == ScopeZone {
-		d.Zone = s.ownNode().member.Zone
-	}
 	if scope != ScopeZone && scope != ScopeAll {
 		return d
 	}
@@ -119,7 +117,7 @@
 // wants lists what the digest has and this node lacks, within a quarter of the budget.
 func (s Set) wants(known Digest, b *budget) Digest {
 	part := &budget{left: b.left / 4}
-	w := Digest{ConfigVersion: s.config.Version}
+	w := Digest{Zone: s.ownZone(), ConfigVersion: s.config.Version}
 	for bucket := range markBuckets {
 		if (known.Scope != ScopeListed || known.Marks != nil) && s.marksDiffer(known.Marks, bucket) {
 			hashes := s.markHashes
@@ -165,8 +163,17 @@
 		if n.member.Heartbeat <= have || !known.covers(n, listed) || (s.dead(n, s.at) && n.member.Name != peer) {
 			continue
 		}
-		entry := n.newsSince(have)
-		if entry.Record == nil && entry.Status == nil {
+		entry := n.newsSince(have, n.member.Zone == known.Zone)
+		if known.Zone == n.member.Zone && known.Zone != s.ownZone() {
+			// Only the zone itself has its nodes' loads. A version from outside
+			// would claim them to be known, and hide them until they change; so
+			// from outside a node is only introduced, at no version.
+			if listed {
+				continue
+			}
+			entry = n.introduction()
+		}
+		if entry.Record == nil && entry.Status == nil && entry.LoadsAt == 0 {
 			beat := Beat{ID: n.id, Base: have, Version: n.member.Heartbeat}
 			if (len(beats) > 0 || b.take(beatListBytes)) && b.take(beat.size()) {
 				beats = append(beats, beat)
@@ -203,8 +210,14 @@
 	return d.Nodes[i].Version, true
 }
 
+// introduction says no more than who the node is.
+func (n *node) introduction() NodeNews {
+	record := n.member
+	return NodeNews{ID: n.id, Base: n.member.Heartbeat, Version: n.member.Heartbeat, Record: &record, RecordAt: n.recordAt}
+}
+
 // newsSince lists the parts of a node's state that changed after a version.
-func (n *node) newsSince(have uint64) NodeNews {
+func (n *node) newsSince(have uint64, sameZone bool) NodeNews {
 	news := NodeNews{ID: n.id, Base: have, Version: n.member.Heartbeat}
 	if n.recordAt > have {
 		record := n.member
@@ -214,6 +227,9 @@
 		status := n.status
 		news.Status, news.StatusAt = &status, n.statusAt
 	}
+	if sameZone && n.loadsAt > have {
+		news.Loads, news.LoadsAt = n.loads, n.loadsAt
+	}
 	return news
 }
 
--- a/internal/chutemember/merge.go
+++ b/internal/chutemember/merge.go
@@ -85,6 +85,9 @@
 	if news.Status != nil && news.StatusAt > next.statusAt {
 		next.status, next.statusAt = *news.Status, news.StatusAt
 	}
+	if news.LoadsAt > next.loadsAt {
+		next.loads, next.loadsAt = news.Loads, news.LoadsAt
+	}
 	// As in withBeat: the version grows only where nothing in between is missing.
 	if news.Base <= cur.member.Heartbeat && news.Version > cur.member.Heartbeat {
 		next = *next.at(news.Version, s.at)
@@ -104,7 +107,10 @@
 	if cur, ok := s.nodes.Get(news.Record.Name); ok && !news.Record.supersedes(cur.member) {
 		return s
 	}
-	next := &node{id: news.ID, member: *news.Record, recordAt: news.RecordAt, seen: s.at}
+	next := &node{
+		id: news.ID, member: *news.Record, recordAt: news.RecordAt,
+		loads: news.Loads, loadsAt: news.LoadsAt, seen: s.at,
+	}
 	next.member.Heartbeat = 0
 	if news.Status != nil {
 		next.status, next.statusAt = *news.Status, news.StatusAt
--- a/internal/chutemember/network_test.go
+++ b/internal/chutemember/network_test.go
@@ -125,7 +125,7 @@
 	for _, n := range s.allNodes() {
 		if m := s.view(n, s.at); !slices.Contains(without, m.Name) {
 			f.Members = append(f.Members, m)
-			f.Loads[m.Name] = n.status.Loads
+			f.Loads[m.Name] = append(slices.Clone(n.status.Sums), n.loads...)
 		}
 	}
 	return f
--- a/internal/chutemember/plan.go
+++ b/internal/chutemember/plan.go
@@ -98,12 +98,10 @@
 			continue
 		}
 		scope := ScopeNews
-		if p.small() {
-			scope = ScopeAll
-		} else if p.oneIn(p.set.settings.ZoneEvery) {
+		if p.oneIn(p.set.settings.ZoneEvery) {
 			scope = ScopeZone
 		}
-		p.pick(g, scope)
+		p.pick(g, p.smallScope(scope))
 	}
 }
 
@@ -121,7 +119,7 @@
 	case p.oneIn(p.set.settings.OtherZoneEvery):
 		p.pick(g, ScopeAll)
 	case p.oneIn(p.set.settings.NewsEvery):
-		p.pick(g, ScopeNews)
+		p.pick(g, p.smallScope(ScopeNews))
 	}
 }
 
@@ -180,8 +178,12 @@
 	return slices.DeleteFunc(slices.Clone(p.zones), func(g zoneGroup) bool { return g.zone == p.own.Zone })
 }
 
-func (p *planner) small() bool {
-	return p.set.nodes.Len() <= p.set.settings.FullBelow
+// smallScope widens a scope where all members fit into every exchange.
+func (p *planner) smallScope(scope Scope) Scope {
+	if p.set.small() {
+		return ScopeAll
+	}
+	return scope
 }
 
 // oneIn is true once in n times on average.
--- a/internal/chutemember/set.go
+++ b/internal/chutemember/set.go
@@ -41,6 +41,9 @@
 	recordAt uint64
 	status   Status
 	statusAt uint64
+	// loads are empty for nodes of other zones.
+	loads   []PoolLoad
+	loadsAt uint64
 	// seen is when the version last grew, by this node's clock.
 	seen time.Time
 }
@@ -49,7 +52,7 @@
 func New(self Member) Set {
 	self.State = StateLive
 	self.Heartbeat = 1
-	own := &node{id: memberID(self.Name, self.Incarnation), member: self, recordAt: 1, statusAt: 1}
+	own := &node{id: memberID(self.Name, self.Incarnation), member: self, recordAt: 1}
 	s := Set{
 		self:     self.Name,
 		selfID:   own.id,
@@ -106,33 +109,6 @@
 	})
 }
 
-// WithPoolLoad sets this node's work in flight at a pool; it is published no more often than Settings.LoadEvery.
-func (s Set) WithPoolLoad(zone, pool string, inFlight int) Set {
-	load := PoolLoad{Zone: zone, Pool: pool, InFlight: inFlight}
-	i, found := slices.BinarySearchFunc(s.loads, load, comparePools)
-	s.loads = slices.Clone(s.loads)
-	if found {
-		s.loads[i] = load
-	} else {
-		s.loads = slices.Insert(s.loads, i, load)
-	}
-	return s
-}
-
-// withPublishedLoads publishes the waiting loads. The pace is bounded because
-// loads change with every request: published each time, they would use up the
-// control traffic of a zone of 80 nodes.
-func (s Set) withPublishedLoads() Set {
-	if slices.Equal(s.ownNode().status.Loads, s.loads) || s.at.Sub(s.loadsAt) < s.settings.LoadEvery {
-		return s
-	}
-	s.loadsAt = s.at
-	return s.withOwn(func(own *node, version uint64) {
-		own.status.Loads = s.loads
-		own.statusAt = version
-	})
-}
-
 // withOwn changes a copy of this node's state under its next version.
 func (s Set) withOwn(change func(own *node, version uint64)) Set {
 	own := *s.ownNode()
@@ -183,6 +159,10 @@
 	return own
 }
 
+func (s Set) ownZone() string {
+	return s.ownNode().member.Zone
+}
+
 // nodeByID finds the incarnation that a digest names.
 func (s Set) nodeByID(id uint64) (*node, bool) {
 	name, ok := s.names.Get(id)
@@ -214,14 +194,20 @@
 	return now.Sub(from)
 }
 
-// stretched is a heartbeat age that applies to the node, longer for other zones.
+// stretched is a heartbeat age that applies to the node, longer for other zones
+// of a large site, whose heartbeats come seldom.
 func (s Set) stretched(n *node, age time.Duration) time.Duration {
-	if n.member.Zone == s.ownNode().member.Zone {
+	if s.small() || n.member.Zone == s.ownZone() {
 		return age
 	}
 	return age * time.Duration(max(1, s.settings.OtherZoneFactor))
 }
 
+// small reports whether the site is so small that every exchange covers all zones.
+func (s Set) small() bool {
+	return s.nodes.Len() <= s.settings.FullBelow
+}
+
 func (s Set) dead(n *node, now time.Time) bool {
 	return s.age(n, now) > s.stretched(n, s.settings.DeadAfter)
 }
@@ -239,7 +225,3 @@
 	}
 	return b
 }
-
-func comparePools(a, b PoolLoad) int {
-	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Pool, b.Pool))
-}
--- a/internal/chutenode/node.go
+++ b/internal/chutenode/node.go
@@ -200,7 +200,6 @@
 // entry is what the node keeps of one request: payloads, which the reducer only names.
 type entry struct {
 	submission chuterequest.Submission
-	stages     []chuteconfig.Stage
 	results    map[chuterequest.AttemptID]chuteupstream.Result
 	cancels    map[chuterequest.AttemptID]context.CancelFunc
 	relay      *relay
--- a/internal/chutenode/submit.go
+++ b/internal/chutenode/submit.go
@@ -49,7 +49,7 @@
 		select {
 		case answer := <-e.answered:
 			if answer.Outcome.Kind == chuterequest.OutcomeAnswered {
-				told = tell(e.relay, told, onToken)
+				tell(e.relay, told, onToken)
 			}
 
 			return answer
--- a/internal/chutepeer/wire.go
+++ b/internal/chutepeer/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"azurechute.example/azurechute/internal/chutemember"
@@ -136,7 +137,9 @@
 }
 
 func encodeNode(n *chutemember.NodeNews) *chutepeerpb.Node {
-	out := &chutepeerpb.Node{Id: n.ID, Base: n.Base, Version: n.Version}
+	out := &chutepeerpb.Node{
+		Id: n.ID, Base: n.Base, Version: n.Version, Loads: encodeLoads(n.Loads), LoadsAt: n.LoadsAt,
+	}
 	if r := n.Record; r != nil {
 		out.RecordAt = n.RecordAt
 		out.Record = &chutepeerpb.Record{
@@ -146,18 +149,24 @@
 	}
 	if s := n.Status; s != nil {
 		out.StatusAt = n.StatusAt
-		out.Status = &chutepeerpb.Status{ConfigVersion: s.ConfigVersion}
-		for _, l := range s.Loads {
-			out.Status.Loads = append(out.Status.Loads, &chutepeerpb.Load{
-				Zone: l.Zone, Pool: l.Pool, InFlight: uint64(max(0, l.InFlight)),
-			})
-		}
+		out.Status = &chutepeerpb.Status{ConfigVersion: s.ConfigVersion, Sums: encodeLoads(s.Sums)}
+	}
+	return out
+}
+
+func encodeLoads(loads []chutemember.PoolLoad) []*chutepeerpb.Load {
+	out := make([]*chutepeerpb.Load, len(loads))
+	for i, l := range loads {
+		out[i] = &chutepeerpb.Load{Zone: l.Zone, Pool: l.Pool, InFlight: uint64(max(0, l.InFlight))}
 	}
 	return out
 }
 
 func decodeNode(in *chutepeerpb.Node) chutemember.NodeNews {
-	n := chutemember.NodeNews{ID: in.GetId(), Base: in.GetBase(), Version: in.GetVersion()}
+	n := chutemember.NodeNews{
+		ID: in.GetId(), Base: in.GetBase(), Version: in.GetVersion(),
+		Loads: decodeLoads(in.GetLoads()), LoadsAt: in.GetLoadsAt(),
+	}
 	if r := in.GetRecord(); r != nil {
 		n.RecordAt = in.GetRecordAt()
 		n.Record = &chutemember.Member{
@@ -170,16 +179,21 @@
 	}
 	if s := in.GetStatus(); s != nil {
 		n.StatusAt = in.GetStatusAt()
-		n.Status = &chutemember.Status{ConfigVersion: s.GetConfigVersion()}
-		for _, l := range s.GetLoads() {
-			n.Status.Loads = append(n.Status.Loads, chutemember.PoolLoad{
-				Zone: l.GetZone(), Pool: l.GetPool(), InFlight: int(l.GetInFlight()),
-			})
-		}
+		n.Status = &chutemember.Status{ConfigVersion: s.GetConfigVersion(), Sums: decodeLoads(s.GetSums())}
 	}
 	return n
 }
 
+func decodeLoads(in []*chutepeerpb.Load) []chutemember.PoolLoad {
+	var out []chutemember.PoolLoad
+	for _, l := range in {
+		out = append(out, chutemember.PoolLoad{
+			Zone: l.GetZone(), Pool: l.GetPool(), InFlight: int(min(l.GetInFlight(), math.MaxInt32)),
+		})
+	}
+	return out
+}
+
 func toSeconds(d time.Duration) uint64 {
 	return uint64(max(0, d) / time.Second)
 }
--- a/internal/chuterouting/entry.go
+++ b/internal/chuterouting/entry.go
@@ -8,31 +8,32 @@
 
 // entry is all that this node knows of one upstream; it is immutable once in a Table.
 type entry struct {
-	upstream Upstream
-	// listed, listedIncarnation and listedLeaving repeat the platform's last list.
-	listed            bool
+	// What a scan over all upstreams reads comes first, so that it lies together in memory.
+
+	// leaving is true while the current incarnation has a leaving mark.
+	leaving bool
+	// listed, listedLeaving and listedIncarnation repeat the platform's last list.
+	listed        bool
+	listedLeaving bool
+	inFlight      int
+	// others is the work that the last report ascribes to other nodes.
+	others   int
+	reportAt time.Time
+	aside    aside
+	report   chuterequest.Load
+
+	upstream          Upstream
 	listedIncarnation string
-	listedLeaving     bool
 	absentSince       time.Time
 	// previous is the reported incarnation that a newer report has replaced.
 	previous string
 	// reported says that the upstream itself has named its present incarnation.
-	reported bool
-	// leaving is true while the current incarnation has a leaving mark.
-	leaving    bool
+	reported   bool
 	lastAnswer time.Time
-
-	inFlight int
 	// quietSince is when this node's calls there last made progress; meaningful while inFlight > 0.
 	quietSince time.Time
-	report     chuterequest.Load
-	reportAt   time.Time
-	// others is the work that the last report ascribes to other nodes.
-	others int
-
-	speed speed
-	aside aside
-	cache cacheIndex
+	speed      speed
+	cache      cacheIndex
 }
 
 // newIncarnation forgets what was learned about the process that ran before.
--- a/internal/chuterouting/tier.go
+++ b/internal/chuterouting/tier.go
@@ -1,6 +1,7 @@
 package chuterouting
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -83,21 +84,29 @@
 	return other == f.tier.anyVersion
 }
 
+// HasFree says whether Free would be above zero, and stops at the first free slot.
+func (t Table) HasFree(q Query) bool {
+	_, free := t.capacity(&q, 1)
+
+	return free > 0
+}
+
 // Candidates counts the upstreams among which Choose would pick now.
 func (t Table) Candidates(q Query) int {
-	count, _ := t.capacity(&q)
+	count, _ := t.capacity(&q, math.MaxInt)
 
 	return count
 }
 
 // Free counts the slots believed free now on those upstreams; one at most for each that is on trial or set aside.
 func (t Table) Free(q Query) int {
-	_, free := t.capacity(&q)
+	_, free := t.capacity(&q, math.MaxInt)
 
 	return free
 }
 
-func (t Table) capacity(q *Query) (count, free int) {
+// capacity stops counting once it has found enough free slots.
+func (t Table) capacity(q *Query, enough int) (count, free int) {
 	group := t.group(q.Pool)
 	if group == nil {
 		return 0, 0
@@ -109,9 +118,13 @@
 		}
 		for _, part := range group.members(filter.tier) {
 			for _, e := range part {
-				if filter.admits(e) {
-					count++
-					free += t.freeSlots(e, q.Now, filter.limit)
+				if !filter.admits(e) {
+					continue
+				}
+				count++
+				free += t.freeSlots(e, q.Now, filter.limit)
+				if free >= enough {
+					return count, free
 				}
 			}
 		}
