--- a/internal/chutecore/arrive.go
+++ b/internal/chutecore/arrive.go
@@ -90,7 +90,9 @@
 	if !st.config.Policy.Admission {
 		return chuterequest.Outcome{}, true
 	}
-	prediction := st.queue.Predict(st.waiter(r), st.routing.Free(st.query(r)), st.now)
+	waiter := st.waiter(r)
+	waiter.Needs += st.laterWaits(r)
+	prediction := st.queue.Predict(waiter, st.routing.Free(st.query(r)), st.now)
 	if prediction.CanFinish {
 		return chuterequest.Outcome{}, true
 	}
@@ -110,6 +112,25 @@
 	}
 }
 
+// laterWaits sums the waits expected in the queues of the later stages.
+//
+// Without them a request is let in to a free first stage and dies, paid for, in
+// the queue of a saturated later one: on opening morning the encoders are idle
+// while the rerankers are not.
+func (st *step) laterWaits(r Request) time.Duration {
+	total := time.Duration(0)
+	for i := r.Stage + 1; i < len(r.Stages); i++ {
+		later := r
+		later.Stage = i
+		later.Blocks = nil
+		if st.queue.Len(later.stage().Pool) > 0 {
+			total += st.queue.Wait(st.waiter(later), st.routing.Free(st.query(later)))
+		}
+	}
+
+	return total
+}
+
 // needs sums the learned service times of the present and all later stages.
 func (st *step) needs(r Request) time.Duration {
 	total := time.Duration(0)
--- a/internal/chutecore/attempt.go
+++ b/internal/chutecore/attempt.go
@@ -1,6 +1,8 @@
 package chutecore
 
 import (
+	"time"
+
 	"azurechute.example/azurechute/internal/chuteledger"
 	"azurechute.example/azurechute/internal/chuterequest"
 )
@@ -31,13 +33,13 @@
 
 // takeResult makes the attempt's result the stage's result.
 func (st *step) takeResult(r Request, taken Attempt, e AttemptFinished) {
-	st.queue = st.queue.WithDone(r.stage().Pool, st.config.Workspaces[r.Key.Workspace].Team, r.Key.Workspace, taken.age(st.now))
+	st.settle(r, taken, taken.age(st.now))
 	st.retries = st.retries.WithSuccess()
 	st.hedges = st.hedges.WithSuccess()
 	st.rememberCached(r, e)
 	for _, other := range r.Running {
 		if other.ID != taken.ID {
-			st.cancel(r.Handle, other)
+			st.cancel(r, other)
 		}
 	}
 	last := r.Stage == len(r.Stages)-1
@@ -56,10 +58,33 @@
 	}
 }
 
-// cancel stops an attempt and frees its place in routing.
-func (st *step) cancel(handle uint64, a Attempt) {
+// cancel stops an attempt and frees its place in routing and queue.
+func (st *step) cancel(r Request, a Attempt) {
 	st.routing = st.routing.WithReleased(a.Upstream, st.now)
-	st.do(CancelAttempt{Handle: handle, Attempt: a.ID})
+	st.settle(r, a, a.age(st.now))
+	st.do(CancelAttempt{Handle: r.Handle, Attempt: a.ID})
+}
+
+// settle charges the workspace's share of the pool with the time that an attempt took there; zero where it never ran.
+//
+// Each waiter that the queue let go is settled once, or the pool would count it
+// as in flight for good and predict waits that are too short. A hedge went past
+// the queue and has nothing to settle.
+func (st *step) settle(r Request, a Attempt, took time.Duration) {
+	if a.Hedge {
+		return
+	}
+	team := st.config.Workspaces[r.Key.Workspace].Team
+	st.queue = st.queue.WithDone(r.stage().Pool, team, r.Key.Workspace, took)
+}
+
+// ranFor is the time that a failed attempt kept its upstream busy.
+func ranFor(a Attempt, f chuterequest.Failure, now time.Time) time.Duration {
+	if f.NotTaken {
+		return 0
+	}
+
+	return a.age(now)
 }
 
 // attemptFailed decides between waiting for a sibling, another attempt, and giving up.
@@ -80,6 +105,7 @@
 		return
 	}
 	st.routing = st.routing.WithFailed(e.Upstream, e.Failure, st.now)
+	st.settle(r, attempt, ranFor(attempt, e.Failure, st.now))
 	st.noteRefusal(attempt, e.Failure)
 	r = r.WithoutAttempt(attempt, e.Failure.NotTaken).WithOffset(e.Offset)
 	st.put(r)
--- a/internal/chutecore/finish.go
+++ b/internal/chutecore/finish.go
@@ -37,7 +37,7 @@
 // giveUp ends a request that has no result, with the strongest word that is true.
 func (st *step) giveUp(r Request, reason string, retryAfter time.Duration) {
 	for _, a := range r.Running {
-		st.cancel(r.Handle, a)
+		st.cancel(r, a)
 	}
 	st.finish(r, withoutResult(r, reason, retryAfter), "")
 }
--- a/internal/chutecore/stage.go
+++ b/internal/chutecore/stage.go
@@ -51,6 +51,7 @@
 		}
 		st.queue = rest
 		if usable == 0 {
+			st.settle(r, Attempt{}, 0)
 			st.giveUp(r, "no upstream of pool "+pool+" can be used", unreadyRetryAfter)
 
 			continue
@@ -64,6 +65,7 @@
 	choice, ok := st.routing.Choose(st.query(r), st.intN)
 	if !ok {
 		if !hedge {
+			st.settle(r, Attempt{}, 0)
 			st.giveUp(r, "no upstream of pool "+r.stage().Pool+" can be used", unreadyRetryAfter)
 		}
 
--- a/internal/chuteproof/trace_test.go
+++ b/internal/chuteproof/trace_test.go
@@ -42,8 +42,8 @@
 // makeNode builds a router into a world.
 type makeNode func(w *world, node int) router
 
-func naiveNode(w *world, node int) router { return newNaive(w, node) }
-func ourNode(w *world, node int) router   { return newOurs(w, node) }
+func traceNaive(w *world, node int) router { return newNaive(w, node) }
+func traceOurs(w *world, node int) router   { return newOurs(w, node) }
 
 // play runs a trace on two nodes and returns the world at its end.
 func (tr trace) play(make makeNode) *world {
@@ -93,7 +93,7 @@
 		broken, runs := 0, 0
 		rapid.Check(t, func(rt *rapid.T) {
 			runs++
-			if len(p.judge(p.drawn(rt).play(naiveNode))) > 0 {
+			if len(p.judge(p.drawn(rt).play(traceNaive))) > 0 {
 				broken++
 			}
 		})
@@ -104,7 +104,7 @@
 		runs, faults, answered := 0, 0, 0
 		rapid.Check(t, func(rt *rapid.T) {
 			runs++
-			w := p.drawn(rt).play(ourNode)
+			w := p.drawn(rt).play(traceOurs)
 			faults += w.faults
 			for _, told := range w.tolds {
 				if told.outcome.Kind == chuterequest.OutcomeAnswered {
