--- a/internal/chuteload/direct.go
+++ b/internal/chuteload/direct.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return failed.Wrap(err)
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	if resp.StatusCode != http.StatusOK {
 		return failed.Errorf("status %d", resp.StatusCode)
@@ -227,7 +227,7 @@
 	if err != nil {
 		return chuteapi.Answer{}, err
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
@@ -247,7 +247,7 @@
 	if err != nil {
 		return chuteapi.Answer{}, err
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxFrameBytes)
--- a/internal/chuteload/plan.go
+++ b/internal/chuteload/plan.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -94,28 +95,28 @@
 // Check returns an error that names what in the plan does not fit the configuration.
 func (p Plan) Check(cfg chuteconfig.Config) error {
 	if len(p.Phases) == 0 {
-		return fmt.Errorf("Phases is empty")
+		return errors.New("the plan has no Phases")
 	}
 
 	for i, phase := range p.Phases {
 		if phase.Duration <= 0 || phase.Rate <= 0 {
-			return fmt.Errorf("Phases[%d]: Duration and Rate must be above 0", i)
+			return fmt.Errorf("in Phases[%d]: Duration and Rate must be above 0", i)
 		}
 
 		if err := p.checkMix(cfg, p.mixOf(phase)); err != nil {
-			return fmt.Errorf("Phases[%d]: %w", i, err)
+			return fmt.Errorf("in Phases[%d]: %w", i, err)
 		}
 	}
 
 	for pipeline := range p.Shapes {
 		if _, known := cfg.Pipelines[pipeline]; !known {
-			return fmt.Errorf("Shapes: no pipeline %q in the configuration", pipeline)
+			return fmt.Errorf("in Shapes: no pipeline %q in the configuration", pipeline)
 		}
 	}
 
 	for zone := range p.Zones {
 		if _, known := cfg.Zones[zone]; !known {
-			return fmt.Errorf("Zones: no zone %q in the configuration", zone)
+			return fmt.Errorf("in Zones: no zone %q in the configuration", zone)
 		}
 	}
 
@@ -142,7 +143,7 @@
 	}
 
 	if total <= 0 {
-		return fmt.Errorf("Mix has no weight")
+		return errors.New("the mix has no weight")
 	}
 
 	return nil
