Look a key up before its request is turned away

Cause: an unrepeatable request that was answered at one node and sent again was told NotRun by a node without room, since admission decides before the claim is looked at. Seen with post-reply under a 10 ms deadline: 429 at both nodes after two whole answers. Ruled out: the claim protocol; it was never asked. Change: a request any part of which must not run twice is refused only after a read of its row: a stored answer is told, a running one is followed to the deadline (then Unknown), and only an absent or given-up row lets NotRun out. Before: NotRun for a request that ran. After: the test of the three cases passes; turned red with the look-up taken out (Answer without LookUpClaim). Not covered: with the table unreachable nothing can be looked up; NotRun then speaks for this sending only, and docs/PROOFS.md will say so. Conclusion: a resend hears the truth wherever the table can be read.

--- a/internal/chutecore/arrive.go
+++ b/internal/chutecore/arrive.go
@@ -6,6 +6,7 @@
 
 	"azurechute.example/azurechute/internal/chuteadmission"
 	"azurechute.example/azurechute/internal/chuterequest"
+	"azurechute.example/azurechute/pkg/chuteconfig"
 )
 
 // unreadyRetryAfter is when a caller may try again at a node that can't take work; the balancer will have moved on by then.
@@ -28,21 +29,42 @@
 
 // arrive admits a request or turns it away before anything of it runs.
 func (st *step) arrive(e RequestArrived) {
-	if refusal, ok := st.refusal(e); ok {
-		st.do(Answer{Handle: e.Handle, Outcome: refusal})
-		st.do(Release{Handle: e.Handle})
-
-		return
-	}
 	r := st.newRequest(e)
-	if refusal, ok := st.admit(r); !ok {
+	refusal, refused := st.refusal(e)
+	if !refused {
+		refusal, refused = st.admit(r)
+	}
+	switch {
+	case !refused:
+		st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
+		st.startStage(r)
+	case r.claimable():
+		st.refuseUnlessRun(r, refusal)
+	default:
 		st.do(Answer{Handle: e.Handle, Outcome: refusal})
 		st.do(Release{Handle: e.Handle})
+	}
+}
+
+// refuseUnlessRun looks the key up before the request is turned away.
+//
+// The request may be a resend: a balancer sends an enrolment again after its
+// first node died, or a caller asks again with the same RequestID. Telling it
+// NotRun for want of room here would be false if the first sending ran. The
+// look-up is enough, since whatever ran has its row in the table first.
+func (st *step) refuseUnlessRun(r Request, refusal chuterequest.Outcome) {
+	r.Refusal = &refusal
+	st.put(r.WithPhase(PhaseRefusing))
+	st.do(LookUpClaim{Handle: r.Handle, Key: r.Key, Timeout: claimTimeout(st.config)})
+}
 
-		return
+// claimTimeout bounds a call for a claim; a node without a configuration takes the default.
+func claimTimeout(cfg chuteconfig.Config) time.Duration {
+	if timeout := cfg.Policy.ClaimTimeout.Std(); timeout > 0 {
+		return timeout
 	}
-	st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
-	st.startStage(r)
+
+	return chuteconfig.DefaultPolicy().ClaimTimeout.Std()
 }
 
 // refusal says why the node can't take the request at all.
@@ -82,22 +104,22 @@
 // Without this check an overloaded node starts work that it abandons later: the
 // early stages are paid for and the caller hears of it only near the deadline.
 // The prediction errs on the side of admitting, and Hopeless catches the rest.
-func (st *step) admit(r Request) (chuterequest.Outcome, bool) {
+func (st *step) admit(r Request) (refusal chuterequest.Outcome, refused bool) {
 	pool := r.stage().Pool
 	if st.queue.Len(pool) >= st.config.Limits.MaxQueued {
-		return overloaded("the queue for pool "+pool+" is full", unreadyRetryAfter), false
+		return overloaded("the queue for pool "+pool+" is full", unreadyRetryAfter), true
 	}
 	if !st.config.Policy.Admission {
-		return chuterequest.Outcome{}, true
+		return chuterequest.Outcome{}, false
 	}
 	waiter := st.waiter(r)
 	waiter.Needs += st.laterWaits(r)
 	prediction := st.queue.Predict(waiter, st.routing.Free(st.query(r)), st.now)
 	if prediction.CanFinish {
-		return chuterequest.Outcome{}, true
+		return chuterequest.Outcome{}, false
 	}
 
-	return overloaded("pool "+pool+" can't finish this within its deadline", prediction.RetryAfter), false
+	return overloaded("pool "+pool+" can't finish this within its deadline", prediction.RetryAfter), true
 }
 
 // waiter describes a request to the queue of its present stage's pool.
--- a/internal/chutecore/claim.go
+++ b/internal/chutecore/claim.go
@@ -1,14 +1,10 @@
 package chutecore
 
-import (
-	"azurechute.example/azurechute/internal/chuterequest"
-)
-
 // claiming returns the request if it waits for its claim.
 func (st *step) claiming(handle uint64) (Request, bool) {
 	r, ok := st.requests.Get(handle)
 
-	return r, ok && (r.Phase == PhaseClaiming || r.Phase == PhaseFollowing)
+	return r, ok && (r.Phase == PhaseClaiming || r.Phase == PhaseFollowing || r.Phase == PhaseRefusing)
 }
 
 // claimTaken goes on with the stage; a claim that comes after the request ended is given up by the node.
@@ -24,12 +20,22 @@
 	st.startStage(r.WithClaim())
 }
 
+// claimAbsent turns the request away as decided on its arrival: its key has not run.
+func (st *step) claimAbsent(handle uint64) {
+	if r, ok := st.claiming(handle); ok {
+		st.finish(r, *r.Refusal, "")
+	}
+}
+
 // claimHeld waits for the other attempt's result and asks again.
 func (st *step) claimHeld(e ClaimHeld) {
 	r, ok := st.claiming(e.Handle)
 	if !ok {
 		return
 	}
+	if r.Phase == PhaseRefusing {
+		st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
+	}
 	st.put(r.WithPhase(PhaseFollowing))
 	st.do(TakeClaim{
 		Handle: r.Handle, Key: r.Key, Deadline: r.Deadline, Timeout: st.config.Policy.ClaimTimeout.Std(), Again: true,
@@ -53,11 +59,8 @@
 	if !ok {
 		return
 	}
-	if r.Phase == PhaseFollowing {
-		st.finish(r, chuterequest.Outcome{
-			Kind: chuterequest.OutcomeUnknown, Reason: "another attempt of this RequestID may have run: " + e.Reason,
-			RetryAfter: unreadyRetryAfter,
-		}, "")
+	if r.Phase == PhaseRefusing {
+		st.finish(r, *r.Refusal, "")
 
 		return
 	}
--- a/internal/chutecore/event.go
+++ b/internal/chutecore/event.go
@@ -73,6 +73,12 @@
 	Outcome chuterequest.Outcome
 }
 
+// ClaimAbsent reports that no attempt holds or has finished the key, as a look-up saw it.
+type ClaimAbsent struct {
+	Stamp
+	Handle uint64
+}
+
 // ClaimFailed reports that the claim was not taken and never will be under this token.
 type ClaimFailed struct {
 	Stamp
--- a/internal/chutecore/reduce.go
+++ b/internal/chutecore/reduce.go
@@ -39,6 +39,8 @@
 		st.claimHeld(e)
 	case ClaimSettled:
 		st.claimSettled(e)
+	case ClaimAbsent:
+		st.claimAbsent(e.Handle)
 	case ClaimFailed:
 		st.claimFailed(e)
 	case AttemptFinished:
--- a/internal/chutecore/reduce_test.go
+++ b/internal/chutecore/reduce_test.go
@@ -206,6 +206,40 @@
 	expectEffect[GiveUpClaim](t, d)
 }
 
+// A post was answered at another node, and the balancer sends it again to one
+// that has no room for it. NotRun would be false; the stored answer is told.
+// Only when the table shows that the key never ran is the refusal told.
+func TestRefusalLooksTheKeyUp(t *testing.T) {
+	full := func(t *testing.T) *driver {
+		t.Helper()
+		d := newDriver(t, 2, func(cfg *chuteconfig.Config) { cfg.Limits.MaxInFlight = 0 })
+		d.state.config.Limits.MaxInFlight = 0
+		d.arrive(1, "post")
+		expectEffect[LookUpClaim](t, d)
+		expectNone[Answer](t, d)
+
+		return d
+	}
+	t.Run("it ran", func(t *testing.T) {
+		d := full(t)
+		d.reduce(ClaimSettled{Stamp: d.stamp(), Handle: 1, Outcome: chuterequest.Outcome{Kind: chuterequest.OutcomeAnswered}})
+		qt.Assert(t, expectEffect[Answer](t, d).Stored, qt.IsTrue)
+	})
+	t.Run("it is running", func(t *testing.T) {
+		d := full(t)
+		d.reduce(ClaimHeld{Stamp: d.stamp(), Handle: 1})
+		expectNone[Answer](t, d)
+		d.reduce(DeadlinePassed{Stamp: d.stamp(), Handle: 1})
+		expectOutcome(t, d, chuterequest.OutcomeUnknown)
+	})
+	t.Run("it never ran", func(t *testing.T) {
+		d := full(t)
+		d.reduce(ClaimAbsent{Stamp: d.stamp(), Handle: 1})
+		qt.Assert(t, expectOutcome(t, d, chuterequest.OutcomeNotRun).Overloaded, qt.IsTrue)
+		expectNone[GiveUpClaim](t, d)
+	})
+}
+
 func TestOutcomeTellsWhatIsTrue(t *testing.T) {
 	t.Run("nothing handed over", func(t *testing.T) {
 		d := newDriver(t, 0, nil)
--- a/internal/chutecore/request.go
+++ b/internal/chutecore/request.go
@@ -17,7 +17,9 @@
 	// PhaseFollowing: another attempt holds the claim and its result is awaited.
 	PhaseFollowing Phase = "Following"
 	PhaseQueued    Phase = "Queued"
-	PhaseRunning   Phase = "Running"
+	// PhaseRefusing: the request is to be turned away unless its key has run already.
+	PhaseRefusing Phase = "Refusing"
+	PhaseRunning  Phase = "Running"
 )
 
 // Attempt is one running hand-over of the request's present stage.
@@ -63,6 +65,8 @@
 	Offset int
 	// Result is the attempt whose result the last finished stage took.
 	Result chuterequest.AttemptID
+	// Refusal is what the caller is told if the key turns out not to have run; for PhaseRefusing.
+	Refusal *chuterequest.Outcome `json:",omitempty"`
 	// Blocks are the prompt's block hashes when the present stage is an engine's.
 	Blocks []uint64 `json:"-"`
 }
@@ -77,6 +81,11 @@
 	return r.Unrepeatable || r.stage().Unrepeatable
 }
 
+// claimable says whether any part of the request must not run twice.
+func (r Request) claimable() bool {
+	return r.Unrepeatable || slices.ContainsFunc(r.Stages, func(s chuteconfig.Stage) bool { return s.Unrepeatable })
+}
+
 // needsClaim says whether the present stage may not be handed over without the durable claim.
 func (r Request) needsClaim() bool {
 	return r.atMostOnce() && !r.ClaimHeld
--- a/internal/chutenode/claims.go
+++ b/internal/chutenode/claims.go
@@ -47,16 +47,7 @@
 			// The hold stays until the claim is finished or given up.
 		})
 	case chuteclaim.VerdictHeldByOther:
-		if taking.Holder.State == chuteclaim.StateDone {
-			stored := storedAnswer(taking.Holder)
-			n.sendWith(chutecore.ClaimSettled{Stamp: n.stamp(), Handle: t.Handle, Outcome: stored.Outcome}, func() {
-				e.stored = stored
-				over()
-			})
-
-			return
-		}
-		n.sendWith(chutecore.ClaimHeld{Stamp: n.stamp(), Handle: t.Handle, Owner: taking.Holder.Owner}, over)
+		n.reportHolder(t.Handle, e, taking.Holder, over)
 	case chuteclaim.VerdictNotTaken:
 		n.log.Warn().Err(taking.Err).Str("Step", "claim").
 			Str("Workspace", t.Key.Workspace).Str("RequestID", t.Key.RequestID).Msg("claim not taken")
@@ -64,6 +55,43 @@
 	}
 }
 
+// lookUpClaim asks whether a key has run, without claiming it.
+func (n *Node) lookUpClaim(l chutecore.LookUpClaim) {
+	e, ok := n.entries[l.Handle]
+	if !ok {
+		return
+	}
+	e.hold()
+	n.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, l.Timeout)
+		defer cancel()
+		record, known, err := n.claims.Status(ctx, l.Key)
+		over := func() { n.done(l.Handle, e) }
+		switch {
+		case err != nil:
+			n.sendWith(chutecore.ClaimFailed{Stamp: n.stamp(), Handle: l.Handle, Reason: reasonOf(err)}, over)
+		case !known || record.State == chuteclaim.StateGivenUp:
+			n.sendWith(chutecore.ClaimAbsent{Stamp: n.stamp(), Handle: l.Handle}, over)
+		default:
+			n.reportHolder(l.Handle, e, record, over)
+		}
+	})
+}
+
+// reportHolder tells the reducer what another attempt's row says of the key.
+func (n *Node) reportHolder(handle uint64, e *entry, holder chuteclaim.Record, over func()) {
+	if holder.State != chuteclaim.StateDone {
+		n.sendWith(chutecore.ClaimHeld{Stamp: n.stamp(), Handle: handle, Owner: holder.Owner}, over)
+
+		return
+	}
+	stored := storedAnswer(holder)
+	n.sendWith(chutecore.ClaimSettled{Stamp: n.stamp(), Handle: handle, Outcome: stored.Outcome}, func() {
+		e.stored = stored
+		over()
+	})
+}
+
 // reasonOf says in a caller's words why a claim was not taken.
 func reasonOf(err error) string {
 	if errors.Is(err, chuteclaim.ErrNotTaken) {
--- a/internal/chutenode/loop.go
+++ b/internal/chutenode/loop.go
@@ -59,6 +59,8 @@
 		n.setHedge(e)
 	case chutecore.TakeClaim:
 		n.takeClaim(e)
+	case chutecore.LookUpClaim:
+		n.lookUpClaim(e)
 	case chutecore.FinishClaim:
 		n.finishClaim(e)
 	case chutecore.GiveUpClaim:
