Make two safeguards' proofs able to fail

Cause: of eight safeguards removed one at a time on a scratch copy, two turned no proof red: Unknown after an unrepeatable hand-over, and the dropping of a stale attempt's result. Change: the judge of NotRun also reads SafeToRepeat; given-up attempts deliver a whole late answer as a finished attempt; one more case for the outcome test.

--- a/internal/chutecore/reduce_test.go
+++ b/internal/chutecore/reduce_test.go
@@ -254,6 +254,13 @@
 		outcome := expectOutcome(t, d, chuterequest.OutcomeFailed)
 		qt.Assert(t, outcome.SafeToRepeat, qt.IsTrue)
 	})
+	t.Run("an unrepeatable call is running", func(t *testing.T) {
+		d := newDriver(t, 1, nil)
+		d.arrive(1, "post")
+		d.reduce(ClaimTaken{Stamp: d.stamp(), Handle: 1})
+		d.reduce(DeadlinePassed{Stamp: d.stamp(), Handle: 1})
+		expectOutcome(t, d, chuterequest.OutcomeUnknown)
+	})
 	t.Run("refused by all", func(t *testing.T) {
 		d := newDriver(t, 1, nil)
 		d.arrive(1, "digest")
--- a/internal/chuteproof/judge_test.go
+++ b/internal/chuteproof/judge_test.go
@@ -73,17 +73,21 @@
 	return j
 }
 
-// judgeNotRun: of a submission that was told NotRun nothing ran, before or after.
+// judgeNotRun: of a submission that was told NotRun nothing ran, before or
+// after, and of one that was told it may safely be repeated nothing unrepeatable.
 func judgeNotRun(w *world) judgement {
 	var j judgement
 	for _, t := range w.tolds {
-		if t.outcome.Kind != chuterequest.OutcomeNotRun {
-			continue
-		}
 		for _, e := range w.executions {
-			if e.call.node == t.node && e.call.handle == t.handle {
+			if e.call.node != t.node || e.call.handle != t.handle {
+				continue
+			}
+			if t.outcome.Kind == chuterequest.OutcomeNotRun {
 				j.add("%s was told NotRun, but stage %d ran", t.key, e.call.stage)
 			}
+			if t.outcome.SafeToRepeat && e.call.unrepeatable {
+				j.add("%s was told SafeToRepeat, but stage %d ran", t.key, e.call.stage)
+			}
 		}
 	}
 
--- a/internal/chuteproof/ours_test.go
+++ b/internal/chuteproof/ours_test.go
@@ -212,9 +212,9 @@
 	})
 }
 
+// late reports a whole answer of an attempt that was given up, as when it crosses its own cancellation.
 func (n *ours) late(c call) {
-	d := n.calls[chuterequest.AttemptID(c.id)]
-	n.event(chutecore.LateUsage{Stamp: n.stamp(), Attempt: d.Attempt, Work: d.Work, Usage: chuterequest.Usage{Units: 1}})
+	n.answered(c, c)
 }
 
 func (n *ours) tick() {
