Stream only the last stage's text to the caller

Cause: all engine stages of a request shared one relay, so a pipeline with two generations would have streamed the first one's text to the caller too, and resumed the second from the first one's offset. None of the examples has one. Change: stages before the last have relays of their own.

--- a/internal/chutenode/dispatch.go
+++ b/internal/chutenode/dispatch.go
@@ -19,18 +19,19 @@
 	ctx, cancel := context.WithCancel(n.running)
 	e.cancels[d.Attempt] = cancel
 	e.hold()
-	call := n.call(e, d)
+	text := e.relayOf(d)
+	call := n.call(e, d, text)
 	claim := e.claim
 	n.background.Add(1)
 	go func() {
 		defer n.background.Done()
 		defer cancel()
-		n.run(ctx, e, d, call, claim != nil && d.Unrepeatable)
+		n.run(ctx, e, d, call, text, claim != nil && d.Unrepeatable)
 	}()
 }
 
 // call builds the upstream call out of the effect and the payloads kept.
-func (n *Node) call(e *entry, d chutecore.Dispatch) chuteupstream.Call {
+func (n *Node) call(e *entry, d chutecore.Dispatch, text *relay) chuteupstream.Call {
 	call := chuteupstream.Call{
 		Attempt: d.Attempt, Key: d.Key, Pipeline: d.Work.Pipeline, Stage: d.Stage.Name,
 		Upstream: d.Upstream, Address: d.Address, Kind: d.Kind,
@@ -46,27 +47,29 @@
 		return call
 	}
 	call.Prompt = chuteprompt.Prompt(input, output)
-	call.ResumeOffset, call.ResumeText = e.relay.start(d.Attempt, d.Resume)
+	call.ResumeOffset, call.ResumeText = text.start(d.Attempt, d.Resume)
 
 	return call
 }
 
 // run makes the call and reports how it ended.
-func (n *Node) run(ctx context.Context, e *entry, d chutecore.Dispatch, call chuteupstream.Call, claimed bool) {
+func (n *Node) run(
+	ctx context.Context, e *entry, d chutecore.Dispatch, call chuteupstream.Call, text *relay, claimed bool,
+) {
 	started := n.clock.Now()
 	if claimed {
 		if failure := n.beginDispatch(e); failure != nil {
-			n.reportFailure(e, d, failure, chuteupstream.Result{})
+			n.reportFailure(e, d, failure, chuteupstream.Result{}, text)
 
 			return
 		}
 	}
-	result, failure := n.upstreams.Run(ctx, call, func(t chuteupstream.Token) { e.relay.add(d.Attempt, t) })
+	result, failure := n.upstreams.Run(ctx, call, func(t chuteupstream.Token) { text.add(d.Attempt, t) })
 	if failure != nil {
 		if claimed && failure.NotTaken {
 			n.claims.UndoDispatch(*e.claim)
 		}
-		n.reportFailure(e, d, failure, result)
+		n.reportFailure(e, d, failure, result, text)
 
 		return
 	}
@@ -84,7 +87,9 @@
 }
 
 // reportFailure tells the reducer how an attempt failed.
-func (n *Node) reportFailure(e *entry, d chutecore.Dispatch, failure *chuterequest.Failure, partial chuteupstream.Result) {
+func (n *Node) reportFailure(
+	e *entry, d chutecore.Dispatch, failure *chuterequest.Failure, partial chuteupstream.Result, text *relay,
+) {
 	n.log.Warn().Str("Step", d.Stage.Name).Str("Peer", d.Upstream).
 		Str("Workspace", d.Key.Workspace).Str("RequestID", d.Key.RequestID).Str("Attempt", string(d.Attempt)).
 		Str("Failure", string(failure.Kind)).Bool("NotTaken", failure.NotTaken).Str("Detail", failure.Detail).
@@ -94,7 +99,7 @@
 		Failure: *failure, Usage: partial.Usage,
 	}
 	if d.Kind == chuteconfig.PoolEngine {
-		failed.Offset = e.relay.length()
+		failed.Offset = text.length()
 	}
 	n.sendWith(failed, func() { n.attemptOver(e, d) })
 }
--- a/internal/chutenode/node.go
+++ b/internal/chutenode/node.go
@@ -197,16 +197,30 @@
 	return nil
 }
 
+// relayOf returns the relay of an engine stage: only the last stage's text goes to the caller.
+func (e *entry) relayOf(d chutecore.Dispatch) *relay {
+	if d.Next == "" {
+		return e.relay
+	}
+	if e.inner[d.StageIndex] == nil {
+		e.inner[d.StageIndex] = newRelay()
+	}
+
+	return e.inner[d.StageIndex]
+}
+
 // entry is what the node keeps of one request: payloads, which the reducer only names.
 type entry struct {
 	submission chuterequest.Submission
 	results    map[chuterequest.AttemptID]chuteupstream.Result
 	cancels    map[chuterequest.AttemptID]context.CancelFunc
-	relay      *relay
-	claim      *chuteclaim.Claim
-	stored     chuterequest.Answer
-	deadline   clockwork.Timer
-	answered   chan chuterequest.Answer
+	// relay holds the text that the caller is streamed, and inner that of engine stages before the last, by stage.
+	relay    *relay
+	inner    map[int]*relay
+	claim    *chuteclaim.Claim
+	stored   chuterequest.Answer
+	deadline clockwork.Timer
+	answered chan chuterequest.Answer
 	// pending counts effects under way; the entry is dropped when it is released and none is left.
 	pending  int
 	released bool
--- a/internal/chutenode/platform.go
+++ b/internal/chutenode/platform.go
@@ -36,7 +36,7 @@
 		}
 		failing = err != nil
 		if err == nil {
-			n.takeList(vms)
+			n.takeList(vms) //nolint:contextcheck // polls live as long as the node
 		}
 		n.pause(ctx, listPeriod)
 	}
--- a/internal/chutenode/serve.go
+++ b/internal/chutenode/serve.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return oops.In("serve").With("step", "listen for peers", "peer", settings.ListenPeer).Wrap(err)
 	}
+	//nolint:contextcheck // the node outlives ctx by its drain
 	node := New(withPeerAddress(settings, listener.Addr()), clockwork.NewRealClock(), log)
 	defer node.stop()
 	peers := node.servePeers(listener)
@@ -41,7 +42,7 @@
 		HTTP: settings.ListenHTTP, Operator: settings.ListenOperator,
 		Linger: settings.ShutdownLinger.Std(), Started: node.started,
 	})
-	node.end(peers)
+	node.end(peers) //nolint:contextcheck // ctx has ended; the last writes have a bound of their own
 
 	return err
 }
--- a/internal/chutenode/submit.go
+++ b/internal/chutenode/submit.go
@@ -15,7 +15,7 @@
 func (n *Node) Submit(ctx context.Context, s chuterequest.Submission, onToken chuterequest.TokenFunc) chuterequest.Answer {
 	handle := n.handles.Add(1)
 	e := &entry{
-		submission: s, relay: newRelay(), answered: make(chan chuterequest.Answer, 1),
+		submission: s, relay: newRelay(), inner: map[int]*relay{}, answered: make(chan chuterequest.Answer, 1),
 		results: map[chuterequest.AttemptID]chuteupstream.Result{},
 		cancels: map[chuterequest.AttemptID]context.CancelFunc{},
 	}
