Say NotRun with the table down only when every node excludes a run

Cause: with the table unreachable a resent enrolment was told NotRun although its first node had run it and died. Change: nodes remember the keys they tried to claim; on a claim that the table did not give, all are asked, and one that can't be reached, is younger than a resend can be late, or has used the key makes the answer Unknown. A deadline that passes before the table answered is Unknown too (TestLateClaimIsGivenUp said NotRun; the new word is the stricter one). Table writes are split 4 to 1 between claims and background. Conclusion: NotRun now speaks for the RequestID, not just for one sending.

--- a/internal/chuteclaim/claimer_test.go
+++ b/internal/chuteclaim/claimer_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
@@ -23,9 +22,9 @@
 // expectSealedBy lets the fake clock pass the background's wait and expects no row to be left.
 func expectSealedBy(c *quicktest.C, claimer *Claimer, clock *clockwork.FakeClock) {
 	c.Helper()
-	c.Assert(clock.BlockUntilContext(c.Context(), 1), quicktest.IsNil)
+	c.Assert(clock.BlockUntilContext(bounded(c), 1), quicktest.IsNil)
 	clock.Advance(2 * DefaultLongestRetry)
-	c.Assert(claimer.Close(context.Background()), quicktest.Equals, 0)
+	c.Assert(claimer.Close(bounded(c)), quicktest.Equals, 0)
 }
 
 func TestTake(t *testing.T) {
@@ -63,9 +62,9 @@
 			c := quicktest.New(t)
 			table := newFakeTable(test.faults...)
 			table.outage = noFault
-			claimer := newClaimer(c, table, clockwork.NewFakeClock(), nil)
+			claimer := newClaimer(c, table, newFakeClock(), nil)
 			if test.unsealed {
-				c.Assert(claimer.Close(context.Background()), quicktest.Equals, 0) // no background meanwhile
+				c.Assert(claimer.Close(bounded(c)), quicktest.Equals, 0) // no background meanwhile
 			}
 			got := take(claimer, "a")
 			expectVerdict(c, got, test.verdict)
@@ -90,12 +89,12 @@
 // same RequestID would end Unknown until the row expires.
 func TestLateInsertAfterNotTaken(t *testing.T) {
 	c := quicktest.New(t)
-	clock := clockwork.NewFakeClock()
+	clock := newFakeClock()
 	table := newFakeTable(late)
 	table.set(lost)
 	claimer := newClaimer(c, table, clock, nil)
 	expectVerdict(c, take(claimer, "a"), VerdictNotTaken)
-	c.Assert(clock.BlockUntilContext(c.Context(), 1), quicktest.IsNil)
+	c.Assert(clock.BlockUntilContext(bounded(c), 1), quicktest.IsNil)
 	table.arrive(0)
 	expectRow(c, table, "", StateClaimed)
 	table.set(noFault)
@@ -111,12 +110,12 @@
 	for _, name := range []string{"same process", "owner asked"} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
-			clock := clockwork.NewFakeClock()
+			clock := newFakeClock()
 			table := newFakeTable(dropAnswer)
 			table.set(lost)
 			first := newClaimer(c, table, clock, nil)
 			expectVerdict(c, take(first, "a"), VerdictNotTaken)
-			c.Assert(clock.BlockUntilContext(c.Context(), 1), quicktest.IsNil)
+			c.Assert(clock.BlockUntilContext(bounded(c), 1), quicktest.IsNil)
 			table.set(noFault)
 			second := first
 			if name == "owner asked" {
@@ -137,7 +136,7 @@
 // long others wait, they must not run the request, nor call it not run.
 func TestClaimOfDeadOwnerStays(t *testing.T) {
 	c := quicktest.New(t)
-	clock := clockwork.NewFakeClock()
+	clock := newFakeClock()
 	table := newFakeTable()
 	expectVerdict(c, take(newClaimer(c, table, clock, nil), "dead"), VerdictTaken)
 	other := newClaimer(c, table, clock, func(context.Context, Record) (Word, error) { return "", errLost })
@@ -159,11 +158,10 @@
 			c := quicktest.New(t)
 			table := newFakeTable()
 			claimer := newClaimer(c, table, clockwork.NewRealClock(), nil)
-			claimer.cfg.FirstRetry = time.Microsecond
 			claim := take(claimer, "a").Claim
 			table.faults = faults
-			c.Assert(claimer.Finish(c.Context(), claim, answered, result), quicktest.IsNil)
-			c.Assert(claimer.Finish(c.Context(), claim, answered, result), quicktest.IsNil)
+			c.Assert(claimer.Finish(bounded(c), claim, answered, result), quicktest.IsNil)
+			c.Assert(claimer.Finish(bounded(c), claim, answered, result), quicktest.IsNil)
 			for len(table.underWay) > 0 {
 				table.arrive(0)
 			}
@@ -174,7 +172,7 @@
 			c.Assert(string(record.Result), quicktest.Equals, string(result))
 			c.Assert(record.Outcome, quicktest.DeepEquals, answered)
 			other := chuterequest.Outcome{Kind: chuterequest.OutcomeFailed}
-			c.Assert(claimer.Finish(c.Context(), claim, other, nil), quicktest.ErrorIs, ErrFinishedOtherwise)
+			c.Assert(claimer.Finish(bounded(c), claim, other, nil), quicktest.ErrorIs, ErrFinishedOtherwise)
 			expectVerdict(c, take(claimer, "b"), VerdictHeldByOther)
 		})
 	}
@@ -183,9 +181,9 @@
 func TestFinishKeepsDigestOfLargeResult(t *testing.T) {
 	c := quicktest.New(t)
 	table := newFakeTable()
-	claimer := newClaimer(c, table, clockwork.NewFakeClock(), nil)
+	claimer := newClaimer(c, table, newFakeClock(), nil)
 	result := json.RawMessage(`"` + strings.Repeat("x", 100) + `"`)
-	c.Assert(claimer.Finish(c.Context(), take(claimer, "a").Claim, answered, result), quicktest.IsNil)
+	c.Assert(claimer.Finish(bounded(c), take(claimer, "a").Claim, answered, result), quicktest.IsNil)
 	record, _, err := claimer.Status(c.Context(), testKey)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(record.Complete(), quicktest.IsFalse)
@@ -198,7 +196,7 @@
 // run what the caller publishes again, and an outcome must not be written either.
 func TestGiveUpDuringOutage(t *testing.T) {
 	c := quicktest.New(t)
-	clock := clockwork.NewFakeClock()
+	clock := newFakeClock()
 	table := newFakeTable()
 	claimer := newClaimer(c, table, clock, nil)
 	claim := take(claimer, "a").Claim
@@ -207,12 +205,12 @@
 	c.Assert(claimer.GiveUp(c.Context(), claim), quicktest.IsNil)
 	c.Assert(claimer.BeginDispatch(claim), quicktest.ErrorIs, ErrNotHeld)
 	c.Assert(claimer.Word(claim.Token), quicktest.Equals, WordGivenUp)
-	c.Assert(clock.BlockUntilContext(c.Context(), 1), quicktest.IsNil)
+	c.Assert(clock.BlockUntilContext(bounded(c), 1), quicktest.IsNil)
 	table.set(noFault)
-	c.Assert(claimer.Finish(c.Context(), claim, answered, nil), quicktest.ErrorIs, ErrNotHeld)
+	c.Assert(claimer.Finish(bounded(c), claim, answered, nil), quicktest.ErrorIs, ErrNotHeld)
 	expectSealedBy(c, claimer, clock)
 	expectRow(c, table, claim.Token, StateGivenUp)
-	c.Assert(claimer.Finish(c.Context(), claim, answered, nil), quicktest.ErrorIs, ErrNotHeld)
+	c.Assert(claimer.Finish(bounded(c), claim, answered, nil), quicktest.ErrorIs, ErrNotHeld)
 }
 
 // A claim of which something was handed over may have run, and can't be given up,
@@ -220,7 +218,7 @@
 func TestGiveUpAfterDispatch(t *testing.T) {
 	c := quicktest.New(t)
 	table := newFakeTable()
-	claimer := newClaimer(c, table, clockwork.NewFakeClock(), nil)
+	claimer := newClaimer(c, table, newFakeClock(), nil)
 	claim := take(claimer, "a").Claim
 	c.Assert(claimer.BeginDispatch(claim), quicktest.IsNil)
 	c.Assert(claimer.GiveUp(c.Context(), claim), quicktest.ErrorIs, ErrDispatched)
@@ -236,7 +234,7 @@
 // may have expired and another may have claimed the request, so it must not send.
 func TestDispatchAfterPause(t *testing.T) {
 	c := quicktest.New(t)
-	clock := clockwork.NewFakeClock()
+	clock := newFakeClock()
 	claimer := newClaimer(c, newFakeTable(), clock, nil)
 	claim := take(claimer, "a").Claim
 	clock.Advance(DefaultUsable)
@@ -248,20 +246,19 @@
 // the bounds rows are left as they are, and counted as no longer waiting.
 func TestUnsealedIsBounded(t *testing.T) {
 	c := quicktest.New(t)
-	clock := clockwork.NewFakeClock()
+	clock := newFakeClock()
 	table := newFakeTable()
 	table.set(lost)
 	claimer := newClaimer(c, table, clock, nil)
-	claimer.cfg.MaxUnsealed = 1
 	for n := range 3 {
 		expectVerdict(c, take(claimer, "a"), VerdictNotTaken)
 		if n == 0 {
-			c.Assert(clock.BlockUntilContext(c.Context(), 1), quicktest.IsNil)
+			c.Assert(clock.BlockUntilContext(bounded(c), 1), quicktest.IsNil)
 		}
 	}
 	c.Assert(claimer.Unsealed(), quicktest.Equals, 1)
 	clock.Advance(DefaultSealFor)
-	c.Assert(claimer.Close(context.Background()), quicktest.Equals, 0)
+	c.Assert(claimer.Close(bounded(c)), quicktest.Equals, 0)
 }
 
 func TestRowKeysDiffer(t *testing.T) {
@@ -273,7 +270,7 @@
 
 func TestExpired(t *testing.T) {
 	c := quicktest.New(t)
-	expires := clockwork.NewFakeClock().Now().Add(DefaultRetention)
+	expires := testTime.Add(DefaultRetention)
 	rows := []chutetable.Row{{Key: "claim/a/b", Value: claimedBy("x"), Version: 3}, {Key: "claim/odd", Value: json.RawMessage(`{}`)}}
 	c.Assert(Expired(rows, expires), quicktest.HasLen, 0)
 	c.Assert(Expired(rows, expires.Add(1)), quicktest.DeepEquals, rows[:1])
--- a/internal/chuteclaim/fake_test.go
+++ b/internal/chuteclaim/fake_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
@@ -142,18 +143,24 @@
 }
 
 func claimedBy(token string) json.RawMessage {
-	clock := clockwork.NewFakeClock()
-	record := Record{Token: token, State: StateClaimed, At: clock.Now(), ExpiresAt: clock.Now().Add(DefaultRetention)}
+	record := Record{Token: token, State: StateClaimed, At: testTime, ExpiresAt: testTime.Add(DefaultRetention)}
 	value, _ := record.encode()
 	return value
 }
 
+var testTime = time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+
+func newFakeClock() *clockwork.FakeClock {
+	return clockwork.NewFakeClockAt(testTime)
+}
+
 var testKey = chuterequest.Key{Workspace: "registry", RequestID: "enrolment-1"}
 
 // newClaimer returns a claimer over the table whose background ends with the test.
 func newClaimer(c *quicktest.C, table *fakeTable, clock clockwork.Clock, ask func(context.Context, Record) (Word, error)) *Claimer {
 	seams := Seams{Transact: table.Transact, Read: table.Read, AskOwner: ask}
-	claimer := New(Settings{MaxResultBytes: 100}, seams, clock, zerolog.Nop())
+	cfg := Settings{MaxResultBytes: 100, MaxUnsealed: 1, FirstRetry: time.Microsecond}
+	claimer := New(cfg, seams, clock, zerolog.Nop())
 	c.Cleanup(func() {
 		ended, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -162,6 +169,13 @@
 	return claimer
 }
 
+// bounded returns a context that fails a test instead of letting it hang.
+func bounded(c *quicktest.C) context.Context {
+	ctx, cancel := context.WithTimeout(c.Context(), 10*time.Second)
+	c.Cleanup(cancel)
+	return ctx
+}
+
 func expectVerdict(c *quicktest.C, got Taking, want Verdict) {
 	c.Helper()
 	c.Assert(got.Verdict, quicktest.Equals, want, quicktest.Commentf("error: %v, holder: %+v", got.Err, got.Holder))
--- a/internal/chuteclaim/machine_test.go
+++ b/internal/chuteclaim/machine_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
-	"time"
 
-	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 )
 
@@ -47,7 +45,7 @@
 }
 
 func (tr *trace) start() *player {
-	p := &player{claim: Claim{Key: testKey, Token: fmt.Sprintf("token-%d", len(tr.players)), TakenAt: time.Unix(1e9, 0)}}
+	p := &player{claim: Claim{Key: testKey, Token: fmt.Sprintf("token-%d", len(tr.players)), TakenAt: testTime}}
 	for _, other := range tr.players {
 		p.ranBefore = p.ranBefore || other.dispatched
 	}
@@ -146,7 +144,7 @@
 		tr.claimer = &Claimer{
 			cfg:   Settings{}.withDefaults(),
 			seams: Seams{Transact: tr.table.Transact, Read: tr.table.Read, AskOwner: tr.word},
-			clock: clockwork.NewFakeClock(),
+			clock: newFakeClock(),
 		}
 		tr.start()
 		tr.start()
--- a/internal/chutecore/attempt.go
+++ b/internal/chutecore/attempt.go
@@ -5,6 +5,7 @@
 
 	"azurechute.example/azurechute/internal/chuteledger"
 	"azurechute.example/azurechute/internal/chuterequest"
+	"azurechute.example/azurechute/pkg/chuteconfig"
 )
 
 // attemptFinished takes a stage's result once and goes on to the next stage.
@@ -62,6 +63,11 @@
 func (st *step) cancel(r Request, a Attempt) {
 	st.routing = st.routing.WithReleased(a.Upstream, st.now)
 	st.settle(r, a, a.age(st.now))
+	// Cutting an unrepeatable call off does not undo it. Left alone it ends by its
+	// own deadline, and an answer that is only late is kept for the next question.
+	if r.atMostOnce() && st.pool(r.stage()).Kind != chuteconfig.PoolEngine {
+		return
+	}
 	st.do(CancelAttempt{Handle: r.Handle, Attempt: a.ID})
 }
 
--- a/internal/chutecore/event.go
+++ b/internal/chutecore/event.go
@@ -84,6 +84,8 @@
 	Stamp
 	Handle uint64
 	Reason string
+	// Excluded says that no other sending of the same key can have run, by the word of every node.
+	Excluded bool
 }
 
 // Work names what an attempt was for, so that its cost can be charged even after its request has ended.
--- a/internal/chutecore/reduce_test.go
+++ b/internal/chutecore/reduce_test.go
@@ -194,13 +194,14 @@
 	expectEffect[Dispatch](t, d)
 }
 
-// The claim comes after the request was answered NotRun at its deadline. It is
-// given up and never used: the caller may have published again meanwhile.
+// The deadline passes before the table answers. The caller hears Unknown, since
+// the table has not said that no earlier sending ran; the claim that comes late
+// is given up and never used: the caller may have published again meanwhile.
 func TestLateClaimIsGivenUp(t *testing.T) {
 	d := newDriver(t, 2, nil)
 	d.arrive(1, "post")
 	d.reduce(DeadlinePassed{Stamp: d.stamp(), Handle: 1})
-	expectOutcome(t, d, chuterequest.OutcomeNotRun)
+	expectOutcome(t, d, chuterequest.OutcomeUnknown)
 	d.reduce(ClaimTaken{Stamp: d.stamp(), Handle: 1})
 	expectNone[Dispatch](t, d)
 	expectEffect[GiveUpClaim](t, d)
@@ -240,6 +241,21 @@
 	})
 }
 
+// The table is down. A post that no other node knows of is told NotRun; one
+// that a dead node may have run right before is told Unknown, since "not
+// published" would lead to a second publication.
+func TestTableDownTellsWhatIsKnown(t *testing.T) {
+	for excluded, kind := range map[bool]chuterequest.OutcomeKind{
+		true: chuterequest.OutcomeNotRun, false: chuterequest.OutcomeUnknown,
+	} {
+		d := newDriver(t, 2, nil)
+		d.arrive(1, "post")
+		d.reduce(ClaimFailed{Stamp: d.stamp(), Handle: 1, Excluded: excluded})
+		qt.Assert(t, expectOutcome(t, d, kind).RetryAfter > 0, qt.IsTrue)
+		expectNone[Dispatch](t, d)
+	}
+}
+
 func TestOutcomeTellsWhatIsTrue(t *testing.T) {
 	t.Run("nothing handed over", func(t *testing.T) {
 		d := newDriver(t, 0, nil)
@@ -260,6 +276,7 @@
 		d.reduce(ClaimTaken{Stamp: d.stamp(), Handle: 1})
 		d.reduce(DeadlinePassed{Stamp: d.stamp(), Handle: 1})
 		expectOutcome(t, d, chuterequest.OutcomeUnknown)
+		expectNone[CancelAttempt](t, d)
 	})
 	t.Run("refused by all", func(t *testing.T) {
 		d := newDriver(t, 1, nil)
--- a/internal/chutecore/request.go
+++ b/internal/chutecore/request.go
@@ -19,6 +19,8 @@
 	PhaseQueued    Phase = "Queued"
 	// PhaseRefusing: the request is to be turned away unless its key has run already.
 	PhaseRefusing Phase = "Refusing"
+	// PhaseUnclaimed: the claim was not to be had, but nobody else has run the key.
+	PhaseUnclaimed Phase = "Unclaimed"
 	PhaseRunning  Phase = "Running"
 )
 
@@ -143,9 +145,9 @@
 	return r
 }
 
-// WithOffset returns the request with the count of tokens had of the present stage.
+// WithOffset returns the request with the count of tokens that can be trusted of the present stage.
 func (r Request) WithOffset(offset int) Request {
-	r.Offset = max(r.Offset, offset)
+	r.Offset = offset
 
 	return r
 }
--- a/internal/chutecore/state.go
+++ b/internal/chutecore/state.go
@@ -118,6 +118,11 @@
 	return s.ledger
 }
 
+// Members returns every node known, this one included.
+func (s State) Members() []chutemember.Member {
+	return s.members.Members()
+}
+
 // Upstreams returns the routing view of each upstream.
 func (s State) Upstreams() []chuterouting.UpstreamView {
 	return s.routing.All()
--- a/internal/chutenode/claims.go
+++ b/internal/chutenode/claims.go
@@ -31,6 +31,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, min(t.Timeout, max(t.Deadline.Sub(n.clock.Now()), time.Millisecond)))
 		defer cancel()
+		n.keys.begin(t.Key, n.clock.Now())
 		taking := n.claims.Take(ctx, t.Key, n.identity.Incarnation, n.identity.PeerAddress)
 		n.reportTaking(t, e, taking)
 	})
@@ -39,6 +40,9 @@
 // reportTaking tells the reducer what became of an attempt to claim.
 func (n *Node) reportTaking(t chutecore.TakeClaim, e *entry, taking chuteclaim.Taking) {
 	over := func() { n.done(t.Handle, e) }
+	if taking.Verdict != chuteclaim.VerdictTaken {
+		defer n.keys.end(t.Key, time.Time{})
+	}
 	switch taking.Verdict {
 	case chuteclaim.VerdictTaken:
 		claim := taking.Claim
@@ -51,10 +55,19 @@
 	case chuteclaim.VerdictNotTaken:
 		n.log.Warn().Err(taking.Err).Str("Step", "claim").
 			Str("Workspace", t.Key.Workspace).Str("RequestID", t.Key.RequestID).Msg("claim not taken")
-		n.sendWith(chutecore.ClaimFailed{Stamp: n.stamp(), Handle: t.Handle, Reason: reasonOf(taking.Err)}, over)
+		n.reportClaimFailed(t.Handle, t.Key, taking.Unclaimed, taking.Err, over)
 	}
 }
 
+// reportClaimFailed tells the reducer that the table gave no claim, and whether the key can have run elsewhere:
+// by the table's own word if it was read, else by the word of the other nodes.
+func (n *Node) reportClaimFailed(handle uint64, key chuterequest.Key, unclaimed bool, err error, over func()) {
+	excluded := unclaimed || n.excluded(n.running, key)
+	n.sendWith(chutecore.ClaimFailed{
+		Stamp: n.stamp(), Handle: handle, Reason: reasonOf(err), Excluded: excluded,
+	}, over)
+}
+
 // lookUpClaim asks whether a key has run, without claiming it.
 func (n *Node) lookUpClaim(l chutecore.LookUpClaim) {
 	e, ok := n.entries[l.Handle]
@@ -65,11 +78,13 @@
 	n.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, l.Timeout)
 		defer cancel()
+		n.keys.begin(l.Key, n.clock.Now())
+		defer n.keys.end(l.Key, time.Time{})
 		record, known, err := n.claims.Status(ctx, l.Key)
 		over := func() { n.done(l.Handle, e) }
 		switch {
 		case err != nil:
-			n.sendWith(chutecore.ClaimFailed{Stamp: n.stamp(), Handle: l.Handle, Reason: reasonOf(err)}, over)
+			n.reportClaimFailed(l.Handle, l.Key, false, err, over)
 		case !known || record.State == chuteclaim.StateGivenUp:
 			n.sendWith(chutecore.ClaimAbsent{Stamp: n.stamp(), Handle: l.Handle}, over)
 		default:
@@ -140,13 +155,19 @@
 	if f.Result != "" {
 		answer = answerOf(f.Outcome, e.results[f.Result])
 	}
+	n.keys.end(e.submission.Key, n.clock.Now().Add(n.keySpan()))
 	n.endClaim(f.Handle, e, func(ctx context.Context) error {
+		if f.Outcome.Kind == chuterequest.OutcomeUnknown {
+			if late, ok := n.lateAnswer(ctx, e.last); ok {
+				answer = late
+			}
+		}
 		body, err := json.Marshal(answer)
 		if err != nil {
 			return err
 		}
 
-		return n.claims.Finish(ctx, *e.claim, f.Outcome, body)
+		return n.claims.Finish(ctx, *e.claim, answer.Outcome, body)
 	})
 }
 
@@ -156,6 +177,7 @@
 	if !ok || e.claim == nil {
 		return
 	}
+	n.keys.end(e.submission.Key, time.Time{})
 	n.endClaim(handle, e, func(ctx context.Context) error { return n.claims.GiveUp(ctx, *e.claim) })
 }
 
--- a/internal/chutenode/node.go
+++ b/internal/chutenode/node.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -24,6 +25,9 @@
 // eventBacklog is how many events may wait for the loop before their senders do.
 const eventBacklog = 4096
 
+// backgroundShare is the part of the node's table writes that cost counters and late seals may take; claims never wait for them.
+const backgroundShare = 0.2
+
 // message is one event with what the loop does around its reduction.
 type message struct {
 	event chutecore.Event
@@ -46,6 +50,9 @@
 
 	messages   chan message
 	queries    chan func(chutecore.State)
+	keys       *keyMemory
+	late       *lateWork
+	startedAt  time.Time
 	handles    atomic.Uint64
 	tickets    atomic.Uint64
 	config     atomic.Pointer[inForce]
@@ -89,6 +96,7 @@
 		log:      log.With().Str("Node", settings.NodeName).Str("Zone", settings.Zone).Logger(),
 		messages: make(chan message, eventBacklog), queries: make(chan func(chutecore.State)),
 		running: running, stop: stop,
+		keys: newKeyMemory(), late: newLateWork(), startedAt: now,
 		state:   chutecore.NewState(identity, seed, now),
 		entries: map[uint64]*entry{}, replies: map[uint64]chan<- peerReply{},
 		bodies: map[string][]byte{}, polls: map[string]*poll{},
@@ -103,10 +111,12 @@
 	s := n.settings
 	n.upstreams = chuteupstream.New(n.clock, n.log)
 	n.upstreams.OnLateUsage = n.lateUsage
+	n.upstreams.OnLateResult = n.lateResult
 	n.platform = chutetable.New(chutetable.Settings{
 		TableURL: s.TableURL, ObjectsURL: s.ObjectsURL, VMsURL: s.VMsURL,
-		WritesPerSecond: s.TableWritesPerSecond, ReadsPerSecond: s.TableReadsPerSecond,
-		BackgroundSteps: []string{stepLedgerWrite}, BackgroundWritesPerSecond: s.TableWritesPerSecond,
+		WritesPerSecond: s.TableWritesPerSecond * (1 - backgroundShare), ReadsPerSecond: s.TableReadsPerSecond,
+		BackgroundSteps:           []string{stepLedgerWrite, chuteclaim.StepNameSealLate},
+		BackgroundWritesPerSecond: s.TableWritesPerSecond * backgroundShare,
 	}, n.clock, n.log)
 	n.store = chutestore.New(chutestore.NewPlatform(n.platform), n.clock)
 	n.peers = chutepeer.NewClient(chutepeer.DefaultSettings(s.Site, s.NodeName), n.clock, n.log)
@@ -215,9 +225,11 @@
 	results    map[chuterequest.AttemptID]chuteupstream.Result
 	cancels    map[chuterequest.AttemptID]context.CancelFunc
 	// relay holds the text that the caller is streamed, and inner that of engine stages before the last, by stage.
-	relay    *relay
-	inner    map[int]*relay
-	claim    *chuteclaim.Claim
+	relay *relay
+	inner map[int]*relay
+	claim *chuteclaim.Claim
+	// last is the unrepeatable attempt of the last stage, if there was one.
+	last     chuterequest.AttemptID
 	stored   chuterequest.Answer
 	deadline clockwork.Timer
 	answered chan chuterequest.Answer
--- a/internal/chutenode/node_test.go
+++ b/internal/chutenode/node_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 type site struct {
 	node   *Node
 	engine *chutestandin.Engine
+	forum  *chutestandin.Service
 }
 
 func serve(t *testing.T, handler http.Handler) string {
@@ -53,12 +55,20 @@
 		Teams:      map[string]chuteconfig.Team{"team": {Weight: 1}},
 		Workspaces: map[string]chuteconfig.Workspace{"w": {Team: "team", Weight: 1, TokenDigests: []string{chuteconfig.TokenDigest("t")}}},
 		Models:     map[string]chuteconfig.Model{testModel: {Version: "1"}},
-		Pools: map[string]chuteconfig.Pool{"model": {
-			Kind: chuteconfig.PoolEngine, Slots: 4, UnitPrice: 1, Typical: chuteconfig.Duration(10 * time.Millisecond),
-		}},
-		Pipelines: map[string]chuteconfig.Pipeline{"twice": {
-			Team: "team", Deadline: chuteconfig.Duration(30 * time.Second), Stages: []chuteconfig.Stage{stage("draft", 20), stage("final", 30)},
-		}},
+		Pools: map[string]chuteconfig.Pool{
+			"model": {Kind: chuteconfig.PoolEngine, Slots: 4, UnitPrice: 1, Typical: chuteconfig.Duration(10 * time.Millisecond)},
+			"forum": {Kind: chuteconfig.PoolService, Slots: 4, UnitPrice: 1, Typical: chuteconfig.Duration(10 * time.Millisecond)},
+		},
+		Pipelines: map[string]chuteconfig.Pipeline{
+			"twice": {
+				Team: "team", Deadline: chuteconfig.Duration(30 * time.Second),
+				Stages: []chuteconfig.Stage{stage("draft", 20), stage("final", 30)},
+			},
+			"post": {
+				Team: "team", Deadline: chuteconfig.Duration(30 * time.Second),
+				Stages: []chuteconfig.Stage{{Name: "post", Pool: "forum", Unrepeatable: true}},
+			},
+		},
 		Placements: map[string]chuteconfig.Placement{"model": {
 			Zone: testZone, Pool: "model", Model: testModel, Role: chuteconfig.RoleMixed, Replicas: 1,
 		}},
@@ -71,15 +81,24 @@
 	engine := chutestandin.NewEngine(chutestandin.EngineSettings{
 		UpstreamSettings: chutestandin.UpstreamSettings{Slots: 4}, CacheBlocks: 16, Model: testModel, Version: "1", Role: "Mixed",
 	})
-	engineURL := serve(t, engine)
+	forum := chutestandin.NewService(chutestandin.ServiceSettings{
+		UpstreamSettings: chutestandin.UpstreamSettings{Slots: 4}, Kind: chuteconfig.PoolService,
+	})
+	listed := func(name, pool, url, incarnation string) chutestandin.VM {
+		return chutestandin.VM{
+			Name: name, Address: strings.TrimPrefix(url, "http://"), Zone: testZone, Kind: "Upstream",
+			Pool: pool, State: "Live", Incarnation: incarnation,
+		}
+	}
 	settings := chutesettings.Settings{
 		NodeName: "entry-1", Site: "site", Zone: testZone, Region: "region", Seed: 1,
 		TableURL:   serve(t, chutestandin.NewTable(chutestandin.TableSettings{})),
 		ObjectsURL: serve(t, chutestandin.NewObjects(chutestandin.ObjectsSettings{})),
-		VMsURL: serve(t, chutestandin.NewVMs(chutestandin.VMsSettings{}, chutestandin.VM{
-			Name: "engine-1", Address: strings.TrimPrefix(engineURL, "http://"), Zone: testZone, Kind: "Upstream",
-			Pool: "model", State: "Live", Incarnation: engine.Incarnation(),
-		})),
+		VMsURL: serve(t, chutestandin.NewVMs(
+			chutestandin.VMsSettings{},
+			listed("engine-1", "model", serve(t, engine), engine.Incarnation()),
+			listed("forum-1", "forum", serve(t, forum), forum.Incarnation()),
+		)),
 	}
 	node := New(settings, clockwork.NewRealClock(), zerolog.Nop())
 	store := chutestore.New(chutestore.NewPlatform(node.platform), node.clock)
@@ -94,7 +113,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 
-	return site{node: node, engine: engine}
+	return site{node: node, engine: engine, forum: forum}
 }
 
 // submit sends one request until the node knows an engine for it, and returns the answer and the streamed text.
@@ -143,6 +162,72 @@
 	qt.Assert(t, strings.HasPrefix(whole, streamed), qt.IsTrue)
 }
 
+// A post runs, but its answer comes after the deadline. The caller hears Unknown
+// then, and the whole answer when it asks again with the same RequestID.
+func TestLateAnswerIsKeptForTheNextQuestion(t *testing.T) {
+	s := newSite(t, twoGenerations())
+	err := s.forum.SetFaults(chutestandin.Faults{Rules: []chutestandin.Fault{{Kind: chutestandin.FaultLate, Delay: chuteconfig.Duration(time.Second)}}})
+	qt.Assert(t, err, qt.IsNil)
+	key := chuterequest.Key{Workspace: "w", RequestID: "late"}
+	outcome := chuterequest.OutcomeNotRun
+	for outcome == chuterequest.OutcomeNotRun {
+		outcome = s.node.Submit(t.Context(), chuterequest.Submission{
+			Key: key, Team: "team", Pipeline: "post", Deadline: time.Now().Add(400 * time.Millisecond), Input: json.RawMessage(`{}`),
+		}, nil).Outcome.Kind
+	}
+	qt.Assert(t, outcome, qt.Equals, chuterequest.OutcomeUnknown)
+	for outcome == chuterequest.OutcomeUnknown {
+		answer, known, err := s.node.Status(t.Context(), key)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, known, qt.IsTrue)
+		outcome = answer.Outcome.Kind
+		time.Sleep(5 * time.Millisecond)
+	}
+	qt.Assert(t, outcome, qt.Equals, chuterequest.OutcomeAnswered)
+}
+
+// The table is down and a post is sent again. What this process says of its key
+// decides between NotRun and Unknown, so it must remember a run for as long as a
+// resend can come, and forget one that certainly ran nothing.
+func TestKeyMemory(t *testing.T) {
+	now := time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	key := chuterequest.Key{Workspace: "w", RequestID: "r"}
+	t.Run("under way", func(t *testing.T) {
+		m := newKeyMemory()
+		m.begin(key, now)
+		qt.Assert(t, m.clear(key, 0, now), qt.IsFalse)
+		qt.Assert(t, m.clear(key, 1, now), qt.IsTrue)
+		m.begin(key, now)
+		qt.Assert(t, m.clear(key, 1, now), qt.IsFalse)
+	})
+	t.Run("ran", func(t *testing.T) {
+		m := newKeyMemory()
+		m.begin(key, now)
+		m.end(key, now.Add(time.Minute))
+		m.begin(key, now)
+		m.end(key, time.Time{})
+		qt.Assert(t, m.clear(key, 0, now), qt.IsFalse)
+		qt.Assert(t, m.clear(key, 0, now.Add(time.Minute)), qt.IsTrue)
+	})
+	t.Run("ran nothing", func(t *testing.T) {
+		m := newKeyMemory()
+		m.begin(key, now)
+		m.end(key, time.Time{})
+		qt.Assert(t, m.clear(key, 0, now), qt.IsTrue)
+		qt.Assert(t, m.keys, qt.HasLen, 0)
+	})
+	t.Run("is pruned", func(t *testing.T) {
+		m := newKeyMemory()
+		for i := range 4 * pruneEvery {
+			k := chuterequest.Key{RequestID: strconv.Itoa(i)}
+			at := now.Add(time.Duration(i) * time.Second)
+			m.begin(k, at)
+			m.end(k, at.Add(time.Second))
+		}
+		qt.Assert(t, len(m.keys) <= pruneEvery, qt.IsTrue)
+	})
+}
+
 func TestRelay(t *testing.T) {
 	token := func(r *relay, attempt string, offset int, text string) {
 		r.add(chuterequest.AttemptID(attempt), chuteupstream.Token{Offset: offset, Text: text})
--- a/internal/chuteproof/ours_test.go
+++ b/internal/chuteproof/ours_test.go
@@ -153,13 +153,13 @@
 	}
 	row, held := n.w.claims[e.Key]
 	switch {
+	case n.w.claimFault():
+		n.w.faults++
+		n.event(chutecore.ClaimFailed{Stamp: n.stamp(), Handle: e.Handle, Reason: "outage", Excluded: !held})
 	case held && row.done:
 		n.event(chutecore.ClaimSettled{Stamp: n.stamp(), Handle: e.Handle, Outcome: row.answer.outcome})
 	case held:
 		n.event(chutecore.ClaimHeld{Stamp: n.stamp(), Handle: e.Handle})
-	case n.w.claimFault():
-		n.w.faults++
-		n.event(chutecore.ClaimFailed{Stamp: n.stamp(), Handle: e.Handle, Reason: "outage"})
 	default:
 		n.w.claims[e.Key] = claimRow{node: n.node, handle: e.Handle}
 		n.claimed[e.Handle] = true
--- a/internal/chutetable/endpoint.go
+++ b/internal/chutetable/endpoint.go
@@ -66,9 +66,9 @@
 	}
 	client := &http.Client{
 		Transport: transport,
-		// A redirect followed by net/http sends a write a second time: the first
-		// sending may have taken effect, and the second then looks like a lost race,
-		// or fails to connect and looks like a write that was never sent.
+		// The answer to a redirected request is not that to the write: the write may
+		// have taken effect where it went first, and a 503 from the second place would
+		// be told as certainly not written. So a redirect is an answer like any other.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return &endpoint{
@@ -137,7 +137,7 @@
 	if err != nil {
 		return answer{}, err
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	got := answer{status: resp.StatusCode, header: resp.Header}
 	got.body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil && !got.refused() {
--- a/internal/chuteupstream/attempt.go
+++ b/internal/chuteupstream/attempt.go
@@ -13,6 +13,7 @@
 var (
 	errStalled = errors.New("no progress within the stall timeout")
 	errExpired = errors.New("the deadline passed")
+	errClosed  = errors.New("the client was closed")
 )
 
 // attempt is one call in flight: Run waits in await while work does the exchange in a goroutine.
@@ -131,7 +132,11 @@
 
 // leave says how an abandoned attempt ended and what becomes of its exchange.
 func (a *attempt) leave() (Result, *chuterequest.Failure) {
-	kind := causeKind(context.Cause(a.waiting))
+	cause := context.Cause(a.waiting)
+	if cause == nil {
+		cause = errClosed
+	}
+	kind := causeKind(cause)
 	notTaken := a.sealUnwritten()
 	if notTaken && kind == chuterequest.FailureStalled {
 		kind = chuterequest.FailureUnreachable
@@ -141,7 +146,7 @@
 	}
 	a.linger(kind, notTaken)
 
-	return a.partial(), &chuterequest.Failure{Kind: kind, NotTaken: notTaken, Detail: a.offsetDetail("given up")}
+	return a.partial(), &chuterequest.Failure{Kind: kind, NotTaken: notTaken, Detail: a.offsetDetail(cause.Error())}
 }
 
 // linger lets the exchange go on where a late answer is still worth something.
--- a/internal/chuteupstream/client.go
+++ b/internal/chuteupstream/client.go
@@ -129,19 +129,19 @@
 
 func (c *Client) run(ctx context.Context, call Call, onToken func(Token)) (Result, *chuterequest.Failure) {
 	if ctx.Err() != nil {
-		return Result{}, notSent(causeKind(ctx.Err()), "over before it was sent")
+		return Result{}, notSent(causeKind(ctx.Err()), ctx.Err().Error())
 	}
 	if !call.Deadline.IsZero() && !call.Deadline.After(c.clock.Now()) {
-		return Result{}, notSent(chuterequest.FailureExpired, "deadline passed before it was sent")
+		return Result{}, notSent(chuterequest.FailureExpired, errExpired.Error())
 	}
 	a := newAttempt(ctx, c, call, onToken)
 	defer a.release()
 
 	if !c.start(a.work) {
-		return Result{}, notSent(chuterequest.FailureCancelled, "client closed")
+		return Result{}, notSent(chuterequest.FailureCancelled, errClosed.Error())
 	}
 
-	return a.await()
+	return a.await() //nolint:contextcheck // the cancel to the engine must outlive ctx
 }
 
 func notSent(kind chuterequest.FailureKind, detail string) *chuterequest.Failure {
--- a/internal/chuteupstream/conn_test.go
+++ b/internal/chuteupstream/conn_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
 
@@ -38,12 +39,12 @@
 		t.Run(fmt.Sprintf("reset=%v", reset), func(t *testing.T) {
 			var requests, conns atomic.Int32
 			address := serveRaw(t, func(conn net.Conn, n int) {
-				defer conn.Close()
+				defer hangUp(conn)
 				conns.Store(int32(n))
-				for readRequest(conn) == nil {
+				for readRequest(conn) {
 					if requests.Add(1) > 1 {
 						if reset {
-							conn.(*net.TCPConn).SetLinger(0)
+							_ = conn.(*net.TCPConn).SetLinger(0)
 						}
 
 						return
@@ -83,7 +84,7 @@
 	var requests atomic.Int32
 	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		requests.Add(1)
-		fmt.Fprint(w, plainBody(ours))
+		send(w, plainBody(ours))
 	})
 	client := newTestClient(t, clockwork.NewFakeClock())
 	dial, dials, dead := client.Dial, 0, &atomic.Bool{}
@@ -105,14 +106,62 @@
 	qt.Check(t, requests.Load(), qt.Equals, int32(2))
 }
 
+// The caller hears "not run": the connection came about but took no byte.
+func TestNothingWritten(t *testing.T) {
+	client := newTestClient(t, clockwork.NewFakeClock())
+	dial, dead := client.Dial, &atomic.Bool{}
+	dead.Store(true)
+	client.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+
+		return deadConn{Conn: conn, dead: dead}, err
+	}
+	call := plainCall(serve(t, func(http.ResponseWriter, *http.Request) {}))
+	call.Unrepeatable = true
+	_, failure := client.Run(context.Background(), call, nil)
+	expectFailure(t, failure, chuterequest.FailureUnreachable, true)
+}
+
+// The connection comes about just after the caller was told "not run". Nothing
+// may be written on it any more.
+func TestConnectionAfterNotTaken(t *testing.T) {
+	near, far := net.Pipe()
+	defer hangUp(far)
+	defer hangUp(near)
+	a := newAttempt(context.Background(), newTestClient(t, clockwork.NewFakeClock()), plainCall(""), nil)
+	a.giveUp(nil)
+	_, failure := a.await()
+	expectFailure(t, failure, chuterequest.FailureCancelled, true)
+	conn := &trackedConn{Conn: near}
+	a.gotConn(httptrace.GotConnInfo{Conn: conn}, true)
+	_, err := conn.Write([]byte("POST"))
+	qt.Check(t, err, qt.ErrorIs, net.ErrClosed)
+}
+
+// Streams in a row share a connection: its end is read after Run returned.
+func TestStreamConnectionIsReused(t *testing.T) {
+	remotes := make(chan string, 2)
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		remotes <- r.RemoteAddr
+		writeFrames(w, lastFrame(0, "", 0))
+	})
+	client := newTestClient(t, clockwork.NewFakeClock())
+	for range 2 {
+		_, failure := client.Run(context.Background(), streamCall(address), nil)
+		qt.Assert(t, failure, qt.IsNil)
+		client.running.Wait()
+	}
+	qt.Check(t, <-remotes, qt.Equals, <-remotes)
+}
+
 // The caller gets an answer, not Unknown, even when all pooled connections are
 // stale: an unrepeatable call always has a connection of its own.
 func TestUnrepeatableDials(t *testing.T) {
 	var conns atomic.Int32
 	address := serveRaw(t, func(conn net.Conn, n int) {
-		defer conn.Close()
+		defer hangUp(conn)
 		conns.Store(int32(n))
-		for readRequest(conn) == nil {
+		for readRequest(conn) {
 			answerRaw(conn)
 		}
 	})
@@ -132,9 +181,11 @@
 	partial := "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"AttemptID\""
 	for _, answer := range []string{"", "HTTP/1.1 2", partial} {
 		address := serveRaw(t, func(conn net.Conn, _ int) {
-			defer conn.Close()
-			readRequest(conn)
-			fmt.Fprint(conn, answer)
+			defer hangUp(conn)
+			if !readRequest(conn) {
+				return
+			}
+			send(conn, answer)
 		})
 		call := plainCall(address)
 		call.Unrepeatable = true
@@ -145,9 +196,9 @@
 
 func TestSeal(t *testing.T) {
 	near, far := net.Pipe()
-	defer far.Close()
+	defer hangUp(far)
 	conn := &trackedConn{Conn: near}
-	defer conn.Close()
+	defer hangUp(conn)
 	t.Run("an unwritten call stays unwritten", func(t *testing.T) {
 		conn.begin(true)
 		qt.Assert(t, conn.sealUnwritten(), qt.IsTrue)
--- a/internal/chuteupstream/main_test.go
+++ b/internal/chuteupstream/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -37,10 +38,19 @@
 	return client
 }
 
-// serve returns the address of a server that is closed, with its open connections, before the client.
+// serve returns the address of a server that is closed with its open connections.
+//
+// The body is read first, because only then does net/http notice a client that leaves.
 func serve(t testing.TB, handler http.HandlerFunc) string {
 	t.Helper()
-	server := httptest.NewServer(handler)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		handler(w, r)
+	}))
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
@@ -54,7 +64,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { listener.Close() })
+	t.Cleanup(func() { hangUp(listener) })
 	go func() {
 		for n := 1; ; n++ {
 			conn, err := listener.Accept()
@@ -68,19 +78,30 @@
 	return listener.Addr().String()
 }
 
-func readRequest(conn net.Conn) error {
+// readRequest returns false when the client has closed the connection.
+func readRequest(conn net.Conn) bool {
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
-		return err
+		return false
 	}
 	_, err = io.Copy(io.Discard, r.Body)
 
-	return err
+	return err == nil
+}
+
+// send writes to a client that may have left; what the client makes of it is tested there.
+func send(w io.Writer, text string) {
+	_, _ = io.WriteString(w, text)
+}
+
+// hangUp closes a connection that the client may have closed already.
+func hangUp(conn io.Closer) {
+	_ = conn.Close()
 }
 
 func answerRaw(conn net.Conn) {
 	body := plainBody(ours)
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	send(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 }
 
 func plainBody(attempt chuterequest.AttemptID) string {
@@ -100,7 +121,7 @@
 func writeFrames(w http.ResponseWriter, frames ...string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for _, frame := range frames {
-		io.WriteString(w, frame)
+		send(w, frame)
 	}
 	w.(http.Flusher).Flush()
 }
@@ -119,7 +140,9 @@
 
 func noteCancel(r *http.Request, cancelled chan<- string) {
 	var body struct{ AttemptID string }
-	json.NewDecoder(r.Body).Decode(&body)
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		body.AttemptID = err.Error()
+	}
 	select {
 	case cancelled <- body.AttemptID:
 	default:
--- a/internal/chuteupstream/stall_test.go
+++ b/internal/chuteupstream/stall_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -19,7 +18,7 @@
 	callTime     = time.Minute
 )
 
-// silentServer answers the paths in order and then holds every request; arrived tells of each.
+// silentServer sends the frames and then holds every request but cancels; arrived tells of each.
 func silentServer(t *testing.T, frames ...string) (address string, arrived chan string, cancelled chan string) {
 	arrived = make(chan string, 9)
 	cancelled = make(chan string, 1)
@@ -46,21 +45,39 @@
 	return call
 }
 
-// The caller sees its stream go on elsewhere. The engine sends a token and goes
-// silent with the connection open, and TCP has nothing to complain about. Only
-// the stall timeout ends it; the Result says where to resume.
+// The caller sees its stream go on elsewhere. The engine sends tokens, slowly
+// but each within the stall timeout, and then goes silent with the connection
+// open; TCP has nothing to complain about. The Result says where to resume.
 func TestSilentStream(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	address, arrived, cancelled := silentServer(t, tokenFrame(ours, 0, "a"))
+	frames, cancelled := make(chan string), make(chan string, 1)
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == cancelPath {
+			noteCancel(r, cancelled)
+
+			return
+		}
+		for {
+			select {
+			case frame := <-frames:
+				writeFrames(w, frame)
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
 	tokens := make(chan Token, 1)
 	ended := runInBackground(context.Background(), newTestClient(t, clock), timed(clock, streamCall(address)), func(token Token) { tokens <- token })
-	receive(t, arrived)
-	receive(t, tokens)
-	qt.Assert(t, clock.BlockUntilContext(context.Background(), 2), qt.IsNil)
-	clock.Advance(stallTimeout)
+	for i, text := range []string{"a", "b", "c"} {
+		frames <- tokenFrame(ours, i, text)
+		receive(t, tokens)
+		qt.Assert(t, clock.BlockUntilContext(context.Background(), 2), qt.IsNil)
+		clock.Advance(stallTimeout - 1)
+	}
+	clock.Advance(1)
 	end := receive(t, ended)
 	expectFailure(t, end.failure, chuterequest.FailureStalled, false)
-	qt.Check(t, end.result, qt.DeepEquals, Result{Text: "a", Tokens: 1, Usage: chuterequest.Usage{Units: 1}})
+	qt.Check(t, end.result, qt.DeepEquals, Result{Text: "abc", Tokens: 3, Usage: chuterequest.Usage{Units: 3}})
 	qt.Check(t, receive(t, cancelled), qt.Equals, string(ours))
 }
 
@@ -68,35 +85,49 @@
 // for longer than the stall timeout, and the stream still ends well.
 func TestSlowCallerIsNoStall(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	address := serveFrames(t, nil, tokenFrame(ours, 0, "a"), lastFrame(1, "a", 1))
+	proceed := make(chan bool, 1)
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		writeFrames(w, tokenFrame(ours, 0, "a"))
+		<-proceed
+		writeFrames(w, lastFrame(1, "a", 1))
+	})
 	result, failure := newTestClient(t, clock).Run(context.Background(), timed(clock, streamCall(address)), func(Token) {
 		clock.Advance(2 * stallTimeout)
+		proceed <- true
 	})
 	qt.Assert(t, failure, qt.IsNil)
 	qt.Check(t, result.Text, qt.Equals, "a")
 }
 
 // The caller of a repeatable plain call is served by another upstream after the
-// stall timeout. An unrepeatable one can't be sent again, so it waits for its
-// answer until the deadline, and then may have run.
+// stall timeout.
 func TestSilentPlainCall(t *testing.T) {
-	for _, unrepeatable := range []bool{false, true} {
-		t.Run(fmt.Sprintf("unrepeatable=%v", unrepeatable), func(t *testing.T) {
-			clock := clockwork.NewFakeClock()
-			address, arrived, _ := silentServer(t)
-			call := timed(clock, plainCall(address))
-			call.Unrepeatable = unrepeatable
-			ended := runInBackground(context.Background(), newTestClient(t, clock), call, nil)
-			receive(t, arrived)
-			clock.Advance(stallTimeout)
-			kind := chuterequest.FailureStalled
-			if unrepeatable {
-				kind = chuterequest.FailureExpired
-				clock.Advance(callTime)
-			}
-			expectFailure(t, receive(t, ended).failure, kind, false)
-		})
-	}
+	clock := clockwork.NewFakeClock()
+	address, arrived, _ := silentServer(t)
+	ended := runInBackground(context.Background(), newTestClient(t, clock), timed(clock, plainCall(address)), nil)
+	receive(t, arrived)
+	clock.Advance(stallTimeout)
+	expectFailure(t, receive(t, ended).failure, chuterequest.FailureStalled, false)
+}
+
+// The registrar gets the answer of a slow publication. It can't be sent again,
+// so giving it up after the stall timeout would only turn it into Unknown.
+func TestSlowUnrepeatableCall(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	arrived, proceed := make(chan bool, 1), make(chan bool)
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- true
+		<-proceed
+		send(w, plainBody(ours))
+	})
+	call := timed(clock, plainCall(address))
+	call.Unrepeatable = true
+	ended := runInBackground(context.Background(), newTestClient(t, clock), call, nil)
+	receive(t, arrived)
+	clock.Advance(callTime - 1)
+	close(proceed)
+	end := receive(t, ended)
+	expectAnswered(t, end.result, end.failure)
 }
 
 // The next caller must not lose a stall timeout too. Two connections are idle
@@ -116,7 +147,7 @@
 		for len(remotes) == 1 {
 			time.Sleep(time.Millisecond) // until the two calls of the start are side by side
 		}
-		fmt.Fprint(w, plainBody(ours))
+		send(w, plainBody(ours))
 	})
 	client := newTestClient(t, clock)
 	first := runInBackground(context.Background(), client, plainCall(address), nil)
@@ -223,7 +254,7 @@
 	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		arrived <- true
 		<-proceed
-		fmt.Fprint(w, plainBody(ours))
+		send(w, plainBody(ours))
 	})
 	late := make(chan Result, 1)
 	client := newTestClient(t, clock)
