Spread leaving marks and versions at once; keep ledger rows small enough to copy

Cause: news waited for the next gossip round, up to a second a hop, and a ledger row above 6 KB (some 42 counters of 144 bytes) was dropped from the copies that peers keep, without a word; Kura's five workspaces and five pipelines make more.

--- a/internal/chutecore/platform.go
+++ b/internal/chutecore/platform.go
@@ -42,6 +42,7 @@
 	}
 	st.routing = st.routing.WithLeaving(upstream, incarnation)
 	st.members = st.members.WithLeavingMark(upstream, incarnation)
+	st.spread()
 }
 
 // lookOver ends the queued requests that can't finish any more, at once rather than at their deadline.
--- a/internal/chutecore/request.go
+++ b/internal/chutecore/request.go
@@ -21,7 +21,7 @@
 	PhaseRefusing Phase = "Refusing"
 	// PhaseUnclaimed: the claim was not to be had, but nobody else has run the key.
 	PhaseUnclaimed Phase = "Unclaimed"
-	PhaseRunning  Phase = "Running"
+	PhaseRunning   Phase = "Running"
 )
 
 // Attempt is one running hand-over of the request's present stage.
--- a/internal/chutecore/state.go
+++ b/internal/chutecore/state.go
@@ -35,6 +35,9 @@
 	firstOrderTimeout  = 30 * time.Second
 )
 
+// ledgerShards spreads the counters over rows small enough for peers to keep; only changed rows are written.
+const ledgerShards = 4
+
 // State is all that one node decides from; copies are cheap and never change.
 type State struct {
 	identity Identity
@@ -58,6 +61,10 @@
 	lastAttempt uint64
 	random      rand.PCG
 	draining    bool
+	// contested says that another process goes by this node's name.
+	contested bool
+	// uncopied counts the ledger rows that are too large for peers to keep.
+	uncopied int
 }
 
 // pace remembers when the slower periodic work was last done.
@@ -73,7 +80,7 @@
 		requests: immutable.NewMap[uint64, Request](nil),
 		routing:  chuterouting.NewTable(chuterouting.Settings{OwnZone: identity.Zone}),
 		queue:    chuteadmission.NewQueue(true),
-		ledger:   chuteledger.New(chuteledger.Settings{Incarnation: identity.Incarnation}),
+		ledger:   chuteledger.New(chuteledger.Settings{Incarnation: identity.Incarnation, Shards: ledgerShards}),
 		rollout:  chuterollout.New(chuterollout.Settings{Seed: seed}),
 		lease: chutelease.New(chutelease.Settings{
 			Zone: identity.Zone, Node: identity.Node, Incarnation: identity.Incarnation,
