Send claims that come during a write as one transaction

Cause: enrolments were limited by the table writes a node may make, two a request: at 60 a second over 3 nodes with 30 writes a second each a third had no answer, and the rest waited close to a second for their turn. Ruled out: the upstream (5 ms a call, 48 slots) and the table (5 ms a write). Change: Batcher sends what comes while a write is under way together; nothing waits for a batch to fill. A refused batch is sent apart, an unknown outcome is unknown for each, equal keys never share a batch. It rests on the table counting transactions; where it counts rows the gain is gone, and docs/CAPACITY.md will say so.

--- a/internal/chutenode/node.go
+++ b/internal/chutenode/node.go
@@ -121,7 +121,7 @@
 	n.store = chutestore.New(chutestore.NewPlatform(n.platform), n.clock)
 	n.peers = chutepeer.NewClient(chutepeer.DefaultSettings(s.Site, s.NodeName), n.clock, n.log)
 	n.claims = chuteclaim.New(chuteclaim.Settings{}, chuteclaim.Seams{
-		Transact: n.platform.Transact, Read: n.platform.Read, AskOwner: n.askOwner,
+		Transact: (&chutetable.Batcher{Transact: n.platform.Transact}).Do, Read: n.platform.Read, AskOwner: n.askOwner,
 	}, n.clock, n.log)
 }
 
