Try an upstream again when connections to all of them went silent

Cause: TestProofSilentConnectionReplacedProcess/Azurechute was red: with the connections to both retrievers of a zone silent, a call stalled once at each and was given up as Failed with an attempt left, since no upstream is tried twice. Ruled out: the adapter; it drops the idle connections and dials anew. Change: after a stall or a break, when no untried upstream is left, the tried ones may be tried again, within attempts, deadline and budget.

--- a/internal/chutecore/attempt.go
+++ b/internal/chutecore/attempt.go
@@ -140,14 +140,32 @@
 
 		return
 	}
+	failedAt := r.Tried[len(r.Tried)-1]
+	r = st.withWiderChoice(r, f)
 	if reason, ok := st.mayRetry(r, f); !ok {
-		st.giveUp(r, reason+" ("+string(f.Kind)+" at "+r.Tried[len(r.Tried)-1]+")", max(f.RetryAfter, unreadyRetryAfter))
+		st.giveUp(r, reason+" ("+string(f.Kind)+" at "+failedAt+")", max(f.RetryAfter, unreadyRetryAfter))
 
 		return
 	}
 	st.startStage(r)
 }
 
+// withWiderChoice lets a stage try an upstream again when all others have failed it too.
+//
+// Connections to several upstreams can go silent at once, when something between
+// the ends has lost track of them, while new connections to the same upstreams
+// work: giving up after one stall each would fail requests that the next try
+// answers. Only failures of the connection count; attempts and budget still bound it.
+func (st *step) withWiderChoice(r Request, f chuterequest.Failure) Request {
+	connection := f.Kind == chuterequest.FailureStalled || f.Kind == chuterequest.FailureBroken
+	if connection && st.routing.Candidates(st.query(r)) == 0 {
+		r.Tried = nil
+		st.put(r)
+	}
+
+	return r
+}
+
 // resumable says whether the stage has produced tokens: going on from them is not a second run.
 func resumable(r Request) bool {
 	return r.Offset > 0
--- a/internal/chutecore/reduce_test.go
+++ b/internal/chutecore/reduce_test.go
@@ -293,6 +293,20 @@
 	})
 }
 
+// The connections to both encoders went silent. Each call stalls once; the third
+// goes over a new connection to an encoder that failed before, and is answered.
+func TestStalledEverywhereTriesAgain(t *testing.T) {
+	d := newDriver(t, 2, func(cfg *chuteconfig.Config) { cfg.Policy.RetryBudget = 1 })
+	d.arrive(1, "digest")
+	for range 2 {
+		d.fail(expectEffect[Dispatch](t, d), chuterequest.Failure{Kind: chuterequest.FailureStalled}, 0)
+	}
+	third := expectEffect[Dispatch](t, d)
+	qt.Assert(t, third.Stage.Name, qt.Equals, "encode")
+	d.fail(third, chuterequest.Failure{Kind: chuterequest.FailureStalled}, 0)
+	expectOutcome(t, d, chuterequest.OutcomeFailed)
+}
+
 func TestLeavingUpstreamIsLeftAlone(t *testing.T) {
 	d := newDriver(t, 1, nil)
 	d.reduce(LoadReported{
