Let the test of a broken stream ask for the whole text

Change: one break must give the whole text, as many breaks as attempts Failed with a part of it; stricter than before.

--- a/internal/chutenode/node_test.go
+++ b/internal/chutenode/node_test.go
@@ -147,19 +147,30 @@
 	qt.Assert(t, answer.Digest, qt.Equals, chuteprompt.Digest(want))
 }
 
-// The only engine's stream breaks after six tokens, and there is nowhere to
-// resume. The caller has a part of the text and must hear that it is not whole.
-func TestBrokenStreamWithoutAnotherEngineFails(t *testing.T) {
+// The only engine's stream breaks after six tokens. While attempts are left it
+// goes on there over a new connection and the caller's text is whole; when they
+// are used up, the caller has a part of it and must hear that it is not whole.
+func TestBrokenStreamAtTheOnlyEngine(t *testing.T) {
 	cfg := twoGenerations()
 	s := newSite(t, cfg)
 	input := json.RawMessage(`{"Text":"hello"}`)
 	_, whole := s.submit(t, input)
-	err := s.engine.SetFaults(chutestandin.Faults{Rules: []chutestandin.Fault{{Kind: chutestandin.FaultBreak, Stage: "final", Count: 1, Offset: 6}}})
-	qt.Assert(t, err, qt.IsNil)
+	breakStreams := func(count int) {
+		err := s.engine.SetFaults(chutestandin.Faults{Rules: []chutestandin.Fault{
+			{Kind: chutestandin.FaultBreak, Stage: "final", Count: count, Offset: 6},
+		}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	breakStreams(1)
 	answer, streamed := s.submit(t, input)
+	qt.Assert(t, answer.Outcome.Kind, qt.Equals, chuterequest.OutcomeAnswered)
+	qt.Assert(t, streamed, qt.Equals, whole)
+	breakStreams(cfg.Policy.MaxAttempts)
+	answer, streamed = s.submit(t, input)
 	qt.Assert(t, answer.Outcome.Kind, qt.Equals, chuterequest.OutcomeFailed)
 	qt.Assert(t, answer.Outcome.SafeToRepeat, qt.IsTrue)
 	qt.Assert(t, strings.HasPrefix(whole, streamed), qt.IsTrue)
+	qt.Assert(t, len(streamed) < len(whole), qt.IsTrue)
 }
 
 // A post runs, but its answer comes after the deadline. The caller hears Unknown
