Spill to other zones when the own one is full; take unanswered polls as evidence

Cause: routing left the own zone only when none of it could be used, so a node that got most of the callers turned them away beside idle zones. When a zone's upstreams froze, nothing spoke against them until calls had stalled, one by one. A node that never read the VM list said ready and knew no upstream. Change: tiers with room come first, own then others; two load polls in a row without an answer within 1 s set an upstream aside; ready waits for a first list. Not measured: the frozen zone; TestSilentPollsSetAside shows the rule. Reports of other zones come each 5 s; answers bring them sooner.

--- a/internal/chutenode/node.go
+++ b/internal/chutenode/node.go
@@ -48,15 +48,17 @@
 	claims    *chuteclaim.Claimer
 	peers     *chutepeer.Client
 
-	messages   chan message
-	queries    chan func(chutecore.State)
-	keys       *keyMemory
-	late       *lateWork
-	startedAt  time.Time
-	handles    atomic.Uint64
-	tickets    atomic.Uint64
-	config     atomic.Pointer[inForce]
-	draining   atomic.Bool
+	messages  chan message
+	queries   chan func(chutecore.State)
+	keys      *keyMemory
+	late      *lateWork
+	startedAt time.Time
+	handles   atomic.Uint64
+	tickets   atomic.Uint64
+	config    atomic.Pointer[inForce]
+	draining  atomic.Bool
+	// listed says that the platform's list was read once; without it no upstream is known.
+	listed     atomic.Bool
 	background sync.WaitGroup
 	// running ends when the node stops for good; effects still under way end with it.
 	running context.Context
@@ -217,6 +219,8 @@
 		return errDraining
 	case n.config.Load() == nil:
 		return errUnconfigured
+	case !n.listed.Load():
+		return errUnlisted
 	}
 
 	return nil
--- a/internal/chutenode/platform.go
+++ b/internal/chutenode/platform.go
@@ -18,6 +18,8 @@
 	reportPeriod     = 500 * time.Millisecond
 	farReportPeriod  = 5 * time.Second
 	firstListTimeout = 2 * time.Second
+	// pollTimeout is well below the stall timeout of calls, so that polls notice a frozen upstream first.
+	pollTimeout = time.Second
 )
 
 // poll is the polling of one upstream's reports.
@@ -36,6 +38,7 @@
 		}
 		failing = err != nil
 		if err == nil {
+			n.listed.Store(true)
 			n.takeList(vms) //nolint:contextcheck // polls live as long as the node
 		}
 		n.pause(ctx, listPeriod)
@@ -121,9 +124,7 @@
 func (n *Node) pollUpstream(ctx context.Context, u chuterouting.Listed, period time.Duration, engine func() bool) {
 	after := uint64(0)
 	for ctx.Err() == nil {
-		if load, err := n.upstreams.Load(ctx, u.Address); err == nil {
-			n.send(chutecore.LoadReported{Stamp: n.stamp(), Upstream: u.Name, Load: load})
-		}
+		n.pollLoad(ctx, u)
 		if engine() && u.Zone == n.settings.Zone {
 			after = n.pollCache(ctx, u, after)
 		}
@@ -131,6 +132,19 @@
 	}
 }
 
+// pollLoad asks an upstream for its load report.
+func (n *Node) pollLoad(ctx context.Context, u chuterouting.Listed) {
+	asked, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	load, err := n.upstreams.Load(asked, u.Address)
+	switch {
+	case err == nil:
+		n.send(chutecore.LoadReported{Stamp: n.stamp(), Upstream: u.Name, Load: load})
+	case ctx.Err() == nil:
+		n.send(chutecore.PollFailed{Stamp: n.stamp(), Upstream: u.Name})
+	}
+}
+
 // pollCache asks an engine for its cache events after a sequence number.
 func (n *Node) pollCache(ctx context.Context, u chuterouting.Listed, after uint64) uint64 {
 	events, next, err := n.upstreams.CacheEvents(ctx, u.Address, after)
--- a/internal/chuterouting/choose.go
+++ b/internal/chuterouting/choose.go
@@ -48,7 +48,7 @@
 	weigh.service = float64(weigh.times.service(q.Stage, t.settings.typical(q.Pool)))
 	weigh.work = float64(weigh.times.work(t.settings.typical(q.Pool)))
 	var room [maxSample + 1]candidate
-	filter := filter{query: &q, limit: weigh.limit}
+	filter := filter{table: &t, query: &q, limit: weigh.limit}
 	for _, filter.tier = range tiers {
 		if filter.tier.anyVersion && q.Version == "" {
 			continue
--- a/internal/chuterouting/evidence_test.go
+++ b/internal/chuterouting/evidence_test.go
@@ -157,3 +157,46 @@
 		c.Assert(ok, qt.IsFalse)
 	})
 }
+
+// A zone's own upstreams are full while another zone's are idle. Callers of that
+// zone's node would be turned away or wait; the idle ones take the next calls, and
+// the own zone is first again as soon as it has room.
+func TestFullZoneSpillsToAnother(t *testing.T) {
+	now := benchStart
+	table := NewTable(Settings{OwnZone: "a", ReportAgeLimit: time.Minute, Pools: map[string]PoolSettings{"p": {Slots: 1}}}).
+		WithList([]Listed{
+			{Name: "near", Zone: "a", Pool: "p", Incarnation: "1"}, {Name: "far", Zone: "b", Pool: "p", Incarnation: "1"},
+		}, now)
+	choose := func(table Table) string {
+		choice, ok := table.Choose(Query{Pool: "p", Now: now}, func(int) int { return 0 })
+		qt.Assert(t, ok, qt.IsTrue)
+
+		return choice.Upstream.Name
+	}
+	qt.Assert(t, choose(table), qt.Equals, "near")
+	full := table.WithDispatched("near", now)
+	qt.Assert(t, full.HasFree(Query{Pool: "p", Now: now}), qt.IsTrue)
+	qt.Assert(t, choose(full), qt.Equals, "far")
+	qt.Assert(t, choose(full.WithDispatched("far", now)), qt.Equals, "near")
+	qt.Assert(t, choose(full.WithReleased("near", now)), qt.Equals, "near")
+}
+
+// All upstreams of a zone freeze. Polls go unanswered; after two in a row the
+// frozen one gets no call while another can be used, and a lost single poll costs nothing.
+func TestSilentPollsSetAside(t *testing.T) {
+	now := benchStart
+	table := NewTable(Settings{OwnZone: "a", ReportAgeLimit: time.Minute, Pools: map[string]PoolSettings{"p": {Slots: 4}}}).
+		WithList([]Listed{
+			{Name: "near", Zone: "a", Pool: "p", Incarnation: "1"}, {Name: "far", Zone: "b", Pool: "p", Incarnation: "1"},
+		}, now)
+	choose := func(table Table) string {
+		choice, _ := table.Choose(Query{Pool: "p", Now: now}, func(int) int { return 0 })
+
+		return choice.Upstream.Name
+	}
+	once := table.WithPollFailed("near", now)
+	qt.Assert(t, choose(once), qt.Equals, "near")
+	qt.Assert(t, choose(once.WithPollFailed("near", now)), qt.Equals, "far")
+	answered := once.WithReport("near", chuterequest.Load{Incarnation: "1", Slots: 4}, now).WithPollFailed("near", now)
+	qt.Assert(t, choose(answered), qt.Equals, "near")
+}
