Delete claims whose retention is over

Cause: nobody called chuteclaim.Expired, so each unrepeatable request left a row for good. Change: the holder of a zone's lease reads a page of claims a second and deletes the expired ones on condition of the versions read, in the background's share of table writes. Measured: the test of one page; no long run.

--- a/internal/chutecore/state.go
+++ b/internal/chutecore/state.go
@@ -151,3 +151,8 @@
 func sortedNames[V any](m map[string]V) []string {
 	return slices.Sorted(maps.Keys(m))
 }
+
+// HoldsLease says whether this node holds its zone's lease at the time.
+func (s State) HoldsLease(now time.Time) bool {
+	return s.lease.Held(now)
+}
--- a/internal/chutenode/node.go
+++ b/internal/chutenode/node.go
@@ -117,7 +117,7 @@
 	n.platform = chutetable.New(chutetable.Settings{
 		TableURL: s.TableURL, ObjectsURL: s.ObjectsURL, VMsURL: s.VMsURL,
 		WritesPerSecond: s.TableWritesPerSecond * (1 - backgroundShare), ReadsPerSecond: s.TableReadsPerSecond,
-		BackgroundSteps:           []string{stepLedgerWrite, chuteclaim.StepNameSealLate, chuteclaim.StepNameFinish},
+		BackgroundSteps:           []string{stepLedgerWrite, chuteclaim.StepNameSealLate, chuteclaim.StepNameFinish, stepClaimClean},
 		BackgroundWritesPerSecond: s.TableWritesPerSecond * backgroundShare,
 	}, n.clock, n.log)
 	n.store = chutestore.New(chutestore.NewPlatform(n.platform), n.clock)
--- a/internal/chutenode/node_test.go
+++ b/internal/chutenode/node_test.go
@@ -14,11 +14,13 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"azurechute.example/azurechute/internal/chuteclaim"
 	"azurechute.example/azurechute/internal/chuteprompt"
 	"azurechute.example/azurechute/internal/chuterequest"
 	"azurechute.example/azurechute/internal/chutesettings"
 	"azurechute.example/azurechute/internal/chutestandin"
 	"azurechute.example/azurechute/internal/chutestore"
+	"azurechute.example/azurechute/internal/chutetable"
 	"azurechute.example/azurechute/internal/chuteupstream"
 	"azurechute.example/azurechute/pkg/chuteconfig"
 )
@@ -271,3 +273,27 @@
 	answer := node.Submit(context.Background(), chuterequest.Submission{}, nil)
 	qt.Assert(t, answer.Outcome.Kind, qt.Equals, chuterequest.OutcomeUnknown)
 }
+
+// Claims whose retention is over are deleted and others stay: a key must not be
+// free to run again before a resend of it is out of the question.
+func TestCleanupDeletesExpiredClaims(t *testing.T) {
+	s := newSite(t, twoGenerations())
+	write := func(key string, expires time.Time) {
+		body, err := json.Marshal(chuteclaim.Record{Token: key, State: chuteclaim.StateDone, ExpiresAt: expires})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = s.node.platform.Transact(t.Context(), "test", chutetable.Transaction{
+			Writes: []chutetable.Write{{Key: chuteclaim.RowPrefix + key, Value: body}},
+		})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	write("a", time.Now().Add(-time.Hour))
+	write("b", time.Now().Add(time.Hour))
+	write("c", time.Now().Add(-time.Hour))
+	last := s.node.cleanOnePage(t.Context(), "")
+	qt.Assert(t, last, qt.Equals, chuteclaim.RowPrefix+"c")
+	rows, err := s.node.platform.Scan(t.Context(), "test", chuteclaim.RowPrefix, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, rows, qt.HasLen, 1)
+	qt.Assert(t, rows[0].Key, qt.Equals, chuteclaim.RowPrefix+"b")
+	qt.Assert(t, s.node.cleanOnePage(t.Context(), last), qt.Equals, "")
+}
--- a/internal/chutenode/serve.go
+++ b/internal/chutenode/serve.go
@@ -89,6 +89,7 @@
 	n.spawn(n.loop)
 	n.send(chutecore.PeersListed{Stamp: n.stamp(), Seeds: n.firstSeeds()})
 	n.spawn(n.watchList)
+	n.spawn(n.cleanClaims)
 }
 
 // firstSeeds are the peers that the settings name, for a start while the platform's list can't be read.
