--- a/internal/chuteproof/control_inputtable_test.go
+++ b/internal/chuteproof/control_inputtable_test.go
@@ -64,6 +64,8 @@
 		{"the digest itself", submit(chuteconfig.TokenDigest(reefToken)), authorization},
 		{"another scheme", submit("", "Authorization: Basic cmVlZjp4"), authorization},
 		{"no scheme", submit("", "Authorization: wrong-token"), authorization},
+		{"right token under another scheme", submit("", "Authorization: Basic "+reefToken), authorization},
+		{"right token without a scheme", submit("", "Authorization: "+reefToken), authorization},
 		{"token with a space", submit(reefToken + " x"), authorization},
 		{"another workspace's token", submit(pondToken), workspace},
 		{"another's RequestID", get("/v1/requests/r1?Workspace=reef", pondToken), workspace},
