Learn service times by pipeline and stage, and let a few in to correct them

Change: times are learned under pipeline and stage; one in 16 requests that only learned times speak against is let in.

--- a/internal/chutecore/arrive.go
+++ b/internal/chutecore/arrive.go
@@ -115,7 +115,7 @@
 	waiter := st.waiter(r)
 	waiter.Needs += st.laterWaits(r)
 	prediction := st.queue.Predict(waiter, st.free(r), st.now)
-	if prediction.CanFinish {
+	if prediction.CanFinish || prediction.Wait == 0 && st.probe() {
 		return chuterequest.Outcome{}, false
 	}
 
@@ -134,6 +134,22 @@
 	}
 }
 
+// probeOneIn is how many requests, turned away for their learned times alone, one is let in for.
+const probeOneIn = 16
+
+// probe lets a few requests in that nothing but the learned service times speaks against.
+//
+// A slow spell teaches times longer than the deadline. With every request turned
+// away for them no call would ever run to correct them, and the pipeline would
+// stay shut long after its upstreams have recovered.
+func (st *step) probe() bool {
+	random := newDraws(st.random)
+	chosen := random.intN(probeOneIn) == 0
+	st.random = random.source
+
+	return chosen
+}
+
 // free counts the free slots that matter for a prediction: with nobody waiting, one is as good as many.
 func (st *step) free(r Request) int {
 	query := st.query(r)
@@ -167,7 +183,7 @@
 func (st *step) needs(r Request) time.Duration {
 	total := time.Duration(0)
 	for _, stage := range r.Stages[r.Stage:] {
-		total += st.routing.ServiceTime(stage.Pool, stage.Name)
+		total += st.routing.ServiceTime(stage.Pool, learnedAs(r.Pipeline, stage.Name))
 	}
 
 	return total
--- a/internal/chutecore/attempt.go
+++ b/internal/chutecore/attempt.go
@@ -11,7 +11,7 @@
 // attemptFinished takes a stage's result once and goes on to the next stage.
 func (st *step) attemptFinished(e AttemptFinished) {
 	st.routing = st.routing.
-		WithFinished(e.Upstream, e.Work.Stage, e.Took, e.Usage.Units, st.now).
+		WithFinished(e.Upstream, learnedAs(e.Work.Pipeline, e.Work.Stage), e.Took, e.Usage.Units, st.now).
 		WithReport(e.Upstream, e.Load, st.now)
 	st.noteLeaving(e.Upstream, e.Load)
 	r, ok := st.requests.Get(e.Handle)
--- a/internal/chutecore/reduce_test.go
+++ b/internal/chutecore/reduce_test.go
@@ -341,3 +341,41 @@
 		})
 	}
 }
+
+// Two pipelines name a stage alike; one generates for four seconds, the other for
+// a tenth of one. The short one's callers must not be turned away for the long
+// one's time. Of the long one's callers in a hurry nearly all are turned away, but
+// a few are let in: else one slow spell would turn them away for good.
+func TestServiceTimesAreLearnedByPipeline(t *testing.T) {
+	d := newDriver(t, 2, func(cfg *chuteconfig.Config) {
+		stages := []chuteconfig.Stage{{Name: "generate", Pool: "model", Model: "general"}}
+		cfg.Pipelines["long"] = chuteconfig.Pipeline{Team: "team", Stages: stages}
+		cfg.Pipelines["short"] = chuteconfig.Pipeline{Team: "team", Stages: stages}
+	})
+	for i := range 20 {
+		d.arrive(uint64(i+1), "long")
+		dispatch := expectEffect[Dispatch](t, d)
+		d.reduce(AttemptFinished{
+			Stamp: d.stamp(), Handle: dispatch.Handle, Attempt: dispatch.Attempt, Upstream: dispatch.Upstream, Work: dispatch.Work,
+			Took: 4 * time.Second, Usage: chuterequest.Usage{Units: 400}, Load: chuterequest.Load{Incarnation: "1", Slots: 400},
+		})
+	}
+	inAHurry := func(handle uint64, pipeline string) bool {
+		d.reduce(RequestArrived{
+			Stamp: d.stamp(), Handle: handle, Key: chuterequest.Key{Workspace: "w", RequestID: fmt.Sprint(handle)},
+			Pipeline: pipeline, Deadline: d.now.Add(time.Second),
+		})
+		_, dispatched := find[Dispatch](d.effects)
+
+		return dispatched
+	}
+	qt.Assert(t, inAHurry(100, "short"), qt.IsTrue)
+	letIn := 0
+	for i := range 160 {
+		if inAHurry(uint64(1000+i), "long") {
+			letIn++
+		}
+	}
+	qt.Assert(t, letIn > 0, qt.IsTrue)
+	qt.Assert(t, letIn < 40, qt.IsTrue)
+}
