--- a/internal/chuteproof/control_race_test.go
+++ b/internal/chuteproof/control_race_test.go
@@ -31,7 +31,8 @@
 		rt: rt,
 		table: drawFaults(rt, []chutestandin.FaultKind{
 			chutestandin.FaultDown, chutestandin.FaultDropAnswer, chutestandin.FaultFail, chutestandin.FaultLate,
-			chutestandin.FaultSlow, chutestandin.FaultRefuse, chutestandin.FaultTruncate, chutestandin.FaultCross,
+			chutestandin.FaultSlow, chutestandin.FaultRefuse, chutestandin.FaultTruncate,
+			chutestandin.FaultCross, chutestandin.FaultCross, chutestandin.FaultCross,
 		}, []string{"/v1/transact", "/v1/transact", "/v1/read"}),
 		patience: rapid.SliceOfN(rapid.SampledFrom([]time.Duration{
 			50 * time.Millisecond, 300 * time.Millisecond, time.Second,
--- a/internal/chuteproof/process_harness_test.go
+++ b/internal/chuteproof/process_harness_test.go
@@ -31,6 +31,8 @@
 	zoneTwo = "zone-2"
 	// anywhere stands for callers of a link that come from every zone.
 	anywhere = ""
+	// platformZone is where the platform's services stand, outside of all zones.
+	platformZone = "platform"
 )
 
 // side says which program the nodes run.
@@ -130,7 +132,7 @@
 
 // platformURL is how a zone reaches a service of the platform.
 func (c *cluster) platformURL(zone, service string) string {
-	return "http://" + c.link(zone, service, "platform", c.platform[service].address()).address()
+	return "http://" + c.link(zone, service, platformZone, c.platform[service].address()).address()
 }
 
 // linksOf returns the relays that a rule picks.
@@ -162,10 +164,14 @@
 	}
 }
 
-// comesAbout polls until a state has come about, or says that it does not. A naive node gets less time: it has no
-// way left by which the state could come about.
+// comesAbout polls until a state has come about, or says that it does not.
 func (c *cluster) comesAbout(reached func() bool) bool {
-	wait := longWait
+	return c.comesAboutWithin(longWait, reached)
+}
+
+// comesAboutWithin does so for a time that the promise itself states. A naive node gets less: it has no way left by
+// which the state could come about.
+func (c *cluster) comesAboutWithin(wait time.Duration, reached func() bool) bool {
 	if c.side == sideNaive {
 		wait = naiveWait
 	}
--- a/internal/chuteproof/process_node_test.go
+++ b/internal/chuteproof/process_node_test.go
@@ -198,7 +198,8 @@
 
 var portMu sync.Mutex
 
-var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+// nextPort spreads by a prime, so that runs begun together, whose process ids are neighbours, do not meet.
+var nextPort = firstPort + os.Getpid()*7919%(lastPort-firstPort)
 
 // freePort returns a port that nobody listens on.
 func freePort(c *qt.C) int {
--- a/internal/chuteproof/process_silence_test.go
+++ b/internal/chuteproof/process_silence_test.go
@@ -1,12 +1,14 @@
 package chuteproof
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"azurechute.example/azurechute/internal/chutestandin"
 	"azurechute.example/azurechute/pkg/chuteapi"
 	"azurechute.example/azurechute/pkg/chuteconfig"
 )
@@ -16,6 +18,11 @@
 	silenceTokenTime = 20 * time.Millisecond
 	// silenceDeadline leaves room for the stall timeouts and no more than one wait of a naive node.
 	silenceDeadline = 8 * time.Second
+	// tableSends is far less than the connections that went silent.
+	tableConnections = 24
+	tableSends       = 4
+	// inForceBound is generous for "in force within seconds", and less than a ping takes to find a silent connection.
+	inForceBound = 10 * time.Second
 )
 
 // Something between the two ends loses track of every open connection at once: neither bytes nor closes arrive any
@@ -78,11 +85,17 @@
 	}
 }
 
-// silenceTable strikes the connections to the whole platform; the posts are sent again as their answers permit.
+// silenceTable strikes the connections to the whole platform, of which the node has many; the posts are sent again as
+// their answers permit, the first of them alone and not often.
 func silenceTable(c *cluster) verdict {
-	platform := c.linksOf(func(ends linkEnds) bool { return ends.targetZone == "platform" })
+	c.openTableConnections(c.nodes[0])
+	platform := c.linksOf(func(ends linkEnds) bool { return ends.targetZone == platformZone })
 	silenced, dialled := silence(platform)
-	words := c.askAllUntilSettled(c.nodes[0], withDeadline(newRequests(pipelineAlert, "table", 6), silenceDeadline))
+	alone := newRequest(pipelineAlert, "table.alone")
+	alone.Deadline = silenceDeadline
+	words := c.askUpTo(tableSends, c.nodes[0], alone)
+	rest := withDeadline(newRequests(pipelineAlert, "table", 6), silenceDeadline)
+	words = append(words, c.askAllUntilSettled(c.nodes[0], rest)...)
 
 	return verdict{
 		wrong: append(judgePosts(c, words), judgeSettled(words)...),
@@ -90,12 +103,26 @@
 	}
 }
 
+// openTableConnections lets a node make many calls to the table at a time, whose connections it then keeps.
+func (c *cluster) openTableConnections(n *process) {
+	c.setFaults(c.table, chutestandin.Fault{Kind: chutestandin.FaultLate, Path: "/v1/read", Delay: span(200 * time.Millisecond)})
+	var asking sync.WaitGroup
+	for i := range tableConnections {
+		asking.Go(func() {
+			// Nothing is known of the request; that is an error and does not matter.
+			_, _ = c.client(1, n).Status(context.Background(), proofWorkspace, requestID("unheard-of", i))
+		})
+	}
+	asking.Wait()
+	c.setFaults(c.table)
+}
+
 // silencePeers strikes the peers' connections and cuts the second zone off from the platform, so that it can hear of
 // a new configuration from a peer alone.
 func silencePeers(c *cluster) verdict {
 	peers := c.linksOf(func(ends linkEnds) bool { return ends.from == anywhere })
 	silenced, dialled := silence(peers)
-	platform := c.linksOf(func(ends linkEnds) bool { return ends.targetZone == "platform" && ends.from == zoneTwo })
+	platform := c.linksOf(func(ends linkEnds) bool { return ends.targetZone == platformZone && ends.from == zoneTwo })
 	for _, r := range platform {
 		r.cutOff()
 	}
@@ -104,7 +131,7 @@
 	r := newRequest("digest", "peers")
 	r.Deadline = silenceDeadline
 	var last word
-	served := c.comesAbout(func() bool {
+	served := c.comesAboutWithin(inForceBound, func() bool {
 		last = c.ask(c.nodes[1], r)
 
 		return last.outcome() == chuteapi.Answered
--- a/internal/chuteproof/process_unrepeatable_test.go
+++ b/internal/chuteproof/process_unrepeatable_test.go
@@ -217,12 +217,18 @@
 // askUntilSettled sends a request again, as the answers permit, until a node has the answer.
 func (c *cluster) askUntilSettled(n *process, r chuteapi.Request) []word {
 	c.Helper()
+
+	return c.askUpTo(maxSends, n, r)
+}
+
+func (c *cluster) askUpTo(sends int, n *process, r chuteapi.Request) []word {
+	c.Helper()
 	var words []word
 	c.comesAbout(func() bool {
 		w := c.ask(n, r)
 		words = append(words, w)
 
-		return w.outcome() == chuteapi.Answered || len(words) == maxSends
+		return w.outcome() == chuteapi.Answered || len(words) == sends
 	})
 
 	return words
