--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,11 @@
 	$(GO) test -race -count=1 -timeout 20m ./...
 
 .PHONY: proofs
-proofs: ## run the proofs of docs/PROOFS.md, one line each
-	@$(GO) test -race -count=1 -timeout 15m -run '^TestProof' -v ./internal/chuteproof/ | grep -E '^(proof|FAIL|panic|--- FAIL|ok )' ; exit $${PIPESTATUS[0]}
+proofs: ## run the proofs of docs/PROOFS.md, a line for each part and a count
+	@$(GO) test -race -count=1 -timeout 15m -run '^TestProof' -v ./internal/chuteproof/ \
+		| grep -E '^(proof|FAIL|panic|--- FAIL|--- PASS|ok )' \
+		| awk '/^--- PASS/ {held++; next} {print} /^--- FAIL/ {broken++} \
+			END {printf "proofs: %d held, %d broken\n", held, broken}'; exit $${PIPESTATUS[0]}
 
 .PHONY: demo
 demo: build ## serve the Kura example through separate processes and check every answer
