--- a/internal/chutebatch/collector.go
+++ b/internal/chutebatch/collector.go
@@ -109,9 +109,11 @@
 	// rooms maps an upstream to what it holds.
 	rooms *immutable.Map[string, []held]
 	// pauses maps an upstream to the time until which it gets no call.
-	pauses   *immutable.Map[string, time.Time]
-	pools    map[string]chuteroute.Batching
-	lastCall uint64
+	pauses *immutable.Map[string, time.Time]
+	// strangers maps an upstream to room that others take there.
+	strangers *immutable.Map[string, stranger]
+	pools     map[string]chuteroute.Batching
+	lastCall  uint64
 }
 
 // New returns a collector without work.
@@ -121,6 +123,8 @@
 		calls:  immutable.NewMap[uint64, Call](nil),
 		rooms:  immutable.NewMap[string, []held](nil),
 		pauses: immutable.NewMap[string, time.Time](nil),
+
+		strangers: immutable.NewMap[string, stranger](nil),
 	}
 }
 
@@ -234,3 +238,40 @@
 
 	return total
 }
+
+// stranger is room that results take which this collector did not have made.
+type stranger struct {
+	bytes int64
+	since time.Time
+	until time.Time
+}
+
+// foreign estimates the room that others' results take at an upstream now; it
+// ebbs away over the time that results are kept.
+func (c Collector) foreign(upstream string, now time.Time) int64 {
+	s, ok := c.strangers.Get(upstream)
+	if !ok || !now.Before(s.until) {
+		return 0
+	}
+	left := float64(s.until.Sub(now)) / float64(s.until.Sub(s.since))
+
+	return int64(float64(s.bytes) * left)
+}
+
+// withoutRoom takes in that an upstream had no room for parts that should have fitted.
+//
+// What an earlier collector had made lies there until its time is over, or until
+// its leases end. A collector that kept asking would spend every call on parts
+// without room, each at the full price of a call.
+func (c Collector) withoutRoom(call Call, now time.Time) Collector {
+	batching := c.pools[call.Pool]
+	unknown := batching.Room - c.used(call.Upstream, now)
+	if unknown <= 0 || batching.ResultTTL <= 0 {
+		return c
+	}
+	c.strangers = c.strangers.Set(call.Upstream, stranger{
+		bytes: unknown, since: now, until: now.Add(batching.ResultTTL / 2),
+	})
+
+	return c
+}
--- a/internal/chutebatch/end.go
+++ b/internal/chutebatch/end.go
@@ -80,10 +80,33 @@
 			e.made(part, ends[i].Ref)
 		}
 	}
+	if slices.ContainsFunc(ends, func(p PartEnd) bool { return p.Failure == PartNoRoom }) {
+		e.c = e.c.withoutRoom(call, now)
+	}
 
 	return e.c, e.out
 }
 
+// Expire gives up the jobs whose waiting parts can't be done in time any more.
+//
+// Without it they would stand in the queue until their callers' deadlines, and be
+// run after their inputs are gone, at the full price of a call.
+func (c Collector) Expire(now time.Time) (Collector, Ended) {
+	var out Ended
+	for i := c.jobs.Iterator(); !i.Done(); {
+		id, j, _ := i.Next()
+		if len(j.pending) == 0 || now.Add(c.pools[j.Pool].CallTime).Before(j.Deadline) {
+			continue
+		}
+		var frees []Free
+		c, frees = c.WithoutJob(id)
+		out.Frees = append(out.Frees, frees...)
+		out.Failed = append(out.Failed, FailedJob{ID: id, Reason: PartLate})
+	}
+
+	return c, out
+}
+
 // ending is one pass over the parts of a call that ended.
 type ending struct {
 	c       Collector
--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -150,7 +150,7 @@
 // suits says whether the job's parts may run at the seat by now.
 func (f *filling) suits(j *job, s Seat) bool {
 	waited := f.now.Sub(j.Since)
-	if s.class() > 0 && waited < 2*patience {
+	if s.class() > 0 && (waited < 2*patience || !f.timely(j, s)) {
 		return false
 	}
 	if j.Zone == "" || j.Zone == s.Zone || !j.heavy() {
@@ -160,6 +160,17 @@
 	return waited >= patience
 }
 
+// timely says whether a full call at a slow seat ends in time to be of use.
+func (f *filling) timely(j *job, s Seat) bool {
+	full := f.batching.CallTime + time.Duration(f.batching.BatchSize)*f.batching.PartTime
+	ends := f.now.Add(time.Duration(s.Slowness*float64(full)) + j.Rest)
+	if j.class(f.batching, f.now) > 0 {
+		return ends.Before(j.Deadline)
+	}
+
+	return ends.Before(j.AimAt)
+}
+
 // heavy says whether the job's data should not cross zones.
 func (j *job) heavy() bool {
 	return j.ResultBytes*int64(j.Parts) >= heavyBytes || len(j.Inputs) > 1
@@ -167,7 +178,7 @@
 
 // fits says whether the seat has room for one more result of the job beside what is planned.
 func (f *filling) fits(c Collector, j *job, s Seat, planned int64) bool {
-	return f.batching.Room <= 0 || c.used(s.Upstream, f.now)+planned+j.ResultBytes <= f.batching.Room
+	return f.batching.Room <= 0 || c.used(s.Upstream, f.now)+c.foreign(s.Upstream, f.now)+planned+j.ResultBytes <= f.batching.Room
 }
 
 // take picks the parts of one call, in the order of their jobs.
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -116,8 +116,12 @@
 	return b.CallTime + time.Duration(len(call.Parts))*b.PartTime
 }
 
+// callTimeout allows an upstream that is known to be slow the time that it takes;
+// cutting its calls off would only have their parts made twice.
 func (st *step) callTimeout(call chutebatch.Call) time.Duration {
-	return time.Duration(callPatience*float64(st.expected(call))) + callMargin
+	slowness, _ := st.slowness.Get(call.Upstream)
+
+	return time.Duration(callPatience*max(1, slowness)*float64(st.expected(call))) + callMargin
 }
 
 // callEnded files the results of a call and hands them to whoever asked.
@@ -133,6 +137,12 @@
 	var ended chutebatch.Ended
 	st.collector, ended = st.collector.WithCallEnded(e.ID, e.End, e.Ends, u.Zone, allowed, st.now)
 	st.budgets = st.budgets.Set(call.Pool, budget.WithSpent(ended.Requeued, st.now))
+	st.settle(ended)
+	st.fill(call.Pool)
+}
+
+// settle passes on what became of jobs.
+func (st *step) settle(ended chutebatch.Ended) {
 	for _, f := range ended.Frees {
 		st.free(f)
 	}
@@ -142,7 +152,14 @@
 	for _, failed := range ended.Failed {
 		st.refuseJob(failed)
 	}
-	st.fill(call.Pool)
+}
+
+// lookOver gives up jobs that can't be done in time, and fills free slots.
+func (st *step) lookOver() {
+	var expired chutebatch.Ended
+	st.collector, expired = st.collector.Expire(st.now)
+	st.settle(expired)
+	st.fillAll()
 }
 
 // noteCall takes in what a call's end says of its upstream.
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -28,6 +28,8 @@
 	ask     uint64
 	done    bool
 	results []chutebatch.Result
+	// madeAt is when the results were heard of.
+	madeAt time.Time
 	// tries counts the asks that failed.
 	tries int
 }
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -10,6 +10,10 @@
 const (
 	// maxAsks bounds how often one stage of a request is asked for.
 	maxAsks = 4
+	// resultMargin is how much sooner than the upstream a node counts a result as
+	// gone: the call that made it ended earlier than the node heard of it, and the
+	// next one has to fetch it.
+	resultMargin = 500 * time.Millisecond
 )
 
 // askStage asks the pool's collector for all parts of a stage.
@@ -28,6 +32,7 @@
 	} else {
 		job.Inputs = r.refs(stage.After)
 		job.Zone = r.inputZone(stage.After, r.zone)
+		job.Deadline = st.inputsUntil(r, stage.After)
 	}
 	s := r.stages[i]
 	s.ask = id
@@ -45,6 +50,22 @@
 	st.do(AskParts{Ask: id, Peer: peer, Job: job})
 }
 
+// inputsUntil is when the first of the stages' results runs out, at the latest the request's deadline.
+func (st *step) inputsUntil(r request, stages []int) time.Time {
+	until := r.Deadline
+	for _, i := range stages {
+		b := st.config.Pools[r.Pipeline.Stages[i].Pool].Batching
+		if b == nil || b.ResultTTL <= 0 || r.stages[i].madeAt.IsZero() {
+			continue
+		}
+		if end := r.stages[i].madeAt.Add(b.ResultTTL - resultMargin); end.Before(until) {
+			until = end
+		}
+	}
+
+	return until
+}
+
 // inputZone is the zone in which most of the stages' results lie.
 //
 // Each part of a later stage fetches all results of the stages before it, which
@@ -77,6 +98,7 @@
 	s := r.stages[a.stage]
 	s.done = true
 	s.results = e.Results
+	s.madeAt = st.now
 	r = r.withStage(a.stage, s)
 	st.do(Charge{
 		Attempt: e.Ask, Workspace: r.Workspace.Name, Pipeline: r.Pipeline.Name,
@@ -187,7 +209,8 @@
 	s.ask = 0
 	s.tries++
 	r = r.withStage(a.stage, s)
-	if s.tries >= maxAsks || st.now.Add(r.callTime()).After(r.Deadline) {
+	gone := e.Reason == string(chutebatch.PartInputGone) || e.Reason == string(chutebatch.PartLate)
+	if s.tries >= maxAsks || st.now.Add(r.callTime()).After(r.Deadline) || gone && r.lateBy(st.now) > 0 {
 		st.giveUp(r, notRun("its stage in pool "+r.Pipeline.Stages[a.stage].Pool+" failed: "+e.Reason))
 
 		return
@@ -198,7 +221,7 @@
 
 // withInputsAgain undoes the stages before one whose inputs were gone.
 func (st *step) withInputsAgain(r request, stage int, reason string) request {
-	if reason != string(chutebatch.PartInputGone) {
+	if reason != string(chutebatch.PartInputGone) && reason != string(chutebatch.PartLate) {
 		return r
 	}
 	for _, before := range r.Pipeline.Stages[stage].After {
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -156,7 +156,7 @@
 		st.draining = true
 	case Ticked:
 		st.tickAt = time.Time{}
-		st.fillAll()
+		st.lookOver()
 	}
 }
 
