Turn requests away on arrival for the queues of their stages

Cause: under a burst jobs waited until they were late; their callers were held for seconds, and parts made for them were thrown away. Change: collectors tell the wait of a job of the same kind with each result; nodes add up the waits on the way through the stages and refuse on arrival what would be late.

--- /dev/null
+++ b/internal/chutebatch/admit.go
@@ -0,0 +1,54 @@
+package chutebatch
+
+import "time"
+
+const (
+	// usableRate is the part of the upstreams' full rate that parts get in practice:
+	// calls are not always full, and room for results is short at times.
+	usableRate = 0.8
+	// lateAllowance is how far past its aim a job may be expected to end before it
+	// is turned away: about the error of the expectation, one call.
+	lateAllowance = 300 * time.Millisecond
+)
+
+// Admits says whether a job can still be of use behind the parts that go ahead of it.
+//
+// Under a burst the queue grows until each job is late, and those turned away at
+// last have held their callers for seconds. Turned away on arrival they can come
+// back, and what is taken in is on time. A job is only turned away for the queue
+// in front of it, never for being late by itself.
+func (c Collector) Admits(j Job, seats []Seat, now time.Time) bool {
+	full := c.pools[j.Pool].FullCall()
+	wait := c.Wait(j, seats, now)
+	if wait <= full {
+		return true
+	}
+
+	return !now.Add(wait + full + j.Rest).After(j.AimAt.Add(lateAllowance))
+}
+
+// Wait is how long the parts that go ahead of a job's take.
+func (c Collector) Wait(j Job, seats []Seat, now time.Time) time.Duration {
+	batching, ok := c.pools[j.Pool]
+	if !ok {
+		return 0
+	}
+	own := job{Job: j}
+	ahead := 0
+	for i := c.jobs.Iterator(); !i.Done(); {
+		_, other, _ := i.Next()
+		if other.Pool == j.Pool && len(other.pending) > 0 && before(&other, &own, batching, now) < 0 {
+			ahead += len(other.pending)
+		}
+	}
+	perSecond := 0.0
+	for _, s := range seats {
+		perSecond += usableRate * float64(batching.Slots*batching.BatchSize) /
+			(batching.FullCall().Seconds() * max(1, s.Slowness))
+	}
+	if perSecond == 0 {
+		return 0
+	}
+
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+}
--- a/internal/chutebatch/collector.go
+++ b/internal/chutebatch/collector.go
@@ -81,6 +81,8 @@
 	PartNoRoom PartFailure = "NoRoom"
 	// PartErrored: the upstream failed on it.
 	PartErrored PartFailure = "Errored"
+	// PartOverloaded: its job was turned away for the queue in front of it.
+	PartOverloaded PartFailure = "Overloaded"
 )
 
 // job is a job with what has become of its parts.
--- a/internal/chutebatch/end.go
+++ b/internal/chutebatch/end.go
@@ -40,7 +40,7 @@
 
 // FailedJob is a job without results and why.
 type FailedJob struct {
-	ID     uint64
+	Job    Job
 	Reason PartFailure
 }
 
@@ -51,6 +51,13 @@
 	return j.results
 }
 
+// Job returns a job as it was asked for.
+func (c Collector) Job(id uint64) Job {
+	j, _ := c.jobs.Get(id)
+
+	return j.Job
+}
+
 // Call returns a call in flight.
 func (c Collector) Call(id uint64) (Call, bool) {
 	return c.calls.Get(id)
@@ -101,7 +108,7 @@
 		var frees []Free
 		c, frees = c.WithoutJob(id)
 		out.Frees = append(out.Frees, frees...)
-		out.Failed = append(out.Failed, FailedJob{ID: id, Reason: PartLate})
+		out.Failed = append(out.Failed, FailedJob{Job: j.Job, Reason: PartLate})
 	}
 
 	return c, out
@@ -159,13 +166,14 @@
 // fail gives up the part's job.
 func (e *ending) fail(p Part, reason PartFailure) {
 	e.c = e.c.withoutReserved(e.call.Upstream, p)
-	if !e.c.Has(p.Job) {
+	j, ok := e.c.jobs.Get(p.Job)
+	if !ok {
 		return
 	}
 	var frees []Free
 	e.c, frees = e.c.WithoutJob(p.Job)
 	e.out.Frees = append(e.out.Frees, frees...)
-	e.out.Failed = append(e.out.Failed, FailedJob{ID: p.Job, Reason: reason})
+	e.out.Failed = append(e.out.Failed, FailedJob{Job: j.Job, Reason: reason})
 }
 
 // withHeld turns the room reserved for a part into room held until its time is over.
--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -18,7 +18,7 @@
 	patience = 120 * time.Millisecond
 	// slowRatio is the measured time of calls, against the expected one, from which
 	// on an upstream gets parts only if the others can't take them.
-	slowRatio = 1.8
+	slowRatio = 2.2
 )
 
 // Seat is an upstream that may get calls.
@@ -91,14 +91,7 @@
 			jobs = append(jobs, j)
 		}
 	}
-	slices.SortFunc(jobs, func(a, b job) int {
-		return cmp.Or(
-			cmp.Compare(a.class(batching, now), b.class(batching, now)),
-			cmp.Compare(a.Priority, b.Priority),
-			a.AimAt.Compare(b.AimAt),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
+	slices.SortFunc(jobs, func(a, b job) int { return before(&a, &b, batching, now) })
 
 	return jobs
 }
@@ -115,6 +108,16 @@
 	return 0
 }
 
+// before says whether a job's parts go ahead of another's.
+func before(a, b *job, batching chuteroute.Batching, now time.Time) int {
+	return cmp.Or(
+		cmp.Compare(a.class(batching, now), b.class(batching, now)),
+		cmp.Compare(a.Priority, b.Priority),
+		a.AimAt.Compare(b.AimAt),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
 // filling is one round of Fill.
 type filling struct {
 	batching chuteroute.Batching
@@ -162,7 +165,7 @@
 
 // timely says whether a full call at a slow seat ends in time to be of use.
 func (f *filling) timely(j *job, s Seat) bool {
-	full := f.batching.CallTime + time.Duration(f.batching.BatchSize)*f.batching.PartTime
+	full := f.batching.FullCall()
 	ends := f.now.Add(time.Duration(s.Slowness*float64(full)) + j.Rest)
 	if j.class(f.batching, f.now) > 0 {
 		return ends.Before(j.Deadline)
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -42,9 +42,9 @@
 	case chuterelay.DropAsk:
 		n.dropAsk(e.Ask)
 	case chuterelay.GiveParts:
-		n.update(e.Token, chuteshare.Update{Results: e.Results})
+		n.update(e.Token, chuteshare.Update{Results: e.Results, Wait: e.Wait})
 	case chuterelay.RefuseParts:
-		n.update(e.Token, chuteshare.Update{Failure: e.Reason, Leaving: e.Leaving})
+		n.update(e.Token, chuteshare.Update{Failure: e.Reason, Leaving: e.Leaving, Wait: e.Wait})
 	case chuterelay.RunCall:
 		n.spawn(func(ctx context.Context) { n.runCall(ctx, e) })
 	case chuterelay.FreeResults:
@@ -119,15 +119,15 @@
 	n.asks[e.Ask] = cancel
 	n.spawn(func(context.Context) {
 		defer cancel()
-		end, ended := n.peers.Make(ctx, e.Peer.Address, e.Job, n.Now(), func(results []chutebatch.Result) {
-			n.send(chuterelay.PartsMade{Ask: e.Ask, Results: results})
+		end, ended := n.peers.Make(ctx, e.Peer.Address, e.Job, n.Now(), func(u chuteshare.Update) {
+			n.send(chuterelay.PartsMade{Ask: e.Ask, Results: u.Results, Wait: u.Wait})
 		})
 		if !ended {
 			return
 		}
 		n.log.Debug().Uint64("Ask", e.Ask).Str("Request", e.Job.Request).Str("Pool", e.Job.Pool).
 			Str("Peer", e.Peer.Name).Bool("Lost", end.Lost).Str("Reason", end.Reason).Msg("stage not made by peer")
-		n.send(chuterelay.PartsFailed{Ask: e.Ask, PeerLost: end.Lost, Reason: end.Reason})
+		n.send(chuterelay.PartsFailed{Ask: e.Ask, PeerLost: end.Lost, Reason: end.Reason, Wait: end.Wait})
 	})
 }
 
@@ -172,6 +172,7 @@
 	case answer.Refused:
 		ended.End, ended.Failure = chutebatch.CallRefused, chutefleet.FailureFull
 	}
+	n.log.Info().Str("Upstream", e.Upstream.ID).Str("Pool", e.Upstream.Pool).Str("UZone", e.Upstream.Zone).Int("Parts", len(parts)).Dur("Took", ended.Took).Str("End", string(ended.End)).Msg("CALLEND")
 	n.send(ended)
 }
 
--- /dev/null
+++ b/internal/chuterelay/admit.go
@@ -0,0 +1,75 @@
+package chuterelay
+
+import "time"
+
+const (
+	// waitLife is how long a collector's word on its queue counts; a queue of a
+	// second is gone a second later.
+	waitLife = time.Second
+	// arrivalAllowance is how far past its aim a request may be expected to end
+	// before it is turned away on arrival.
+	arrivalAllowance = 300 * time.Millisecond
+	// overloadRetry is when a caller may come back after it was turned away for a
+	// queue: sooner it would meet the same queue and be turned away again.
+	overloadRetry = 2 * time.Second
+)
+
+// heardWait is a collector's word on its queue.
+type heardWait struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// noteWait takes a collector's word on its queue.
+func (st *step) noteWait(pool string, wait time.Duration) {
+	st.waits = st.waits.Set(pool, heardWait{wait: wait, at: st.now})
+}
+
+// wait is how long jobs are believed to wait at a pool's collector now.
+func (st *step) wait(pool string) time.Duration {
+	heard, ok := st.waits.Get(pool)
+	if !ok || st.now.Sub(heard.at) >= waitLife {
+		return 0
+	}
+
+	return max(0, heard.wait-st.now.Sub(heard.at))
+}
+
+// queues sums the waits on the longest way through the stages that are left.
+func (st *step) queues(r request, stage int) time.Duration {
+	longest := time.Duration(0)
+	for i := range r.Pipeline.Stages {
+		if after(r, i, stage) && !r.stages[i].done {
+			longest = max(longest, st.queues(r, i))
+		}
+	}
+	if stage >= 0 {
+		longest += st.wait(r.Pipeline.Stages[stage].Pool)
+	}
+
+	return longest
+}
+
+// hopeless says whether the queues in front of a request's stages make it late.
+//
+// A later stage's collector would turn it away as well, but after the first
+// stages have run for it in vain, and after its caller has waited for them.
+func (st *step) hopeless(r request) bool {
+	for i := range r.stages {
+		if r.stages[i].done || len(r.Pipeline.Stages[i].After) > 0 {
+			continue
+		}
+		queues := st.queues(r, i)
+		needs := st.stageTime(r, i) + st.rest(r, i)
+		if queues > arrivalAllowance && st.now.Add(queues+needs).After(r.aimAt.Add(arrivalAllowance)) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// overloaded is the refusal of a request for the queue in front of it.
+func overloaded(reason string) Refusal {
+	return Refusal{Kind: RefusedNotRun, Reason: reason, RetryAfter: overloadRetry}
+}
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -22,6 +22,12 @@
 		// A stage without parts for this request is left out.
 		r.stages[i].done = r.parts(i) == 0
 	}
+	if st.hopeless(r) {
+		st.do(Refuse{Handle: r.Handle, Refusal: overloaded("the queues of its stages are too long for it")})
+		st.do(Forget{Handle: r.Handle})
+
+		return
+	}
 	if planned, ok := st.choose(r); ok {
 		r.zone = planned.Zone
 	}
@@ -116,7 +122,7 @@
 	if b == nil {
 		return 0
 	}
-	call := b.CallTime + time.Duration(b.BatchSize)*b.PartTime
+	call := b.FullCall()
 
 	return call + call/2
 }
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -1,10 +1,10 @@
 package chuterelay
 
 import (
+	"math"
 	"time"
 
 	"azurechute.example/azurechute/internal/chutebatch"
-	"azurechute.example/azurechute/internal/chutefleet"
 )
 
 const (
@@ -14,10 +14,16 @@
 	// tick is how often waiting parts are looked over when no call ends meanwhile.
 	tick = 20 * time.Millisecond
 	// callPatience and callMargin bound a call with parts: one that takes longer
-	// than 2.5 times the expected time and 200 ms is taken as lost, so that parts
+	// than 2.2 times the expected time and 150 ms is taken as lost, so that parts
 	// on a dead upstream still make their aim elsewhere.
-	callPatience = 2.5
-	callMargin   = 200 * time.Millisecond
+	callPatience = 2.2
+	callMargin   = 150 * time.Millisecond
+	// slowPatience is the same for an upstream that is known to be slow, in times
+	// of its own usual time, and assumedSlowness what one is taken for whose calls
+	// were overdue twice in a row: upstreams slow down by four to five times.
+	slowPatience    = 1.5
+	assumedSlowness = 4
+	overdueTwice    = 2
 	// slownessWeight is the weight of the newest call in an upstream's measured slowness.
 	slownessWeight = 0.4
 )
@@ -39,6 +45,11 @@
 
 // takeJob queues a job at the own collector.
 func (st *step) takeJob(job chutebatch.Job) {
+	if !st.collector.Admits(job, st.seats(job.Pool), st.now) {
+		st.refuseJob(chutebatch.FailedJob{Job: job, Reason: chutebatch.PartOverloaded})
+
+		return
+	}
 	st.countFirst(job.Pool, job.Parts)
 	st.collector = st.collector.WithJob(job)
 	st.fill(job.Pool)
@@ -99,8 +110,8 @@
 func (st *step) seats(pool string) []chutebatch.Seat {
 	var seats []chutebatch.Seat
 	for _, u := range st.fleet.UsableIn(pool, st.now) {
-		slowness, _ := st.slowness.Get(u.ID)
-		seats = append(seats, chutebatch.Seat{Upstream: u.ID, Zone: u.Zone, Slowness: slowness})
+		pace, _ := st.paces.Get(u.ID)
+		seats = append(seats, chutebatch.Seat{Upstream: u.ID, Zone: u.Zone, Slowness: pace.slowness})
 	}
 
 	return seats
@@ -119,9 +130,10 @@
 // callTimeout allows an upstream that is known to be slow the time that it takes;
 // cutting its calls off would only have their parts made twice.
 func (st *step) callTimeout(call chutebatch.Call) time.Duration {
-	slowness, _ := st.slowness.Get(call.Upstream)
+	pace, _ := st.paces.Get(call.Upstream)
+	patience := max(callPatience, slowPatience*pace.slowness)
 
-	return time.Duration(callPatience*max(1, slowness)*float64(st.expected(call))) + callMargin
+	return time.Duration(patience*float64(st.expected(call))) + callMargin
 }
 
 // callEnded files the results of a call and hands them to whoever asked.
@@ -174,16 +186,40 @@
 	if e.Leaving {
 		st.fleet = st.fleet.WithLeaving(call.Upstream)
 	}
-	expected := st.expected(call)
-	if expected <= 0 || e.End == chutebatch.CallRefused || e.Failure == chutefleet.FailureSilent && e.Took < expected {
-		return
+	pace, _ := st.paces.Get(call.Upstream)
+	st.paces = st.paces.Set(call.Upstream, pace.with(e, st.expected(call)))
+}
+
+// pace is how quickly an upstream runs calls with parts.
+type pace struct {
+	// slowness is the measured time against the expected one; 0 if unknown.
+	slowness float64
+	// overdue counts the calls in a row that did not end in time.
+	overdue int
+}
+
+// with takes in the end of one call.
+//
+// A lost answer and a slow call look alike when time is up. One of them says
+// little; two in a row are taken for slowness, and the next answer tells.
+func (p pace) with(e CallEnded, expected time.Duration) pace {
+	switch {
+	case expected <= 0 || e.End == chutebatch.CallRefused:
+		return p
+	case e.End == chutebatch.CallLost:
+		p.overdue++
+		if p.overdue >= overdueTwice {
+			p.slowness = max(p.slowness, assumedSlowness)
+		}
+
+		return p
 	}
 	ratio := float64(e.Took) / float64(expected)
-	was, known := st.slowness.Get(call.Upstream)
-	if known {
-		ratio = was + slownessWeight*(ratio-was)
+	if p.slowness > 0 && p.overdue < overdueTwice {
+		ratio = p.slowness + slownessWeight*(ratio-p.slowness)
 	}
-	st.slowness = st.slowness.Set(call.Upstream, ratio)
+
+	return pace{slowness: ratio}
 }
 
 // give hands a job's results to the request or the peer that asked.
@@ -193,26 +229,40 @@
 		return
 	}
 	results := st.collector.Results(id)
+	wait := st.poolWait(st.collector.Job(id))
 	if o.ask != 0 {
-		st.partsMade(PartsMade{Ask: o.ask, Results: results})
+		st.partsMade(PartsMade{Ask: o.ask, Results: results, Wait: wait})
 
 		return
 	}
-	st.do(GiveParts{Token: o.token, Results: results})
+	st.do(GiveParts{Token: o.token, Results: results, Wait: wait})
+}
+
+// poolWait is how long a job of this kind would wait at the own collector now.
+func (st *step) poolWait(like chutebatch.Job) time.Duration {
+	// A new job of the kind has its whole time before it.
+	like.AimAt = st.now.Add(like.AimAt.Sub(like.Since))
+	like.ID = math.MaxUint64
+
+	return st.collector.Wait(like, st.seats(like.Pool), st.now)
 }
 
 // refuseJob tells whoever asked that a job failed.
 func (st *step) refuseJob(failed chutebatch.FailedJob) {
-	o, ok := st.origins.Get(failed.ID)
+	wait := time.Duration(0)
+	if failed.Job.Pool != "" {
+		wait = st.poolWait(failed.Job)
+	}
+	o, ok := st.origins.Get(failed.Job.ID)
 	if !ok {
 		return
 	}
-	st.origins = st.origins.Delete(failed.ID)
+	st.origins = st.origins.Delete(failed.Job.ID)
 	if o.ask != 0 {
-		st.partsFailed(PartsFailed{Ask: o.ask, Reason: string(failed.Reason)})
+		st.partsFailed(PartsFailed{Ask: o.ask, Reason: string(failed.Reason), Wait: wait})
 
 		return
 	}
 	st.tokens = st.tokens.Delete(o.token)
-	st.do(RefuseParts{Token: o.token, Reason: string(failed.Reason)})
+	st.do(RefuseParts{Token: o.token, Reason: string(failed.Reason), Wait: wait})
 }
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -75,6 +75,8 @@
 type GiveParts struct {
 	Token   uint64
 	Results []chutebatch.Result
+	// Wait is how long a job of the same kind would wait here now.
+	Wait time.Duration
 }
 
 // RefuseParts tells a peer that its job brings no results.
@@ -82,6 +84,8 @@
 	Token   uint64
 	Reason  string
 	Leaving bool
+	// Wait is how long a job of the same kind would wait here now.
+	Wait time.Duration
 }
 
 // RunCall hands a batch of parts to an upstream.
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -71,6 +71,8 @@
 type PartsMade struct {
 	Ask     uint64
 	Results []chutebatch.Result
+	// Wait is how long a job of the same kind would wait there now.
+	Wait time.Duration
 }
 
 // PartsFailed reports that an ask brought no results; PeerLost says that the peer itself is gone or silent.
@@ -78,6 +80,8 @@
 	Ask      uint64
 	PeerLost bool
 	Reason   string
+	// Wait is how long a job of the same kind would wait there now.
+	Wait time.Duration
 }
 
 // JobAsked reports that a peer asks this node's collector for a job; Token names it in effects.
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -95,6 +95,7 @@
 	if !ok || r.stages[a.stage].ask != e.Ask {
 		return
 	}
+	st.noteWait(r.Pipeline.Stages[a.stage].Pool, e.Wait)
 	s := r.stages[a.stage]
 	s.done = true
 	s.results = e.Results
@@ -204,14 +205,18 @@
 
 		return
 	}
+	if !e.PeerLost {
+		st.noteWait(r.Pipeline.Stages[a.stage].Pool, e.Wait)
+	}
 	st.asks = st.asks.Delete(e.Ask)
 	s := r.stages[a.stage]
 	s.ask = 0
 	s.tries++
 	r = r.withStage(a.stage, s)
 	gone := e.Reason == string(chutebatch.PartInputGone) || e.Reason == string(chutebatch.PartLate)
+	gone = gone || e.Reason == string(chutebatch.PartOverloaded)
 	if s.tries >= maxAsks || st.now.Add(r.callTime()).After(r.Deadline) || gone && r.lateBy(st.now) > 0 {
-		st.giveUp(r, notRun("its stage in pool "+r.Pipeline.Stages[a.stage].Pool+" failed: "+e.Reason))
+		st.giveUp(r, stageRefusal(r.Pipeline.Stages[a.stage].Pool, e.Reason))
 
 		return
 	}
@@ -219,6 +224,16 @@
 	st.advance(r)
 }
 
+// stageRefusal is what a caller hears whose stage failed.
+func stageRefusal(pool, reason string) Refusal {
+	text := "its stage in pool " + pool + " failed: " + reason
+	if reason == string(chutebatch.PartOverloaded) || reason == string(chutebatch.PartLate) {
+		return overloaded(text)
+	}
+
+	return notRun(text)
+}
+
 // withInputsAgain undoes the stages before one whose inputs were gone.
 func (st *step) withInputsAgain(r request, stage int, reason string) request {
 	if reason != string(chutebatch.PartInputGone) && reason != string(chutebatch.PartLate) {
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -33,8 +33,10 @@
 	// tokens maps a peer's token to its job.
 	tokens  *immutable.Map[uint64, uint64]
 	budgets *immutable.Map[string, Budget]
-	// slowness maps an upstream to the measured time of its calls against the expected one.
-	slowness *immutable.Map[string, float64]
+	// paces maps an upstream to how quickly it runs calls with parts.
+	paces *immutable.Map[string, pace]
+	// waits maps a pool to how long jobs wait there, as last heard.
+	waits *immutable.Map[string, heardWait]
 	// tickAt is when the next Ticked event is due; zero if none is.
 	tickAt   time.Time
 	draining bool
@@ -54,7 +56,8 @@
 		origins:   immutable.NewMap[uint64, origin](nil),
 		tokens:    immutable.NewMap[uint64, uint64](nil),
 		budgets:   immutable.NewMap[string, Budget](nil),
-		slowness:  immutable.NewMap[string, float64](nil),
+		paces:     immutable.NewMap[string, pace](nil),
+		waits:     immutable.NewMap[string, heardWait](nil),
 		random:    *rand.NewPCG(s.Seed, s.Seed),
 	}
 }
--- a/internal/chuteroute/config.go
+++ b/internal/chuteroute/config.go
@@ -101,6 +101,11 @@
 	ResultTTL time.Duration
 }
 
+// FullCall is the time of a call that holds as many parts as it can.
+func (b Batching) FullCall() time.Duration {
+	return b.CallTime + time.Duration(b.BatchSize)*b.PartTime
+}
+
 // Engine describes one model engine.
 type Engine struct {
 	// Slots is the number of requests in a batch.
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -94,13 +94,19 @@
 	// Lost says that the peer is gone, silent or shutting down.
 	Lost   bool
 	Reason string
+	// Wait is how long a job of the same kind would wait there now.
+	Wait time.Duration
+}
+
+func waitOf(u *chutesharepb.MakeUpdate) time.Duration {
+	return time.Duration(u.GetWaitMs()) * time.Millisecond
 }
 
 // Make runs a job at a peer and holds the lease on its results until ctx ends.
 // It calls made once the results are there, and returns how the job ended if
 // that was not by ctx.
 func (c *Client) Make(
-	ctx context.Context, address string, job chutebatch.Job, now time.Time, made func([]chutebatch.Result),
+	ctx context.Context, address string, job chutebatch.Job, now time.Time, made func(Update),
 ) (JobEnd, bool) {
 	conn, err := c.connection(address)
 	if err != nil {
@@ -133,7 +139,7 @@
 // follow reads a job's updates until it fails or the stream ends.
 func follow(
 	ctx context.Context, conn *grpc.ClientConn, m *chutesharepb.MakeRequest, watch *time.Timer,
-	made func([]chutebatch.Result),
+	made func(Update),
 ) (JobEnd, error) {
 	stream, err := chutesharepb.NewShareClient(conn).Make(ctx, m)
 	if err != nil {
@@ -149,9 +155,9 @@
 			watch.Reset(nextSign)
 		case chutesharepb.MakeUpdate_KIND_MADE:
 			watch.Stop()
-			made(decodeResults(update.GetResults()))
+			made(Update{Results: decodeResults(update.GetResults()), Wait: waitOf(update)})
 		case chutesharepb.MakeUpdate_KIND_FAILED:
-			return JobEnd{Lost: update.GetLeaving(), Reason: update.GetReason()}, nil
+			return JobEnd{Lost: update.GetLeaving(), Reason: update.GetReason(), Wait: waitOf(update)}, nil
 		}
 	}
 }
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -32,6 +32,8 @@
 	Failure string
 	// Leaving says that this node is shutting down.
 	Leaving bool
+	// Wait is how long a job of the same kind would wait here now.
+	Wait time.Duration
 }
 
 // Handlers answers other nodes; all fields must be set.
@@ -122,10 +124,13 @@
 	if u.Failure != "" {
 		return &chutesharepb.MakeUpdate{
 			Kind: chutesharepb.MakeUpdate_KIND_FAILED, Reason: u.Failure, Leaving: u.Leaving,
+			WaitMs: u.Wait.Milliseconds(),
 		}
 	}
 
-	return &chutesharepb.MakeUpdate{Kind: chutesharepb.MakeUpdate_KIND_MADE, Results: encodeResults(u.Results)}
+	return &chutesharepb.MakeUpdate{
+		Kind: chutesharepb.MakeUpdate_KIND_MADE, Results: encodeResults(u.Results), WaitMs: u.Wait.Milliseconds(),
+	}
 }
 
 // Rows hands out a table as this node has read it.
