Log each decision on a request, bounded by kind and never blocking

Cause: failures could not be told from the log; a pause of the reader would have held requests. Change: the reducer's Note effects, one line a decision with age, time left, version and what decided; chutelog bounds lines by kind, counts what it leaves out, drops rather than waits.

--- a/cmd/azurechute/main.go
+++ b/cmd/azurechute/main.go
@@ -8,9 +8,11 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
 	"azurechute.example/azurechute/internal/chutecli"
+	"azurechute.example/azurechute/internal/chutelog"
 	"azurechute.example/azurechute/internal/chutenode"
 	"azurechute.example/azurechute/internal/chutesettings"
 	chuteplatform "azurechute.example/azurechute/platform"
@@ -54,9 +56,12 @@
 
 // relay runs a node on the platform with the settings in a file.
 func relay(ctx context.Context, path string) error {
-	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
+	log := chutelog.New(os.Stdout, chutelog.Settings{
+		Rate: chutelog.DefaultRate, Burst: chutelog.DefaultBurst, Level: zerolog.InfoLevel,
+	}, clockwork.NewRealClock())
+	defer func() { _ = log.Close() }()
 
-	return chuteplatform.Serve(ctx, path, log)
+	return chuteplatform.Serve(ctx, path, log.Logger)
 }
 
 // version returns the module's version, or the commit that a build from a checkout was made of.
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -29,6 +29,8 @@
 		n.end(e.Handle, final{refusal: &e.Refusal})
 	case chuterelay.Forget:
 		n.forget(e.Handle)
+	case chuterelay.Note:
+		n.logNote(e)
 	default:
 		n.performParts(effect)
 	}
@@ -125,8 +127,6 @@
 		if !ended {
 			return
 		}
-		n.log.Debug().Uint64("Ask", e.Ask).Str("Request", e.Job.Request).Str("Pool", e.Job.Pool).
-			Str("Peer", e.Peer.Name).Bool("Lost", end.Lost).Str("Reason", end.Reason).Msg("stage not made by peer")
 		n.send(chuterelay.PartsFailed{Ask: e.Ask, PeerLost: end.Lost, Reason: end.Reason, Wait: end.Wait})
 	})
 }
@@ -172,7 +172,6 @@
 	case answer.Refused:
 		ended.End, ended.Failure = chutebatch.CallRefused, chutefleet.FailureFull
 	}
-	n.log.Info().Str("Upstream", e.Upstream.ID).Str("Pool", e.Upstream.Pool).Str("UZone", e.Upstream.Zone).Int("Parts", len(parts)).Dur("Took", ended.Took).Str("End", string(ended.End)).Msg("CALLEND")
 	n.send(ended)
 }
 
@@ -204,3 +203,26 @@
 func (n *Node) takeJob(token uint64, job chutebatch.Job, updates chan<- chuteshare.Update) {
 	n.sendWith(chuterelay.JobAsked{Token: token, Job: job}, func() { n.jobs[token] = updates })
 }
+
+// logNote writes one decision on a request.
+func (n *Node) logNote(e chuterelay.Note) {
+	line := n.log.Info().Str("Request", e.Request).Str("Pipeline", e.Pipeline).Str("Pool", e.Pool)
+	if e.Stage >= 0 {
+		line = line.Int("Stage", e.Stage)
+	}
+	for _, field := range []struct{ name, value string }{
+		{"Upstream", e.Upstream}, {"Peer", e.Peer}, {"At", e.Zone}, {"Reason", e.Reason},
+	} {
+		if field.value != "" {
+			line = line.Str(field.name, field.value)
+		}
+	}
+	if e.Attempt > 0 {
+		line = line.Int("Attempt", e.Attempt)
+	}
+	if e.Wait > 0 {
+		line = line.Int64("WaitMs", e.Wait.Milliseconds())
+	}
+	line.Int64("AgeMs", e.Age.Milliseconds()).Int64("LeftMs", e.Left.Milliseconds()).
+		Uint64("Version", e.Version).Msg(string(e.Step))
+}
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 
 	"azurechute.example/azurechute/internal/chuterelay"
 )
@@ -62,7 +63,7 @@
 	})
 	if err != nil {
 		ended.End = endOf(asSendError(err))
-		a.log(ended.End, err)
+		ended.Detail = err.Error()
 
 		return ended
 	}
@@ -74,7 +75,7 @@
 		ended.End = chuterelay.EndAnswered
 		if err != nil {
 			ended.End = endOf(asSendError(err))
-			a.log(ended.End, err)
+			ended.Detail = err.Error()
 		}
 
 		return ended
@@ -85,7 +86,7 @@
 	}
 	if err != nil {
 		ended.End = endOf(asSendError(err))
-		a.log(ended.End, err)
+		ended.Detail = err.Error()
 
 		return ended
 	}
@@ -94,7 +95,7 @@
 		a.whole = &whole{status: answer.Status, header: answer.Header, body: body}
 	}
 	if ended.End != chuterelay.EndAnswered {
-		a.log(ended.End, nil)
+		ended.Detail = "status " + strconv.Itoa(answer.Status)
 	}
 
 	return ended
@@ -185,12 +186,6 @@
 	}
 }
 
-func (a *attempt) log(end chuterelay.AttemptEnd, err error) {
-	a.node.log.Info().Err(err).Str("Request", a.entry.incoming.ID).Str("Upstream", a.send.Upstream.ID).
-		Str("Pool", a.send.Upstream.Pool).Str("Peer", a.send.Upstream.Address).
-		Str("End", string(end)).Msg("call failed")
-}
-
 // endOf says what a failed exchange means.
 func endOf(failure *SendError) chuterelay.AttemptEnd {
 	switch {
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -165,7 +165,6 @@
 		out.Break()
 	case f.dropped:
 	case f.refusal != nil:
-		n.logRefusal(e.incoming, *f.refusal)
 		out.Refuse(*f.refusal)
 	case begun:
 		out.End()
--- a/internal/chuterelay/admit.go
+++ b/internal/chuterelay/admit.go
@@ -54,7 +54,7 @@
 //
 // A later stage's collector would turn it away as well, but after the first
 // stages have run for it in vain, and after its caller has waited for them.
-func (st *step) hopeless(r request) bool {
+func (st *step) hopeless(r request) (time.Duration, bool) {
 	for i := range r.stages {
 		if r.stages[i].done || len(r.Pipeline.Stages[i].After) > 0 {
 			continue
@@ -62,11 +62,11 @@
 		queues := st.queues(r, i)
 		needs := st.stageTime(r, i) + st.rest(r, i)
 		if queues > arrivalAllowance && st.now.Add(queues+needs).After(r.aimAt.Add(arrivalAllowance)) {
-			return true
+			return queues, true
 		}
 	}
 
-	return false
+	return 0, false
 }
 
 // overloaded is the refusal of a request for the queue in front of it.
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -8,13 +8,12 @@
 
 // arrive takes a request in, or refuses it before anything of it runs.
 func (st *step) arrive(e Arrived) {
-	r := request{Submission: e.Submission, aimAt: st.now.Add(e.Pipeline.Aim)}
+	r := request{Submission: e.Submission, arrivedAt: st.now, aimAt: st.now.Add(e.Pipeline.Aim)}
 	r.stages = make([]stageState, len(e.Pipeline.Stages))
 	r.pool = e.Pipeline.Target(st.draw())
 	st.countFirst(r.pool, 1)
 	if refusal, refused := st.refusal(r); refused {
-		st.do(Refuse{Handle: r.Handle, Refusal: refusal})
-		st.do(Forget{Handle: r.Handle})
+		st.giveUp(r, refusal)
 
 		return
 	}
@@ -22,9 +21,8 @@
 		// A stage without parts for this request is left out.
 		r.stages[i].done = r.parts(i) == 0
 	}
-	if st.hopeless(r) {
-		st.do(Refuse{Handle: r.Handle, Refusal: overloaded("the queues of its stages are too long for it")})
-		st.do(Forget{Handle: r.Handle})
+	if wait, hopeless := st.hopeless(r); hopeless {
+		st.giveUp(r, overloaded("the queues of its stages are too long: "+wait.String()))
 
 		return
 	}
@@ -32,6 +30,7 @@
 		r.zone = planned.Zone
 	}
 	st.put(r)
+	st.note(StepAdmitted, r, func(n *Note) { n.Zone = r.zone })
 	st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
 	st.advance(r)
 }
@@ -133,6 +132,7 @@
 	if !ok {
 		return
 	}
+	st.note(StepCancelled, r, func(n *Note) { n.Reason = "the caller left" })
 	st.stopCall(r)
 	st.finish(r)
 }
@@ -148,8 +148,7 @@
 	if r.runs == 0 && r.current.id == 0 {
 		refusal = Refusal{Kind: RefusedNotRun, Reason: "its stages did not finish in time"}
 	}
-	st.do(Refuse{Handle: handle, Refusal: refusal})
-	st.finish(r)
+	st.giveUp(r, refusal)
 }
 
 // stopCall cancels the call under way.
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -23,6 +23,7 @@
 	r.current = attempt{id: st.newID(), upstream: u, tokens: r.PromptTokens}
 	st.fleet = st.fleet.WithSent(u.ID, r.PromptTokens)
 	st.put(r)
+	st.note(StepSent, r, func(n *Note) { n.Upstream, n.Peer, n.Zone = u.ID, u.Address, u.Zone })
 	st.do(Send{
 		Handle: r.Handle, Attempt: r.current.id, Upstream: u, Workspace: r.Workspace.Name,
 		Deadline: r.Deadline, Inputs: r.refs(r.Pipeline.Leaves()), Resume: r.begun,
@@ -36,6 +37,9 @@
 	if !ok || r.current.id != e.Attempt {
 		return
 	}
+	if !r.begun {
+		st.note(StepBegan, r, func(n *Note) { n.Upstream = r.current.upstream.ID })
+	}
 	r.begun = true
 	st.fleet = st.fleet.WithRead(r.current.upstream.ID, r.current.tokens).WithSuccess(r.current.upstream.ID, st.now)
 	r.current.tokens = 0
@@ -60,11 +64,15 @@
 		Units: int64(max(1, e.Events)), Wasted: e.End != EndAnswered,
 	})
 	if e.End == EndAnswered {
+		st.note(StepAnswered, r, func(n *Note) { n.Upstream = r.current.upstream.ID })
 		st.do(Deliver{Handle: r.Handle, Attempt: e.Attempt})
 		st.finish(r)
 
 		return
 	}
+	st.note(StepCallEnded, r, func(n *Note) {
+		n.Upstream, n.Peer, n.Reason = r.current.upstream.ID, r.current.upstream.Address, e.reason()
+	})
 	r.tried = append(r.tried[:len(r.tried):len(r.tried)], r.current.upstream.ID)
 	if e.HasAnswer {
 		r.answer = e.Attempt
@@ -77,6 +85,15 @@
 	st.afterFailure(r, e)
 }
 
+// reason is the end with what is known besides.
+func (e AttemptEnded) reason() string {
+	if e.Detail == "" {
+		return string(e.End)
+	}
+
+	return string(e.End) + ": " + e.Detail
+}
+
 // notRun says whether the end proves that the upstream ran nothing.
 func (e AttemptEnd) notRun() bool {
 	switch e {
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -146,6 +146,8 @@
 	Events  int
 	Leaving bool
 	Load    *Load
+	// Detail is what the log shows of a failure.
+	Detail string
 }
 
 // Load is an upstream's word on its load.
--- /dev/null
+++ b/internal/chuterelay/note.go
@@ -0,0 +1,59 @@
+package chuterelay
+
+import "time"
+
+// Step names a decision on a request.
+type Step string
+
+// The decisions that are noted; docs/OPERATIONS.md tells how to read them.
+const (
+	StepAdmitted  Step = "admitted"
+	StepRefused   Step = "refused"
+	StepAsked     Step = "stage asked"
+	StepMade      Step = "stage made"
+	StepNotMade   Step = "stage not made"
+	StepSent      Step = "sent"
+	StepBegan     Step = "began"
+	StepCallEnded Step = "call failed"
+	StepAnswered  Step = "answered"
+	StepCancelled Step = "cancelled"
+)
+
+// Note tells of one decision with what decided it, for the log.
+type Note struct {
+	Step    Step
+	Request string
+	// Pipeline and Pool name what the request runs on.
+	Pipeline string
+	Pool     string
+	// Stage is the stage's index, or -1 for the relayed call.
+	Stage int
+	// Attempt numbers the sends of the request from 1.
+	Attempt int
+	// Upstream is the incarnation, Peer its address or the node that was asked.
+	Upstream string
+	Peer     string
+	Zone     string
+	// Age is the time since the request arrived, Left the time until its deadline.
+	Age  time.Duration
+	Left time.Duration
+	// Wait is the expected wait that counted in the decision.
+	Wait   time.Duration
+	Reason string
+	// Version is the configuration's that was in force.
+	Version uint64
+}
+
+func (Note) relayEffect() {}
+
+// note tells of a decision on a request; fill sets what is particular to it.
+func (st *step) note(step Step, r request, fill func(n *Note)) {
+	n := Note{
+		Step: step, Request: r.ID, Pipeline: r.Pipeline.Name, Pool: r.pool, Stage: -1, Attempt: r.sends,
+		Age: st.now.Sub(r.arrivedAt), Left: r.Deadline.Sub(st.now), Version: st.config.Version,
+	}
+	if fill != nil {
+		fill(&n)
+	}
+	st.do(n)
+}
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -45,8 +45,9 @@
 type request struct {
 	Submission
 	// pool is the target that was drawn for the request.
-	pool   string
-	aimAt  time.Time
+	pool      string
+	arrivedAt time.Time
+	aimAt     time.Time
 	stages []stageState
 	// zone is where the call is expected to run.
 	zone string
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -37,6 +37,9 @@
 	s := r.stages[i]
 	s.ask = id
 	st.put(r.withStage(i, s))
+	st.note(StepAsked, r, func(n *Note) {
+		n.Pool, n.Stage, n.Peer, n.Zone, n.Wait = stage.Pool, i, peer.Name, job.Zone, st.wait(stage.Pool)
+	})
 	if peer.Name == st.settings.Self.Name {
 		job.ID = st.newID()
 		a.job = job.ID
@@ -101,6 +104,10 @@
 	s.results = e.Results
 	s.madeAt = st.now
 	r = r.withStage(a.stage, s)
+	st.note(StepMade, r, func(n *Note) {
+		n.Pool, n.Stage, n.Peer, n.Wait = r.Pipeline.Stages[a.stage].Pool, a.stage, a.peer.Name, e.Wait
+		n.Zone = r.inputZone([]int{a.stage}, "")
+	})
 	st.do(Charge{
 		Attempt: e.Ask, Workspace: r.Workspace.Name, Pipeline: r.Pipeline.Name,
 		Stage: r.Pipeline.Stages[a.stage].Pool, Units: int64(len(e.Results)),
@@ -205,6 +212,9 @@
 
 		return
 	}
+	st.note(StepNotMade, r, func(n *Note) {
+		n.Pool, n.Stage, n.Peer, n.Reason = r.Pipeline.Stages[a.stage].Pool, a.stage, a.peer.Name, e.Reason
+	})
 	if !e.PeerLost {
 		st.noteWait(r.Pipeline.Stages[a.stage].Pool, e.Wait)
 	}
@@ -272,6 +282,7 @@
 	if r.runs > 0 && refusal.Kind == RefusedNotRun {
 		refusal.Kind = RefusedFailed
 	}
+	st.note(StepRefused, r, func(n *Note) { n.Reason, n.Wait = string(refusal.Kind)+": "+refusal.Reason, refusal.RetryAfter })
 	st.do(Refuse{Handle: r.Handle, Refusal: refusal})
 	st.finish(r)
 }
