Collect on strong VMs, a zone at a time for large pools, with ordered queues

Ruled out: the upstreams (1002 of 1927 seconds used) and refusals by them (none full). Change: nodes tell their power, and only those with half of the strongest's collect; a pool with more than eight upstreams has a collector in each zone, for that zone's upstreams; queues are sorted maps, room is summed once.

--- a/internal/chutebatch/admit.go
+++ b/internal/chutebatch/admit.go
@@ -33,14 +33,20 @@
 	if !ok {
 		return 0
 	}
-	own := job{Job: j}
+	own := j.place()
+	bound := lateAfter(batching, now)
+	late := own.startBy < bound
 	ahead := 0
-	for i := c.jobs.Iterator(); !i.Done(); {
-		_, other, _ := i.Next()
-		if other.Pool == j.Pool && len(other.pending) > 0 && before(&other, &own, batching, now) < 0 {
-			ahead += len(other.pending)
+	c.walk(j.Lane(), now, func(other *job) bool {
+		at := other.place()
+		otherLate := at.startBy < bound
+		if otherLate && !late || otherLate == late && !at.before(own) {
+			return false
 		}
-	}
+		ahead += len(other.pending)
+
+		return true
+	})
 	perSecond := 0.0
 	for _, s := range seats {
 		perSecond += usableRate * float64(batching.Slots*batching.BatchSize) /
--- a/internal/chutebatch/collector.go
+++ b/internal/chutebatch/collector.go
@@ -1,6 +1,7 @@
 package chutebatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -13,6 +14,8 @@
 	ID      uint64
 	Request string
 	Pool    string
+	// Shard names the upstreams of the pool, by zone, that the job is for; empty means all.
+	Shard string
 	// Stage is the stage's index in its pipeline.
 	Stage int
 	// Parts is the number of parts; they are numbered from 0.
@@ -54,6 +57,7 @@
 type Call struct {
 	ID       uint64
 	Pool     string
+	Lane     Lane
 	Upstream string
 	Parts    []Part
 	// Jobs are the parts' jobs, in the same order.
@@ -95,21 +99,14 @@
 	tries   int
 }
 
-// held is the room that one result takes.
-type held struct {
-	part  Part
-	ref   string
-	bytes int64
-	// until is when the upstream drops the result by itself; zero while its call runs.
-	until time.Time
-}
-
 // Collector is one node's queue of parts and its calls in flight, over all pools.
 type Collector struct {
-	jobs  *immutable.Map[uint64, job]
-	calls *immutable.Map[uint64, Call]
+	jobs *immutable.Map[uint64, job]
+	// queues holds the jobs with waiting parts, by lane.
+	queues *immutable.Map[Lane, queue]
+	calls  *immutable.Map[uint64, Call]
 	// rooms maps an upstream to what it holds.
-	rooms *immutable.Map[string, []held]
+	rooms *immutable.Map[string, room]
 	// pauses maps an upstream to the time until which it gets no call.
 	pauses *immutable.Map[string, time.Time]
 	// strangers maps an upstream to room that others take there.
@@ -121,11 +118,11 @@
 // New returns a collector without work.
 func New() Collector {
 	return Collector{
-		jobs:   immutable.NewMap[uint64, job](nil),
-		calls:  immutable.NewMap[uint64, Call](nil),
-		rooms:  immutable.NewMap[string, []held](nil),
-		pauses: immutable.NewMap[string, time.Time](nil),
-
+		jobs:      immutable.NewMap[uint64, job](nil),
+		queues:    NewLaneMap[queue](),
+		calls:     immutable.NewMap[uint64, Call](nil),
+		rooms:     immutable.NewMap[string, room](nil),
+		pauses:    immutable.NewMap[string, time.Time](nil),
 		strangers: immutable.NewMap[string, stranger](nil),
 	}
 }
@@ -148,9 +145,8 @@
 	for i := range j.Parts {
 		entry.pending = append(entry.pending, i)
 	}
-	c.jobs = c.jobs.Set(j.ID, entry)
 
-	return c
+	return c.withJob(entry)
 }
 
 // Has says whether the job is known and neither dropped nor failed.
@@ -165,19 +161,6 @@
 	return c.jobs.Len()
 }
 
-// Waiting counts the parts of a pool that wait for a call.
-func (c Collector) Waiting(pool string) int {
-	n := 0
-	for i := c.jobs.Iterator(); !i.Done(); {
-		_, j, _ := i.Next()
-		if j.Pool == pool {
-			n += len(j.pending)
-		}
-	}
-
-	return n
-}
-
 // Free names results that an upstream need not keep any longer.
 type Free struct {
 	Upstream string
@@ -190,14 +173,16 @@
 	if !ok {
 		return c, nil
 	}
-	c.jobs = c.jobs.Delete(id)
+	c = c.dropped(j)
 	var frees []Free
 	for _, r := range j.results {
-		if r.Ref == "" {
-			continue
+		if r.Ref != "" {
+			frees = addFree(frees, r)
 		}
-		c = c.withoutHeld(r.Upstream, r.Ref)
-		frees = addFree(frees, r)
+	}
+	for _, f := range frees {
+		r, _ := c.rooms.Get(f.Upstream)
+		c.rooms = c.rooms.Set(f.Upstream, r.without(func(h held) bool { return slices.Contains(f.Refs, h.ref) }))
 	}
 
 	return c, frees
@@ -214,66 +199,3 @@
 
 	return append(frees, Free{Upstream: r.Upstream, Refs: []string{r.Ref}})
 }
-
-func (c Collector) withoutHeld(upstream, ref string) Collector {
-	kept, _ := c.rooms.Get(upstream)
-	next := make([]held, 0, len(kept))
-	for _, h := range kept {
-		if h.ref != ref {
-			next = append(next, h)
-		}
-	}
-	c.rooms = c.rooms.Set(upstream, next)
-
-	return c
-}
-
-// used sums the room taken at an upstream.
-func (c Collector) used(upstream string, now time.Time) int64 {
-	kept, _ := c.rooms.Get(upstream)
-	total := int64(0)
-	for _, h := range kept {
-		if h.until.IsZero() || now.Before(h.until) {
-			total += h.bytes
-		}
-	}
-
-	return total
-}
-
-// stranger is room that results take which this collector did not have made.
-type stranger struct {
-	bytes int64
-	since time.Time
-	until time.Time
-}
-
-// foreign estimates the room that others' results take at an upstream now; it
-// ebbs away over the time that results are kept.
-func (c Collector) foreign(upstream string, now time.Time) int64 {
-	s, ok := c.strangers.Get(upstream)
-	if !ok || !now.Before(s.until) {
-		return 0
-	}
-	left := float64(s.until.Sub(now)) / float64(s.until.Sub(s.since))
-
-	return int64(float64(s.bytes) * left)
-}
-
-// withoutRoom takes in that an upstream had no room for parts that should have fitted.
-//
-// What an earlier collector had made lies there until its time is over, or until
-// its leases end. A collector that kept asking would spend every call on parts
-// without room, each at the full price of a call.
-func (c Collector) withoutRoom(call Call, now time.Time) Collector {
-	batching := c.pools[call.Pool]
-	unknown := batching.Room - c.used(call.Upstream, now)
-	if unknown <= 0 || batching.ResultTTL <= 0 {
-		return c
-	}
-	c.strangers = c.strangers.Set(call.Upstream, stranger{
-		bytes: unknown, since: now, until: now.Add(batching.ResultTTL / 2),
-	})
-
-	return c
-}
--- a/internal/chutebatch/end.go
+++ b/internal/chutebatch/end.go
@@ -137,7 +137,7 @@
 	j.results = slices.Clone(j.results)
 	j.results[p.Index] = Result{Ref: ref, Upstream: e.call.Upstream, Zone: e.zone}
 	j.missing--
-	e.c.jobs = e.c.jobs.Set(j.ID, j)
+	e.c = e.c.withJob(j)
 	if j.missing == 0 {
 		e.out.Made = append(e.out.Made, j.ID)
 	}
@@ -160,7 +160,7 @@
 	}
 	e.out.Requeued++
 	j.pending = append(slices.Clip(j.pending), p.Index)
-	e.c.jobs = e.c.jobs.Set(j.ID, j)
+	e.c = e.c.withJob(j)
 }
 
 // fail gives up the part's job.
@@ -178,29 +178,23 @@
 
 // withHeld turns the room reserved for a part into room held until its time is over.
 func (c Collector) withHeld(call Call, p Part, ref string, now time.Time) Collector {
-	room, _ := c.rooms.Get(call.Upstream)
-	room = slices.Clone(room)
-	for i := range room {
-		if room[i].part == p {
-			room[i].ref = ref
-			room[i].until = now.Add(c.pools[call.Pool].ResultTTL)
+	r, _ := c.rooms.Get(call.Upstream)
+	all := slices.Clone(r.held)
+	for i := range all {
+		if all[i].part == p && all[i].ref == "" {
+			all[i].ref = ref
+			all[i].until = now.Add(c.pools[call.Pool].ResultTTL)
 		}
 	}
-	c.rooms = c.rooms.Set(call.Upstream, pruned(room, now))
+	c.rooms = c.rooms.Set(call.Upstream, newRoom(all).at(now))
 
 	return c
 }
 
-// pruned drops what the upstream itself has dropped by now.
-func pruned(room []held, now time.Time) []held {
-	return slices.DeleteFunc(room, func(h held) bool { return !h.until.IsZero() && !now.Before(h.until) })
-}
-
 // withoutReserved gives back the room reserved for a part.
 func (c Collector) withoutReserved(upstream string, p Part) Collector {
-	room, _ := c.rooms.Get(upstream)
-	room = slices.DeleteFunc(slices.Clone(room), func(h held) bool { return h.part == p && h.ref == "" })
-	c.rooms = c.rooms.Set(upstream, room)
+	r, _ := c.rooms.Get(upstream)
+	c.rooms = c.rooms.Set(upstream, r.without(func(h held) bool { return h.part == p && h.ref == "" }))
 
 	return c
 }
--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -29,29 +30,30 @@
 	Slowness float64
 }
 
-// Fill gives each free slot of the pool's upstreams a call, while parts wait, and returns the calls.
-func (c Collector) Fill(pool string, seats []Seat, now time.Time) (Collector, []Call) {
-	batching, ok := c.pools[pool]
-	if !ok {
+// Fill gives each free slot of the lane's upstreams a call, while parts wait, and returns the calls.
+func (c Collector) Fill(l Lane, seats []Seat, now time.Time) (Collector, []Call) {
+	batching, ok := c.pools[l.Pool]
+	if !ok || c.Waiting(l) == 0 {
 		return c, nil
 	}
-	f := filling{batching: batching, seats: c.free(pool, seats, now), now: now, waiting: c.due(pool, batching, now)}
+	f := filling{c: c, lane: l, batching: batching, now: now, seats: c.free(l.Pool, seats, now)}
+	f.left = make([]int64, len(f.seats))
+	for i, s := range f.seats {
+		f.left[i] = math.MaxInt64
+		if batching.Room > 0 {
+			f.left[i] = c.left(l.Pool, s.Upstream, now)
+		}
+	}
 	var calls []Call
-	for len(f.seats) > 0 && len(f.waiting) > 0 {
-		seat, found := f.nextSeat(c)
+	for len(f.seats) > 0 {
+		seat, found := f.nextSeat()
 		if !found {
 			break
 		}
-		parts := f.take(c, f.seats[seat])
-		c.lastCall++
-		call := Call{ID: c.lastCall, Pool: pool, Upstream: f.seats[seat].Upstream, Parts: parts}
-		c, call = c.withCall(call)
-		calls = append(calls, call)
-		f.seats = slices.Delete(f.seats, seat, seat+1)
-		f.waiting = c.due(pool, batching, now)
+		calls = append(calls, f.call(seat))
 	}
 
-	return c, calls
+	return f.c, calls
 }
 
 // free lists the seats with a free slot, the quick ones first.
@@ -82,78 +84,82 @@
 	return 0
 }
 
-// due lists the pool's jobs with waiting parts, those to run first in front.
-func (c Collector) due(pool string, batching chuteroute.Batching, now time.Time) []job {
-	var jobs []job
-	for i := c.jobs.Iterator(); !i.Done(); {
-		_, j, _ := i.Next()
-		if j.Pool == pool && len(j.pending) > 0 && now.Add(batching.CallTime).Before(j.Deadline) {
-			jobs = append(jobs, j)
-		}
-	}
-	slices.SortFunc(jobs, func(a, b job) int { return before(&a, &b, batching, now) })
-
-	return jobs
+// filling is one round of Fill.
+type filling struct {
+	c        Collector
+	lane     Lane
+	batching chuteroute.Batching
+	now      time.Time
+	seats    []Seat
+	// left is the room at each seat.
+	left []int64
 }
 
-// startBy orders jobs by when they have to be done for the rest to be on time: a
-// long prompt needs more time after its stages than a short one.
-func (j *job) startBy() time.Time {
-	return j.AimAt.Add(-j.Rest)
+// useful says whether the job's parts can be done before nobody waits any more.
+func (f *filling) useful(j *job) bool {
+	return f.now.Add(f.batching.CallTime).Before(j.Deadline)
 }
 
-// class is 0 for a job that can still make its aim, 1 for one that is late.
-//
-// With the nearest aim first and nothing else, a burst makes each job wait until
-// it is just too late. Those that are late anyhow yield to those that are not.
-func (j *job) class(batching chuteroute.Batching, now time.Time) int {
-	if now.Add(batching.CallTime + j.Rest).After(j.AimAt) {
-		return 1
-	}
+// nextSeat returns the seat for the first waiting job that any free seat suits.
+func (f *filling) nextSeat() (int, bool) {
+	seat := -1
+	f.c.walk(f.lane, f.now, func(j *job) bool {
+		if f.useful(j) {
+			seat = f.seatFor(j)
+		}
 
-	return 0
-}
+		return seat < 0
+	})
 
-// before says whether a job's parts go ahead of another's.
-func before(a, b *job, batching chuteroute.Batching, now time.Time) int {
-	return cmp.Or(
-		cmp.Compare(a.class(batching, now), b.class(batching, now)),
-		cmp.Compare(a.Priority, b.Priority),
-		a.startBy().Compare(b.startBy()),
-		cmp.Compare(a.ID, b.ID),
-	)
+	return seat, seat >= 0
 }
 
-// filling is one round of Fill.
-type filling struct {
-	batching chuteroute.Batching
-	seats    []Seat
-	waiting  []job
-	now      time.Time
+// seatFor returns a seat for the job, at best one where its results are needed; -1 if there is none.
+func (f *filling) seatFor(j *job) int {
+	other := -1
+	for n, s := range f.seats {
+		if f.left[n] < j.ResultBytes {
+			continue
+		}
+		if s.Zone == j.Zone && s.class() == 0 {
+			return n
+		}
+		if other < 0 && f.suits(j, s) {
+			other = n
+		}
+	}
+
+	return other
 }
 
-// nextSeat returns the seat for the first waiting job that any free seat suits.
-func (f *filling) nextSeat(c Collector) (int, bool) {
-	for i := range f.waiting {
-		j := &f.waiting[i]
-		other := -1
-		for n, s := range f.seats {
-			if !f.fits(c, j, s, 0) {
-				continue
-			}
-			if s.Zone == j.Zone && s.class() == 0 {
-				return n, true
+// call takes the parts of one call, in the order of their jobs, and the seat out of the round.
+func (f *filling) call(seat int) Call {
+	var parts []Part
+	left := f.left[seat]
+	f.c.walk(f.lane, f.now, func(j *job) bool {
+		if !f.useful(j) || !f.suits(j, f.seats[seat]) {
+			return true
+		}
+		for _, index := range j.pending {
+			if len(parts) == f.batching.BatchSize {
+				return false
 			}
-			if other < 0 && f.suits(j, s) {
-				other = n
+			if left < j.ResultBytes {
+				break
 			}
+			parts = append(parts, Part{Job: j.ID, Index: index})
+			left -= j.ResultBytes
 		}
-		if other >= 0 {
-			return other, true
-		}
-	}
 
-	return 0, false
+		return true
+	})
+	f.c.lastCall++
+	call := Call{ID: f.c.lastCall, Pool: f.lane.Pool, Lane: f.lane, Upstream: f.seats[seat].Upstream, Parts: parts}
+	f.c, call = f.c.withCall(call)
+	f.seats = slices.Delete(f.seats, seat, seat+1)
+	f.left = slices.Delete(f.left, seat, seat+1)
+
+	return call
 }
 
 // suits says whether the job's parts may run at the seat by now.
@@ -173,7 +179,7 @@
 func (f *filling) timely(j *job, s Seat) bool {
 	full := f.batching.FullCall()
 	ends := f.now.Add(time.Duration(s.Slowness*float64(full)) + j.Rest)
-	if j.class(f.batching, f.now) > 0 {
+	if j.place().startBy < lateAfter(f.batching, f.now) {
 		return ends.Before(j.Deadline)
 	}
 
@@ -185,44 +191,18 @@
 	return j.ResultBytes*int64(j.Parts) >= heavyBytes || len(j.Inputs) > 1
 }
 
-// fits says whether the seat has room for one more result of the job beside what is planned.
-func (f *filling) fits(c Collector, j *job, s Seat, planned int64) bool {
-	return f.batching.Room <= 0 || c.used(s.Upstream, f.now)+c.foreign(s.Upstream, f.now)+planned+j.ResultBytes <= f.batching.Room
-}
-
-// take picks the parts of one call, in the order of their jobs.
-func (f *filling) take(c Collector, s Seat) []Part {
-	var parts []Part
-	planned := int64(0)
-	for i := range f.waiting {
-		j := &f.waiting[i]
-		if !f.suits(j, s) {
-			continue
-		}
-		for _, index := range j.pending {
-			if len(parts) == f.batching.BatchSize || !f.fits(c, j, s, planned) {
-				break
-			}
-			parts = append(parts, Part{Job: j.ID, Index: index})
-			planned += j.ResultBytes
-		}
-	}
-
-	return parts
-}
-
 // withCall takes the call's parts out of the queue and reserves room for their results.
 func (c Collector) withCall(call Call) (Collector, Call) {
-	room, _ := c.rooms.Get(call.Upstream)
-	room = slices.Clone(room)
+	var reserved []held
 	for _, p := range call.Parts {
 		j, _ := c.jobs.Get(p.Job)
 		j.pending = slices.DeleteFunc(slices.Clone(j.pending), func(i int) bool { return i == p.Index })
-		c.jobs = c.jobs.Set(p.Job, j)
+		c = c.withJob(j)
 		call.Jobs = append(call.Jobs, j.Job)
-		room = append(room, held{part: p, bytes: j.ResultBytes})
+		reserved = append(reserved, held{part: p, bytes: j.ResultBytes})
 	}
-	c.rooms = c.rooms.Set(call.Upstream, room)
+	r, _ := c.rooms.Get(call.Upstream)
+	c.rooms = c.rooms.Set(call.Upstream, r.with(reserved...))
 	c.calls = c.calls.Set(call.ID, call)
 
 	return c, call
--- /dev/null
+++ b/internal/chutebatch/room.go
@@ -0,0 +1,98 @@
+package chutebatch
+
+import (
+	"slices"
+	"time"
+)
+
+// held is the room that one result takes.
+type held struct {
+	part  Part
+	ref   string
+	bytes int64
+	// until is when the upstream drops the result by itself; zero while its call runs.
+	until time.Time
+}
+
+// room is what one upstream holds; its slice is replaced, never changed.
+type room struct {
+	held  []held
+	bytes int64
+	// oldest is when the first result runs out; zero if none does.
+	oldest time.Time
+}
+
+// with returns the room with more results in it.
+func (r room) with(more ...held) room {
+	return newRoom(append(slices.Clip(r.held), more...))
+}
+
+// without returns the room without the results that drop names.
+func (r room) without(drop func(h held) bool) room {
+	return newRoom(slices.DeleteFunc(slices.Clone(r.held), drop))
+}
+
+func newRoom(all []held) room {
+	r := room{held: all}
+	for _, h := range all {
+		r.bytes += h.bytes
+		if !h.until.IsZero() && (r.oldest.IsZero() || h.until.Before(r.oldest)) {
+			r.oldest = h.until
+		}
+	}
+
+	return r
+}
+
+// at returns the room without what the upstream itself has dropped by now.
+func (r room) at(now time.Time) room {
+	if r.oldest.IsZero() || now.Before(r.oldest) {
+		return r
+	}
+
+	return r.without(func(h held) bool { return !h.until.IsZero() && !now.Before(h.until) })
+}
+
+// left is the room at an upstream that new results may take.
+func (c Collector) left(pool, upstream string, now time.Time) int64 {
+	r, _ := c.rooms.Get(upstream)
+
+	return c.pools[pool].Room - r.at(now).bytes - c.foreign(upstream, now)
+}
+
+// stranger is room that results take which this collector did not have made.
+type stranger struct {
+	bytes int64
+	since time.Time
+	until time.Time
+}
+
+// foreign estimates the room that others' results take at an upstream now; it
+// ebbs away over the time that results are kept.
+func (c Collector) foreign(upstream string, now time.Time) int64 {
+	s, ok := c.strangers.Get(upstream)
+	if !ok || !now.Before(s.until) {
+		return 0
+	}
+	left := float64(s.until.Sub(now)) / float64(s.until.Sub(s.since))
+
+	return int64(float64(s.bytes) * left)
+}
+
+// withoutRoom takes in that an upstream had no room for parts that should have fitted.
+//
+// What an earlier collector had made lies there until its time is over, or until
+// its leases end. A collector that kept asking would spend every call on parts
+// without room, each at the full price of a call.
+func (c Collector) withoutRoom(call Call, now time.Time) Collector {
+	batching := c.pools[call.Pool]
+	unknown := c.left(call.Pool, call.Upstream, now)
+	if unknown <= 0 || batching.ResultTTL <= 0 {
+		return c
+	}
+	c.strangers = c.strangers.Set(call.Upstream, stranger{
+		bytes: unknown, since: now, until: now.Add(batching.ResultTTL / 2),
+	})
+
+	return c
+}
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -251,6 +251,17 @@
 	return usable
 }
 
+// UsableInZone says whether any of the pool's upstreams in a zone may get a new call now.
+func (f Fleet) UsableInZone(pool, zone string, now time.Time) bool {
+	for _, id := range f.pools[pool] {
+		if m, _ := f.members.Get(id); m.Zone == zone && m.usable(now) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // InFlight counts the calls that this node has under way at the pool.
 func (f Fleet) InFlight(pool string) int {
 	n := 0
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -24,6 +24,9 @@
 	slowPatience    = 1.5
 	assumedSlowness = 4
 	overdueTwice    = 2
+	// waitFresh is how long a worked out wait is told again: counting the queue for
+	// each of hundreds of results a second would cost more than it tells.
+	waitFresh = 50 * time.Millisecond
 	// slownessWeight is the weight of the newest call in an upstream's measured slowness.
 	slownessWeight = 0.4
 )
@@ -45,14 +48,14 @@
 
 // takeJob queues a job at the own collector.
 func (st *step) takeJob(job chutebatch.Job) {
-	if !st.collector.Admits(job, st.seats(job.Pool), st.now) {
+	if !st.collector.Admits(job, st.seats(job.Lane()), st.now) {
 		st.refuseJob(chutebatch.FailedJob{Job: job, Reason: chutebatch.PartOverloaded})
 
 		return
 	}
 	st.countFirst(job.Pool, job.Parts)
 	st.collector = st.collector.WithJob(job)
-	st.fill(job.Pool)
+	st.fill(job.Lane())
 }
 
 // jobDropped ends a peer's lease on a job and its results.
@@ -76,22 +79,20 @@
 	}
 }
 
-// fillAll looks over the waiting parts of all pools.
+// fillAll looks over the waiting parts of all lanes.
 func (st *step) fillAll() {
-	if st.collector.Len() == 0 {
-		return
-	}
-	for name, pool := range st.config.Pools {
-		if pool.Batching != nil {
-			st.fill(name)
-		}
+	for _, lane := range st.collector.Lanes() {
+		st.fill(lane)
 	}
 }
 
-// fill gives free upstreams of a pool calls, as long as parts wait.
-func (st *step) fill(pool string) {
+// fill gives free upstreams of a lane calls, as long as parts wait.
+func (st *step) fill(lane chutebatch.Lane) {
+	if st.collector.Waiting(lane) == 0 {
+		return
+	}
 	var calls []chutebatch.Call
-	st.collector, calls = st.collector.Fill(pool, st.seats(pool), st.now)
+	st.collector, calls = st.collector.Fill(lane, st.seats(lane), st.now)
 	for _, call := range calls {
 		u, ok := st.fleet.Get(call.Upstream)
 		if !ok {
@@ -100,21 +101,31 @@
 		st.fleet = st.fleet.WithSent(u.ID, 0)
 		st.do(RunCall{Call: call, Upstream: u, Timeout: st.callTimeout(call)})
 	}
-	if st.tickAt.IsZero() && st.collector.Waiting(pool) > 0 {
+	if st.tickAt.IsZero() && st.collector.Waiting(lane) > 0 {
 		st.tickAt = st.now.Add(tick)
 		st.do(TickAt{At: st.tickAt})
 	}
 }
 
-// seats lists the pool's upstreams that may get calls.
-func (st *step) seats(pool string) []chutebatch.Seat {
-	var seats []chutebatch.Seat
-	for _, u := range st.fleet.UsableIn(pool, st.now) {
+// seats lists the lane's upstreams that may get calls.
+//
+// A shard whose upstreams are all gone or set aside is served by the others, so
+// that a zone without healthy upstreams of a pool does not fail its requests.
+func (st *step) seats(lane chutebatch.Lane) []chutebatch.Seat {
+	var all, own []chutebatch.Seat
+	for _, u := range st.fleet.UsableIn(lane.Pool, st.now) {
 		pace, _ := st.paces.Get(u.ID)
-		seats = append(seats, chutebatch.Seat{Upstream: u.ID, Zone: u.Zone, Slowness: pace.slowness})
+		seat := chutebatch.Seat{Upstream: u.ID, Zone: u.Zone, Slowness: pace.slowness}
+		all = append(all, seat)
+		if u.Zone == lane.Shard {
+			own = append(own, seat)
+		}
+	}
+	if len(own) > 0 {
+		return own
 	}
 
-	return seats
+	return all
 }
 
 // expected is the time that the operator's figures give for a call.
@@ -150,7 +161,7 @@
 	st.collector, ended = st.collector.WithCallEnded(e.ID, e.End, e.Ends, u.Zone, allowed, st.now)
 	st.budgets = st.budgets.Set(call.Pool, budget.WithSpent(ended.Requeued, st.now))
 	st.settle(ended)
-	st.fill(call.Pool)
+	st.fill(call.Lane)
 }
 
 // settle passes on what became of jobs.
@@ -229,7 +240,7 @@
 		return
 	}
 	results := st.collector.Results(id)
-	wait := st.poolWait(st.collector.Job(id))
+	wait := st.laneWait(st.collector.Job(id))
 	if o.ask != 0 {
 		st.partsMade(PartsMade{Ask: o.ask, Results: results, Wait: wait})
 
@@ -238,20 +249,26 @@
 	st.do(GiveParts{Token: o.token, Results: results, Wait: wait})
 }
 
-// poolWait is how long a job of this kind would wait at the own collector now.
-func (st *step) poolWait(like chutebatch.Job) time.Duration {
+// laneWait is how long a job of this kind would wait at the own collector now.
+func (st *step) laneWait(like chutebatch.Job) time.Duration {
+	lane := like.Lane()
+	if heard, ok := st.ownWaits.Get(lane); ok && st.now.Sub(heard.at) < waitFresh {
+		return heard.wait
+	}
 	// A new job of the kind has its whole time before it.
 	like.AimAt = st.now.Add(like.AimAt.Sub(like.Since))
 	like.ID = math.MaxUint64
+	wait := st.collector.Wait(like, st.seats(lane), st.now)
+	st.ownWaits = st.ownWaits.Set(lane, heardWait{wait: wait, at: st.now})
 
-	return st.collector.Wait(like, st.seats(like.Pool), st.now)
+	return wait
 }
 
 // refuseJob tells whoever asked that a job failed.
 func (st *step) refuseJob(failed chutebatch.FailedJob) {
 	wait := time.Duration(0)
 	if failed.Job.Pool != "" {
-		wait = st.poolWait(failed.Job)
+		wait = st.laneWait(failed.Job)
 	}
 	o, ok := st.origins.Get(failed.Job.ID)
 	if !ok {
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"azurechute.example/azurechute/internal/chutebatch"
 )
 
 // peerPause is how long a silent peer is passed over; a frozen or cut off node
@@ -18,6 +20,8 @@
 	Address string
 	// Incarnation changes with each start of the process.
 	Incarnation string
+	// Power is the VM's strength in cores, or less where its link is what binds.
+	Power float64
 }
 
 // peers is the list of nodes with this node's evidence on them.
@@ -56,28 +60,61 @@
 	return p
 }
 
-// collector returns the node that gathers the parts for a pool.
+// strongEnough is the part of the strongest node's power that a collector needs:
+// on a weak VM the parts of a whole pool would wait for its processor or its link.
+const strongEnough = 0.5
+
+// collector returns the node that gathers the parts of a lane.
 //
 // Each node works it out alone from the list; a node that is silent to one is
-// passed over by that one only. Two collectors for one pool cost refused calls
-// and no correctness, so no lease is needed.
-func (p peers) collector(pool string, now time.Time) Peer {
+// passed over by that one only. Two collectors for one lane cost refused calls
+// and no correctness, so no lease is needed. A shard's collector is in its zone,
+// where it goes on working when zones are cut off from each other.
+func (p peers) collector(lane chutebatch.Lane, now time.Time) Peer {
 	best := p.self
-	bestHash := rank(pool, p.self)
+	var bestHash uint64
+	chosen := false
+	candidates := p.candidates(lane.Shard, now)
+	least := strongEnough * strongest(candidates)
+	for _, peer := range candidates {
+		if h := rank(lane, peer); peer.Power >= least && (!chosen || h > bestHash) {
+			best, bestHash, chosen = peer, h, true
+		}
+	}
+
+	return best
+}
+
+// candidates lists the nodes that are not silent, those of the zone if there are any.
+func (p peers) candidates(zone string, now time.Time) []Peer {
+	var all, near []Peer
 	for _, peer := range p.all {
-		if peer.Name == p.self.Name || now.Before(p.silent[peer.Name]) {
+		if peer.Name != p.self.Name && now.Before(p.silent[peer.Name]) {
 			continue
 		}
-		if h := rank(pool, peer); h > bestHash {
-			best, bestHash = peer, h
+		all = append(all, peer)
+		if peer.Zone == zone {
+			near = append(near, peer)
 		}
 	}
+	if len(near) > 0 {
+		return near
+	}
 
-	return best
+	return all
+}
+
+func strongest(peers []Peer) float64 {
+	most := 0.0
+	for _, peer := range peers {
+		most = max(most, peer.Power)
+	}
+
+	return most
 }
 
-func rank(pool string, peer Peer) uint64 {
-	return xxhash.Sum64String(pool + "|" + peer.Name)
+func rank(lane chutebatch.Lane, peer Peer) uint64 {
+	return xxhash.Sum64String(lane.Pool + "|" + lane.Shard + "|" + peer.Name)
 }
 
 // share is this node's part of what all nodes may do together.
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -48,7 +48,7 @@
 	pool      string
 	arrivedAt time.Time
 	aimAt     time.Time
-	stages []stageState
+	stages    []stageState
 	// zone is where the call is expected to run.
 	zone string
 	// sends counts calls, runs those among them that may have run.
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -19,8 +19,6 @@
 // askStage asks the pool's collector for all parts of a stage.
 func (st *step) askStage(r request, i int) {
 	stage := r.Pipeline.Stages[i]
-	peer := st.peers.collector(stage.Pool, st.now)
-	a := ask{handle: r.Handle, stage: i, peer: peer}
 	id := st.newID()
 	job := chutebatch.Job{
 		Request: r.ID, Pool: stage.Pool, Stage: i, Parts: r.parts(i),
@@ -34,6 +32,9 @@
 		job.Zone = r.inputZone(stage.After, r.zone)
 		job.Deadline = st.inputsUntil(r, stage.After)
 	}
+	job.Shard = st.shard(job)
+	peer := st.peers.collector(job.Lane(), st.now)
+	a := ask{handle: r.Handle, stage: i, peer: peer}
 	s := r.stages[i]
 	s.ask = id
 	st.put(r.withStage(i, s))
@@ -53,6 +54,20 @@
 	st.do(AskParts{Ask: id, Peer: peer, Job: job})
 }
 
+// shardAbove is the number of upstreams from which on a pool has a collector a
+// zone: with three or more upstreams each, calls are filled as well, nothing
+// crosses zones, and no single node carries the whole pool.
+const shardAbove = 8
+
+// shard returns the zone whose upstreams the job is for, or empty for the whole pool.
+func (st *step) shard(job chutebatch.Job) string {
+	if st.fleet.Len(job.Pool) <= shardAbove || !st.fleet.UsableInZone(job.Pool, job.Zone, st.now) {
+		return ""
+	}
+
+	return job.Zone
+}
+
 // inputsUntil is when the first of the stages' results runs out, at the latest the request's deadline.
 func (st *step) inputsUntil(r request, stages []int) time.Time {
 	until := r.Deadline
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -37,6 +37,8 @@
 	paces *immutable.Map[string, pace]
 	// waits maps a pool to how long jobs wait there, as last heard.
 	waits *immutable.Map[string, heardWait]
+	// ownWaits are the waits at the own collector, as last worked out.
+	ownWaits *immutable.Map[chutebatch.Lane, heardWait]
 	// tickAt is when the next Ticked event is due; zero if none is.
 	tickAt   time.Time
 	draining bool
@@ -58,6 +60,7 @@
 		budgets:   immutable.NewMap[string, Budget](nil),
 		paces:     immutable.NewMap[string, pace](nil),
 		waits:     immutable.NewMap[string, heardWait](nil),
+		ownWaits:  chutebatch.NewLaneMap[heardWait](),
 		random:    *rand.NewPCG(s.Seed, s.Seed),
 	}
 }
