Test the decisions on relayed requests

Cause: the pure packages had no tests. Found by it: evidence on a failed upstream never went to zero, so that ties went against it for good; it is forgotten below 0.05 now.

--- /dev/null
+++ b/internal/chutebatch/collector_test.go
@@ -0,0 +1,277 @@
+package chutebatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azurechute.example/azurechute/internal/chuteroute"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	callTime = 150 * time.Millisecond
+	partTime = 16 * time.Millisecond
+)
+
+// pool returns a collector for pool "p" whose upstreams take 8 parts a call and have the given room.
+func pool(room int64) Collector {
+	return New().WithPools(map[string]chuteroute.Pool{"p": {Name: "p", Batching: &chuteroute.Batching{
+		Slots: 1, BatchSize: 8, CallTime: callTime, PartTime: partTime, Room: room, ResultTTL: 4 * time.Second,
+	}}})
+}
+
+var lane = Lane{Pool: "p"}
+
+func newJob(id uint64, parts int) Job {
+	return Job{
+		ID: id, Request: fmt.Sprint("r", id), Pool: "p", Parts: parts, ResultBytes: 10,
+		AimAt: start.Add(2 * time.Second), Deadline: start.Add(6 * time.Second), Since: start,
+	}
+}
+
+func seats(n int) []Seat {
+	var all []Seat
+	for i := range n {
+		all = append(all, Seat{Upstream: fmt.Sprint("u", i), Zone: fmt.Sprint("z", i)})
+	}
+
+	return all
+}
+
+// answered ends a call with a result for each part.
+func answered(c Collector, call Call, now time.Time) (Collector, Ended) {
+	ends := make([]PartEnd, len(call.Parts))
+	for i, p := range call.Parts {
+		ends[i].Ref = fmt.Sprintf("%s/%d.%d", call.Upstream, p.Job, p.Index)
+	}
+
+	return c.WithCallEnded(call.ID, CallAnswered, ends, "z", 100, now)
+}
+
+// expectParts fails unless the calls hold these jobs' parts, in this order.
+func expectParts(c *qt.C, calls []Call, want ...uint64) {
+	c.Helper()
+	var got []uint64
+	for _, call := range calls {
+		for _, p := range call.Parts {
+			got = append(got, p.Job)
+		}
+	}
+	c.Assert(got, qt.DeepEquals, want)
+}
+
+func TestFill(t *testing.T) {
+	t.Run("parts of different requests share a call", func(t *testing.T) {
+		c := qt.New(t)
+		col := pool(1000)
+		for id := range uint64(3) {
+			col = col.WithJob(newJob(id+1, 3))
+		}
+		_, calls := col.Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 1)
+		expectParts(c, calls, 1, 1, 1, 2, 2, 2, 3, 3)
+	})
+
+	t.Run("a busy upstream gets no second call", func(t *testing.T) {
+		c := qt.New(t)
+		col, _ := pool(1000).WithJob(newJob(1, 8)).Fill(lane, seats(1), start)
+		_, calls := col.WithJob(newJob(2, 1)).Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 0)
+	})
+
+	t.Run("the urgent go first, then those that have to start sooner", func(t *testing.T) {
+		c := qt.New(t)
+		late, soon, urgent := newJob(1, 4), newJob(2, 4), newJob(3, 4)
+		late.Priority, soon.Priority = 1, 1
+		soon.Rest = time.Second
+		_, calls := pool(1000).WithJob(late).WithJob(soon).WithJob(urgent).Fill(lane, seats(1), start)
+		expectParts(c, calls, 3, 3, 3, 3, 2, 2, 2, 2)
+	})
+
+	t.Run("a request that is late anyhow yields to those that are not", func(t *testing.T) {
+		// In a burst the oldest jobs have missed their aim. Served first they would
+		// make the next ones miss theirs, and so on to the end of the burst.
+		c := qt.New(t)
+		missed := newJob(1, 8)
+		missed.AimAt = start
+		_, calls := pool(1000).WithJob(missed).WithJob(newJob(2, 8)).Fill(lane, seats(1), start)
+		expectParts(c, calls, 2, 2, 2, 2, 2, 2, 2, 2)
+	})
+
+	t.Run("another shard's upstreams do not take the parts", func(t *testing.T) {
+		c := qt.New(t)
+		sharded := newJob(1, 1)
+		sharded.Shard = "z1"
+		col := pool(1000).WithJob(sharded)
+		_, calls := col.Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 0)
+		_, calls = col.Fill(Lane{Pool: "p", Shard: "z1"}, seats(1), start)
+		c.Assert(calls, qt.HasLen, 1)
+	})
+
+	t.Run("heavy results are made where they are needed, for a while", func(t *testing.T) {
+		c := qt.New(t)
+		heavy := newJob(1, 1)
+		heavy.ResultBytes = heavyBytes
+		heavy.Zone = "elsewhere"
+		col := pool(10 * heavyBytes).WithJob(heavy)
+		_, calls := col.Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 0)
+		_, calls = col.Fill(lane, seats(1), start.Add(patience))
+		c.Assert(calls, qt.HasLen, 1)
+	})
+
+	t.Run("a slow upstream gets parts only if they end in time there", func(t *testing.T) {
+		c := qt.New(t)
+		slow := []Seat{{Upstream: "u", Slowness: 4}}
+		waited := start.Add(2 * patience)
+		_, calls := pool(1000).WithJob(newJob(1, 1)).Fill(lane, slow, waited)
+		c.Assert(calls, qt.HasLen, 1)
+		pressed := newJob(1, 1)
+		pressed.AimAt = waited.Add(time.Second)
+		_, calls = pool(1000).WithJob(pressed).Fill(lane, slow, waited)
+		c.Assert(calls, qt.HasLen, 0)
+	})
+}
+
+func TestRoom(t *testing.T) {
+	t.Run("results that are not freed leave no room for more, until they run out", func(t *testing.T) {
+		c := qt.New(t)
+		col, calls := pool(50).WithJob(newJob(1, 5)).Fill(lane, seats(1), start)
+		col, ended := answered(col, calls[0], start)
+		c.Assert(ended.Made, qt.DeepEquals, []uint64{1})
+		col = col.WithJob(newJob(2, 1))
+		_, calls = col.Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 0)
+		_, calls = col.Fill(lane, seats(1), start.Add(4*time.Second))
+		c.Assert(calls, qt.HasLen, 1)
+	})
+
+	t.Run("freed results make room at once", func(t *testing.T) {
+		c := qt.New(t)
+		col, calls := pool(50).WithJob(newJob(1, 5)).Fill(lane, seats(1), start)
+		col, _ = answered(col, calls[0], start)
+		col, frees := col.WithoutJob(1)
+		c.Assert(frees, qt.HasLen, 1)
+		c.Assert(frees[0].Refs, qt.HasLen, 5)
+		_, calls = col.WithJob(newJob(2, 1)).Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 1)
+	})
+
+	t.Run("a refusal for want of room teaches what others hold", func(t *testing.T) {
+		// A collector was killed; what it had made lies at the upstream and nobody
+		// counts it. The next collector's part is refused, and asking again at once
+		// would cost a call each time.
+		c := qt.New(t)
+		col, calls := pool(50).WithJob(newJob(1, 1)).Fill(lane, seats(1), start)
+		col, ended := col.WithCallEnded(calls[0].ID, CallAnswered, []PartEnd{{Failure: PartNoRoom}}, "z", 100, start)
+		c.Assert(ended.Requeued, qt.Equals, 1)
+		_, calls = col.Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 0)
+		_, calls = col.Fill(lane, seats(1), start.Add(2*time.Second))
+		c.Assert(calls, qt.HasLen, 1)
+	})
+
+	t.Run("a result whose caller left meanwhile is freed", func(t *testing.T) {
+		c := qt.New(t)
+		col, calls := pool(50).WithJob(newJob(1, 2)).Fill(lane, seats(1), start)
+		col, _ = col.WithoutJob(1)
+		col, ended := answered(col, calls[0], start)
+		c.Assert(ended.Frees, qt.HasLen, 1)
+		c.Assert(col.left("p", "u0", start), qt.Equals, int64(50))
+	})
+}
+
+func TestFailedCalls(t *testing.T) {
+	t.Run("parts of a lost call wait again, within the allowance", func(t *testing.T) {
+		c := qt.New(t)
+		col, calls := pool(1000).WithJob(newJob(1, 2)).WithJob(newJob(2, 2)).Fill(lane, seats(1), start)
+		_, ended := col.WithCallEnded(calls[0].ID, CallLost, nil, "", 2, start)
+		c.Assert(ended.Requeued, qt.Equals, 2)
+		c.Assert(ended.Failed, qt.HasLen, 1)
+		c.Assert(ended.Failed[0].Job.ID, qt.Equals, uint64(2))
+	})
+
+	t.Run("an upstream that refused gets no call for a moment", func(t *testing.T) {
+		// Another collector holds its slot: two work side by side while nodes
+		// disagree on the list.
+		c := qt.New(t)
+		col, calls := pool(1000).WithJob(newJob(1, 1)).Fill(lane, seats(1), start)
+		col, _ = col.WithCallEnded(calls[0].ID, CallRefused, nil, "", 10, start)
+		_, calls = col.Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 0)
+		_, calls = col.Fill(lane, seats(1), start.Add(refusedPause))
+		c.Assert(calls, qt.HasLen, 1)
+	})
+
+	t.Run("a missing input fails the job and frees what it has", func(t *testing.T) {
+		c := qt.New(t)
+		col, calls := pool(1000).WithJob(newJob(1, 2)).Fill(lane, seats(1), start)
+		ends := []PartEnd{{Ref: "a"}, {Failure: PartInputGone}}
+		col, ended := col.WithCallEnded(calls[0].ID, CallAnswered, ends, "z", 10, start)
+		c.Assert(ended.Failed, qt.HasLen, 1)
+		c.Assert(ended.Failed[0].Reason, qt.Equals, PartInputGone)
+		c.Assert(ended.Frees, qt.HasLen, 1)
+		c.Assert(col.Len(), qt.Equals, 0)
+	})
+
+	t.Run("a part that fails again and again fails its job", func(t *testing.T) {
+		c := qt.New(t)
+		col := pool(1000).WithJob(newJob(1, 1))
+		failed := 0
+		for now := start; failed == 0 && now.Before(start.Add(time.Second)); now = now.Add(refusedPause) {
+			var calls []Call
+			col, calls = col.Fill(lane, seats(1), now)
+			var ended Ended
+			col, ended = col.WithCallEnded(calls[0].ID, CallLost, nil, "", 10, now)
+			failed = len(ended.Failed)
+		}
+		c.Assert(failed, qt.Equals, 1)
+	})
+}
+
+func TestAdmission(t *testing.T) {
+	t.Run("a job behind a queue that makes it late is turned away on arrival", func(t *testing.T) {
+		// A burst of 2.6 times the usual load stands in front. Taken in, the job
+		// would be told so only when its time is over.
+		c := qt.New(t)
+		col := pool(0)
+		for id := range uint64(40) {
+			col = col.WithJob(newJob(id+1, 8))
+		}
+		c.Assert(col.Admits(newJob(99, 1), seats(1), start), qt.IsFalse)
+		c.Assert(col.Admits(newJob(99, 1), seats(40), start), qt.IsTrue)
+	})
+
+	t.Run("an urgent job is not turned away for the less urgent in front of it", func(t *testing.T) {
+		c := qt.New(t)
+		col := pool(0)
+		for id := range uint64(40) {
+			less := newJob(id+1, 8)
+			less.Priority = 2
+			col = col.WithJob(less)
+		}
+		c.Assert(col.Admits(newJob(99, 1), seats(1), start), qt.IsTrue)
+	})
+
+	t.Run("a late job is not turned away where nothing waits", func(t *testing.T) {
+		c := qt.New(t)
+		late := newJob(1, 1)
+		late.AimAt = start
+		c.Assert(pool(0).Admits(late, seats(1), start), qt.IsTrue)
+	})
+
+	t.Run("a job that can't be done in time any more is given up", func(t *testing.T) {
+		c := qt.New(t)
+		col := pool(0).WithJob(newJob(1, 1))
+		_, expired := col.Expire(start.Add(5 * time.Second))
+		c.Assert(expired.Failed, qt.HasLen, 0)
+		col, expired = col.Expire(start.Add(6*time.Second - callTime))
+		c.Assert(expired.Failed, qt.HasLen, 1)
+		c.Assert(col.Waiting(lane), qt.Equals, 0)
+	})
+}
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -55,6 +55,8 @@
 	// evidenceHalfLife is how fast failures are forgotten; a spell of failing
 	// lasts some seconds.
 	evidenceHalfLife = 2 * time.Second
+	// forgotten is the evidence that is too little to prefer another upstream.
+	forgotten = 0.05
 	// reportLife is how long an upstream's own word on its load counts.
 	reportLife = time.Second
 	// fullPause is how long an upstream that refused for want of room counts as full.
@@ -304,7 +306,12 @@
 		return 0
 	}
 
-	return m.failing * math.Exp2(-float64(now.Sub(m.failedAt))/float64(evidenceHalfLife))
+	left := m.failing * math.Exp2(-float64(now.Sub(m.failedAt))/float64(evidenceHalfLife))
+	if left < forgotten {
+		return 0
+	}
+
+	return left
 }
 
 // usable says whether the member may get a new call.
--- /dev/null
+++ b/internal/chuterelay/stages_test.go
@@ -0,0 +1,227 @@
+package chuterelay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chuteroute"
+)
+
+// withPeer returns a node whose lane is collected by another one.
+func withPeer(t testing.TB) *node {
+	t.Helper()
+	n := newNode(t)
+	for i := range 100 {
+		peer := Peer{Name: fmt.Sprint("peer", i), Zone: "z2", Address: "peer:1", Power: 1}
+		n.on(PeersListed{Peers: []Peer{self, peer}})
+		if n.state.peers.collector(chutebatch.Lane{Pool: partPool}, n.now).Name == peer.Name {
+			return n
+		}
+	}
+	n.Fatal("no peer is ever the collector")
+
+	return nil
+}
+
+func made(a AskParts) PartsMade {
+	var results []chutebatch.Result
+	for i := range a.Job.Parts {
+		results = append(results, chutebatch.Result{Ref: fmt.Sprint("x/", a.Ask, ".", i), Upstream: "parts0", Zone: "z1"})
+	}
+
+	return PartsMade{Ask: a.Ask, Results: results}
+}
+
+func TestStages(t *testing.T) {
+	t.Run("each stage gets all results of the ones before it, and the call those of the last", func(t *testing.T) {
+		n := newNode(t)
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		first := n.makeParts()
+		n.Assert(first, qt.HasLen, 1)
+		n.Assert(first[0].Call.Jobs[0].Key, qt.Equals, "k")
+		second := n.makeParts()
+		n.Assert(second[0].Call.Parts, qt.HasLen, 2)
+		n.Assert(second[0].Call.Jobs[0].Inputs, qt.HasLen, 1)
+		n.Assert(only[Send](n).Inputs, qt.HasLen, 2)
+	})
+
+	t.Run("results are freed as soon as all later stages have them", func(t *testing.T) {
+		n := newNode(t)
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		n.makeParts()
+		expectNo[FreeResults](n)
+		n.makeParts()
+		n.Assert(only[FreeResults](n).Refs, qt.HasLen, 1)
+	})
+
+	t.Run("a stage without parts for the request is left out", func(t *testing.T) {
+		n := newNode(t)
+		s := stream(1, chuteroute.Resumable)
+		s.Parts = []int{0, 0}
+		n.on(Arrived{Submission: s})
+		n.Assert(only[Send](n).Inputs, qt.HasLen, 0)
+	})
+
+	t.Run("inputs that are gone at the engine are made again", func(t *testing.T) {
+		n := newNode(t)
+		s := n.sent(stream(1, chuteroute.Resumable))
+		n.ends(s, EndInputGone)
+		n.makeParts()
+		n.makeParts()
+		again := only[Send](n)
+		n.Assert(again.Resume, qt.IsFalse)
+	})
+}
+
+func TestCollectorLost(t *testing.T) {
+	t.Run("another collector is asked at once", func(t *testing.T) {
+		// The node that collects the pool's parts froze. Its callers see no sign of
+		// life; this node takes over for its own requests.
+		n := withPeer(t)
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		lost := only[AskParts](n)
+		n.on(PartsFailed{Ask: lost.Ask, PeerLost: true})
+		expectNo[AskParts](n)
+		n.Assert(n.makeParts(), qt.HasLen, 1)
+	})
+
+	t.Run("what it says after that is not taken", func(t *testing.T) {
+		// The collector wakes and hands out results that it no longer looks after.
+		n := withPeer(t)
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		lost := only[AskParts](n)
+		n.on(PartsFailed{Ask: lost.Ask, PeerLost: true})
+		n.effects = nil
+		n.on(made(lost))
+		n.Assert(n.effects, qt.HasLen, 0)
+	})
+
+	t.Run("results of a collector that is gone are freed by this node", func(t *testing.T) {
+		n := withPeer(t)
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		first := only[AskParts](n)
+		n.on(made(first))
+		second := only[AskParts](n)
+		n.on(PartsFailed{Ask: first.Ask, PeerLost: true})
+		expectNo[FreeResults](n)
+		n.on(made(second))
+		n.Assert(only[FreeResults](n).Refs, qt.HasLen, 1)
+	})
+
+	t.Run("it is asked again after a while", func(t *testing.T) {
+		n := withPeer(t)
+		lane := chutebatch.Lane{Pool: partPool}
+		peer := n.state.peers.collector(lane, n.now)
+		n.on(PeerSilent{Name: peer.Name})
+		n.Assert(n.state.peers.collector(lane, n.now).Name, qt.Equals, self.Name)
+		n.Assert(n.state.peers.collector(lane, n.now.Add(peerPause)).Name, qt.Equals, peer.Name)
+	})
+}
+
+func TestCollecting(t *testing.T) {
+	t.Run("jobs of peers and own ones share calls, and each gets its own results", func(t *testing.T) {
+		n := newNode(t)
+		// Both upstreams are busy, so that the next jobs wait together.
+		n.on(JobAsked{Token: 8, Job: peerJob("busy", 8)})
+		n.on(JobAsked{Token: 9, Job: peerJob("busy", 8)})
+		n.on(JobAsked{Token: 1, Job: peerJob("theirs", 1)})
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		n.makeParts()
+		shared := take[RunCall](n)
+		n.Assert(shared, qt.HasLen, 1)
+		n.Assert(shared[0].Call.Parts, qt.HasLen, 2)
+		n.effects = append(n.effects, shared[0])
+		n.makeParts()
+		given := take[GiveParts](n)
+		n.Assert(given[len(given)-1].Token, qt.Equals, uint64(1))
+		n.Assert(given[len(given)-1].Results, qt.HasLen, 1)
+	})
+
+	t.Run("a lease that ends frees its results", func(t *testing.T) {
+		n := newNode(t)
+		n.on(JobAsked{Token: 1, Job: peerJob("theirs", 3)})
+		n.makeParts()
+		n.on(JobDropped{Token: 1})
+		n.Assert(only[FreeResults](n).Refs, qt.HasLen, 3)
+		n.Assert(n.state.Idle(), qt.IsTrue)
+	})
+
+	t.Run("a node that is shutting down takes no more jobs", func(t *testing.T) {
+		n := newNode(t)
+		n.on(DrainStarted{})
+		n.on(JobAsked{Token: 1, Job: peerJob("theirs", 3)})
+		n.Assert(only[RefuseParts](n).Leaving, qt.IsTrue)
+	})
+
+	t.Run("one overdue call is not taken for slowness, two in a row are", func(t *testing.T) {
+		// An upstream loses answers now and then. Taken for slow it would get longer
+		// timeouts, and each lost answer would cost seconds.
+		c := qt.New(t)
+		expected := 200 * time.Millisecond
+		lost := CallEnded{End: chutebatch.CallLost, Took: time.Second}
+		answered := CallEnded{End: chutebatch.CallAnswered, Took: expected}
+		p := pace{}.with(lost, expected)
+		c.Assert(p.slowness, qt.Equals, 0.0)
+		p = p.with(lost, expected)
+		c.Assert(p.slowness, qt.Equals, float64(assumedSlowness))
+		c.Assert(p.with(answered, expected).slowness, qt.Equals, 1.0)
+	})
+}
+
+func peerJob(request string, parts int) chutebatch.Job {
+	return chutebatch.Job{
+		Request: request, Pool: partPool, Parts: parts, ResultBytes: 10,
+		AimAt: start.Add(3 * time.Second), Deadline: start.Add(6 * time.Second),
+	}
+}
+
+func TestOverload(t *testing.T) {
+	t.Run("a request is turned away on arrival for the queue of a later stage", func(t *testing.T) {
+		// The first stage idles while the second one's queue is seconds long. Let in,
+		// the request would cost the first stage for nothing and hold its caller.
+		n := newNode(t)
+		n.state.waits = n.state.waits.Set(partPool, heardWait{wait: 3 * time.Second, at: n.now})
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		expectNo[RunCall](n)
+		n.Assert(n.expectRefused(RefusedNotRun).RetryAfter, qt.Equals, overloadRetry)
+	})
+
+	t.Run("word of a queue is forgotten, so that requests are let in again", func(t *testing.T) {
+		n := newNode(t)
+		n.state.waits = n.state.waits.Set(partPool, heardWait{wait: 3 * time.Second, at: n.now})
+		n.pass(waitLife)
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		expectNo[Refuse](n)
+	})
+}
+
+func TestCollectorChoice(t *testing.T) {
+	lane := chutebatch.Lane{Pool: partPool, Shard: "z2"}
+
+	t.Run("a shard is collected in its zone, by a strong VM", func(t *testing.T) {
+		c := qt.New(t)
+		var all []Peer
+		for i := range 20 {
+			all = append(all, Peer{Name: fmt.Sprint("weak", i), Zone: "z2", Power: 0.04})
+			all = append(all, Peer{Name: fmt.Sprint("far", i), Zone: "z1", Power: 0.8})
+		}
+		strong := Peer{Name: "strong", Zone: "z2", Power: 0.8}
+		p := peers{self: self}.withListed(append(all, strong))
+		c.Assert(p.collector(lane, start), qt.Equals, strong)
+		// Without the strong one, a weak one of the zone goes before strangers.
+		p = p.withSilent("strong", start)
+		c.Assert(p.collector(lane, start).Zone, qt.Equals, "z2")
+	})
+
+	t.Run("all nodes with the same list choose the same one", func(t *testing.T) {
+		c := qt.New(t)
+		a, b := Peer{Name: "a", Power: 1}, Peer{Name: "b", Power: 1}
+		here := peers{self: a}.withListed([]Peer{a, b}).collector(lane, start)
+		there := peers{self: b}.withListed([]Peer{b, a}).collector(lane, start)
+		c.Assert(here, qt.Equals, there)
+	})
+}
