--- a/internal/chutebatch/end.go
+++ b/internal/chutebatch/end.go
@@ -76,16 +76,11 @@
 	}
 	e := ending{c: c, call: call, zone: zone, allowed: allowed, now: now}
 	for i, part := range call.Parts {
-		switch {
-		case end != CallAnswered || i >= len(ends):
-			e.again(part, PartErrored, end == CallRefused)
-		case ends[i].Failure == PartNoRoom || ends[i].Failure == PartErrored:
-			e.again(part, ends[i].Failure, false)
-		case ends[i].Failure != "":
-			e.fail(part, ends[i].Failure)
-		default:
-			e.made(part, ends[i].Ref)
+		partEnd := PartEnd{Failure: PartErrored}
+		if end == CallAnswered && i < len(ends) {
+			partEnd = ends[i]
 		}
+		e.file(part, partEnd, end == CallRefused)
 	}
 	if slices.ContainsFunc(ends, func(p PartEnd) bool { return p.Failure == PartNoRoom }) {
 		e.c = e.c.withoutRoom(call, now)
@@ -124,6 +119,18 @@
 	out     Ended
 }
 
+// file takes in the end of one part.
+func (e *ending) file(p Part, end PartEnd, refused bool) {
+	switch end.Failure {
+	case "":
+		e.made(p, end.Ref)
+	case PartNoRoom, PartErrored:
+		e.again(p, end.Failure, refused)
+	default:
+		e.fail(p, end.Failure)
+	}
+}
+
 // made files a part's result, or frees it if its job is gone.
 func (e *ending) made(p Part, ref string) {
 	j, ok := e.c.jobs.Get(p.Job)
--- a/internal/chuteconn/exchange_test.go
+++ b/internal/chuteconn/exchange_test.go
@@ -213,7 +213,7 @@
 	t.Run("bytes that are no answer fail the exchange", func(t *testing.T) {
 		c := qt.New(t)
 		u := answering(t, func(string) string { return "\x00\x01garbage\r\n\r\n" })
-		expectFailure(c, newPool(t), u, request("1", nil), Options{})
+		c.Assert(expectFailure(c, newPool(t), u, request("1", nil), Options{}).Step, qt.Equals, "read")
 	})
 }
 
@@ -235,7 +235,7 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf")
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		})
-		expectFailure(c, newPool(t), u, request("1", nil), Options{})
+		c.Assert(expectFailure(c, newPool(t), u, request("1", nil), Options{}).Step, qt.Equals, "body")
 	})
 
 	t.Run("one without a length that is closed properly is whole", func(t *testing.T) {
--- a/internal/chuteconn/pool.go
+++ b/internal/chuteconn/pool.go
@@ -222,5 +222,5 @@
 
 // close ends the connection; an error on the way out changes nothing for anyone.
 func (c *conn) close() {
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -192,7 +192,7 @@
 		case <-ctx.Done():
 			return
 		case m := <-n.messages:
-			n.take(m)
+			n.take(m) //nolint:contextcheck // effects live as long as the node, not as their event
 		case ask := <-n.queries:
 			ask(n.state)
 		}
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -18,8 +18,6 @@
 	// eventBacklog is how many events of a stream may wait for a slow caller before
 	// the upstream waits too.
 	eventBacklog = 16
-	// retryShare is the part of a caller's time that a Retry-After may take.
-	retryShare = 3
 )
 
 // entry is what the node keeps of a request in flight.
@@ -143,13 +141,13 @@
 			for len(e.moves) > 0 {
 				write(<-e.moves)
 			}
-			n.finish(e, f, begun, out)
+			finish(f, begun, out)
 
 			return
 		case <-left:
 			leave()
 		case <-n.running.Done():
-			n.finish(e, final{refusal: &chuterelay.Refusal{
+			finish(final{refusal: &chuterelay.Refusal{
 				Kind: chuterelay.RefusedFailed, Reason: "this VM is shutting down",
 			}}, begun, out)
 
@@ -159,7 +157,7 @@
 }
 
 // finish writes the end of an answer.
-func (n *Node) finish(e *entry, f final, begun bool, out Output) {
+func finish(f final, begun bool, out Output) {
 	switch {
 	case f.dropped && begun, f.refusal != nil && begun:
 		out.Break()
--- a/internal/chutegate/watch.go
+++ b/internal/chutegate/watch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -235,17 +236,16 @@
 // off, three miss the others once in eight reads.
 const askAtOnce = 3
 
-// somePeers returns other nodes, beginning at another one each time.
+// somePeers returns other nodes, others each time.
 func (n *Node) somePeers() []chuterelay.Peer {
 	others := n.listedPeers()
 	others = slices.DeleteFunc(others, func(p chuterelay.Peer) bool { return p.Name == n.settings.Self.Name })
 	if len(others) <= askAtOnce {
 		return others
 	}
-	start := int(n.handles.Add(1) % uint64(len(others)))
-	rotated := append(slices.Clone(others[start:]), others[:start]...)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] }) //nolint:gosec // spreads questions, no secret
 
-	return rotated[:askAtOnce]
+	return others[:askAtOnce]
 }
 
 // watchConfig keeps the configuration up to date.
--- a/internal/chutelog/log.go
+++ b/internal/chutelog/log.go
@@ -15,10 +15,10 @@
 const (
 	// ringLines is how many lines may wait for a slow reader; more are dropped and counted.
 	ringLines = 1024
-	// DefaultRate and DefaultBurst bound the lines of one kind a second. A node takes
-	// some 20 requests a second at the size designed for (docs/CAPACITY.md), and up to
-	// three times that in a burst.
-	DefaultRate  = 60
+	// DefaultRate is the lines of one kind a second: a node takes some 20 requests a
+	// second at the size designed for (docs/CAPACITY.md), three times that in a burst.
+	DefaultRate = 60
+	// DefaultBurst is how many lines of one kind may come at once.
 	DefaultBurst = 240
 	// reportEvery is how often the counts of lines left out are written.
 	reportEvery = 5 * time.Second
