Let one node a zone read the store for the others above twelve nodes

Change: above twelve nodes each zone has a reader, elected from the list; the others follow it by a stream that tells of each change and every 400 ms that it is up to date.

--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -44,6 +44,8 @@
 	messages chan message
 	queries  chan func(chutecore.State)
 	config   atomic.Pointer[chuteroute.Config]
+	nodes    atomic.Pointer[[]chuterelay.Peer]
+	lost     lostReaders
 	// listed says that the list of upstreams was read once.
 	listed   atomic.Bool
 	draining atomic.Bool
--- /dev/null
+++ b/internal/chutegate/share.go
@@ -0,0 +1,169 @@
+package chutegate
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteshare"
+)
+
+const (
+	// followAbove is the number of nodes from which on one node a zone reads the
+	// store for the others. Each node that reads makes about three calls a second;
+	// below this number that costs less than what a silent reader would.
+	followAbove = 12
+	// directSpell is how long a node reads the store itself after the one that it
+	// followed was lost.
+	directSpell = 3 * time.Second
+)
+
+// follow takes a table from the zone's reader until that fails; false means that
+// this node has to read the store itself for now.
+func (n *Node) follow(ctx context.Context, w *watch, changed func()) bool {
+	if _, synced := w.after(); !synced {
+		return false
+	}
+	reader, ok := n.reader()
+	if !ok {
+		return false
+	}
+	w.setFollowing(true)
+	defer w.setFollowing(false)
+	take := func(rows []chuteshare.Row, version uint64) {
+		w.reached(true, n.Now())
+		if w.replace(pageOf(rows, version)) {
+			changed()
+		}
+	}
+	held := false
+	same := func() bool {
+		// What was kept while the list settled has to be looked at once more after it.
+		if settling := w.settling(n.Now()); settling || held {
+			held = settling
+			changed()
+		}
+		now, ok := n.reader()
+
+		return ok && now.Name == reader.Name
+	}
+	err := n.peers.Follow(ctx, reader.Address, w.table, take, same)
+	if err != nil && ctx.Err() == nil {
+		n.lost.add(reader.Name, n.Now())
+		n.log.Info().Str("Table", w.table).Str("Peer", reader.Name).AnErr("Cause", err).
+			Msg("the zone's reader is lost, reading the store")
+	}
+
+	return err != nil
+}
+
+// lostReaders remembers nodes that were lost as readers.
+type lostReaders struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+// lostFor is how long a lost reader is passed over: long enough for another to be
+// in use, and a row of a VM that is gone for good costs little.
+const lostFor = 10 * time.Second
+
+func (l *lostReaders) add(name string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.until == nil {
+		l.until = map[string]time.Time{}
+	}
+	l.until[name] = now.Add(lostFor)
+}
+
+func (l *lostReaders) has(name string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return now.Before(l.until[name])
+}
+
+func (w *watch) setFollowing(following bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.following = following
+}
+
+// reader returns the node of the zone that reads the store for the others; false
+// if that is this one, or if there are too few nodes for it to be worth it.
+func (n *Node) reader() (chuterelay.Peer, bool) {
+	if n.draining.Load() {
+		return chuterelay.Peer{}, false
+	}
+	all := n.listedPeers()
+	if len(all) <= followAbove {
+		return chuterelay.Peer{}, false
+	}
+	now := n.Now()
+	own := slices.DeleteFunc(all, func(p chuterelay.Peer) bool {
+		return p.Zone != n.settings.Self.Zone || n.lost.has(p.Name, now)
+	})
+	reader, ok := chuterelay.Elect("reader", own)
+
+	return reader, ok && reader.Name != n.settings.Self.Name
+}
+
+// Handlers answers other nodes.
+func (n *Node) Handlers() chuteshare.Handlers {
+	return chuteshare.Handlers{
+		Now:      n.Now,
+		NewToken: func() uint64 { return n.handles.Add(1) },
+		OnJob:    n.takeJob,
+		OnDrop: func(token uint64) {
+			n.sendWith(chuterelay.JobDropped{Token: token}, func() { delete(n.jobs, token) })
+		},
+		OnRows:   n.shareRows,
+		OnFollow: n.shareFollowed,
+	}
+}
+
+// shareRows hands a table as read to another node.
+func (n *Node) shareRows(table string) ([]chuteshare.Row, uint64) {
+	w, ok := n.watches[table]
+	if !ok {
+		return nil, 0
+	}
+	rows, version := w.snapshot()
+
+	return sharedRows(rows), version
+}
+
+// shareFollowed hands a table to a follower; a node that is ending asks it to go elsewhere.
+func (n *Node) shareFollowed(table string) chuteshare.Followed {
+	w, ok := n.watches[table]
+	if !ok {
+		return chuteshare.Followed{}
+	}
+	rows, version, current, changed := w.followed()
+
+	return chuteshare.Followed{
+		Rows: sharedRows(rows), Version: version, Current: current && !n.draining.Load(), Changed: changed,
+	}
+}
+
+func sharedRows(rows []Row) []chuteshare.Row {
+	out := make([]chuteshare.Row, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, chuteshare.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+
+	return out
+}
+
+func pageOf(rows []chuteshare.Row, version uint64) Page {
+	page := Page{Version: version}
+	for _, row := range rows {
+		page.Rows = append(page.Rows, Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+
+	return page
+}
--- a/internal/chutegate/watch.go
+++ b/internal/chutegate/watch.go
@@ -12,22 +12,25 @@
 
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
-	"azurechute.example/azurechute/internal/chuteshare"
 )
 
 const (
 	// configWait and peersWait are how long one question for changes stays open. A
-	// connection that went silent is noticed a margin later, which together stays
-	// under the time in which a change has to be in force.
+	// connection that went silent is noticed a margin later, and a change has to be
+	// in force within 2 s of being in touch with the store again.
 	configWait = 1500 * time.Millisecond
 	peersWait  = 3 * time.Second
-	waitMargin = 700 * time.Millisecond
+	waitMargin = 500 * time.Millisecond
+	// followedWait is configWait for a node that others follow: their 2 s run while
+	// it has not noticed yet that it is cut off.
+	followedWait = 700 * time.Millisecond
 	// upstreamsEvery is how often the upstreams' changes are read: their heartbeats
 	// change rows many times a second, so a question that waits would not wait. An
 	// upstream that is leaving has to be known within 2 s.
-	upstreamsEvery = 900 * time.Millisecond
-	// readTimeout bounds a read that does not wait.
-	readTimeout = 900 * time.Millisecond
+	upstreamsEvery = 800 * time.Millisecond
+	// readTimeout bounds a read that does not wait: the store may answer sixty times
+	// slower than its usual 4 ms.
+	readTimeout = 800 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 250 * time.Millisecond
 	// settle is how long after the store's return missing upstreams are kept: live
@@ -46,12 +49,16 @@
 	synced bool
 	// away says that the last read failed.
 	away bool
+	// following says that the rows come from another node.
+	following bool
+	// changed is closed and replaced by each change that matters.
+	changed chan struct{}
 	// returnedAt is when the store answered again after it had been away.
 	returnedAt time.Time
 }
 
 func newWatch(table string) *watch {
-	return &watch{table: table, rows: map[string]Row{}}
+	return &watch{table: table, rows: map[string]Row{}, changed: make(chan struct{})}
 }
 
 // snapshot returns the rows, sorted by key, and the version as of which they are true.
@@ -141,6 +148,24 @@
 	return news
 }
 
+// announce tells followers of a change that matters.
+func (w *watch) announce() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// followed returns what a follower gets; a node that follows another is not followed itself.
+func (w *watch) followed() (rows []Row, version uint64, current bool, changed <-chan struct{}) {
+	rows, version = w.snapshot()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return rows, version, w.synced && !w.away && !w.following, w.changed
+}
+
 // settling says whether rows that are missing may yet come back.
 func (w *watch) settling(now time.Time) bool {
 	w.mu.Lock()
@@ -182,23 +207,18 @@
 	return w.merge(page), nil
 }
 
-// follow reads one table until the node stops, and calls changed after each read that may have changed it.
-func (n *Node) follow(ctx context.Context, w *watch, wait, every time.Duration, changed func()) {
+// keep keeps one table up to date until the node stops, and calls changed after
+// each read that may have changed it.
+func (n *Node) keep(ctx context.Context, w *watch, wait func() time.Duration, every time.Duration, changed func()) {
+	var direct time.Time
 	for ctx.Err() == nil {
-		began := n.Now()
-		news, err := n.read(ctx, w, wait)
-		if err != nil && ctx.Err() != nil {
-			return
-		}
-		if w.reached(err == nil, n.Now()) {
-			n.log.Info().Str("Table", w.table).Bool("Reached", err == nil).AnErr("Cause", err).Msg("store")
-		}
-		if err != nil {
-			news = n.askPeers(ctx, w)
-		}
-		if news || w.settling(n.Now()) {
-			changed()
+		if n.Now().After(direct) && n.follow(ctx, w, changed) {
+			// The node that was followed is silent or out of date: read the store
+			// for a while.
+			direct = n.Now().Add(directSpell)
 		}
+		began := n.Now()
+		err := n.readOnce(ctx, w, wait(), changed)
 		pause := every - n.Now().Sub(began)
 		if err != nil {
 			pause = retryPause
@@ -209,6 +229,25 @@
 	}
 }
 
+// readOnce reads the store once, or a peer if the store does not answer.
+func (n *Node) readOnce(ctx context.Context, w *watch, wait time.Duration, changed func()) error {
+	news, err := n.read(ctx, w, wait)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if w.reached(err == nil, n.Now()) {
+		n.log.Info().Str("Table", w.table).Bool("Reached", err == nil).AnErr("Cause", err).Msg("store")
+	}
+	if err != nil {
+		news = n.askPeers(ctx, w)
+	}
+	if news || w.settling(n.Now()) {
+		changed()
+	}
+
+	return err
+}
+
 // askPeers reads the table from another node, because the store does not answer this one.
 //
 // The store can turn some nodes away while it serves the others, and revoked keys
@@ -220,13 +259,9 @@
 		if err != nil || !ok {
 			continue
 		}
-		page := Page{Version: version}
-		for _, row := range rows {
-			page.Rows = append(page.Rows, Row{Key: row.Key, Value: row.Value, Version: row.Version})
-		}
 		n.log.Info().Str("Table", w.table).Str("Peer", peer.Name).Uint64("Version", version).Msg("read from a peer")
 
-		return w.replace(page)
+		return w.replace(pageOf(rows, version))
 	}
 
 	return false
@@ -248,10 +283,23 @@
 	return others[:askAtOnce]
 }
 
+func noWait() time.Duration {
+	return 0
+}
+
+// configWait is how long a question for a newer configuration stays open.
+func (n *Node) configWait() time.Duration {
+	if len(n.listedPeers()) > followAbove {
+		return followedWait
+	}
+
+	return configWait
+}
+
 // watchConfig keeps the configuration up to date.
 func (n *Node) watchConfig(ctx context.Context) {
 	w := n.watches[n.settings.Tables.Config]
-	n.follow(ctx, w, configWait, 0, func() { n.adopt(w) })
+	n.keep(ctx, w, n.configWait, 0, func() { n.adopt(w) })
 }
 
 // adopt puts a newer configuration in force; one that can't be read leaves the old one there.
@@ -275,6 +323,7 @@
 	cfg = cfg.WithIndex()
 	n.config.Store(&cfg)
 	n.send(chuterelay.ConfigAdopted{Config: cfg})
+	w.announce()
 	n.log.Info().Uint64("Version", cfg.Version).Int("Pipelines", len(cfg.Pipelines)).
 		Int("Keys", len(cfg.Workspaces)).Msg("configuration in force")
 }
@@ -284,7 +333,7 @@
 	w := n.watches[n.settings.Tables.Upstreams]
 	var last []chutefleet.Upstream
 	lastHold := false
-	n.follow(ctx, w, 0, upstreamsEvery, func() {
+	n.keep(ctx, w, noWait, upstreamsEvery, func() {
 		list, ok := n.upstreamsOf(w)
 		hold := w.settling(n.Now())
 		if !ok || slices.Equal(list, last) && hold == lastHold && n.listed.Load() {
@@ -293,6 +342,7 @@
 		n.logMoves(last, list)
 		last, lastHold = list, hold
 		n.send(chuterelay.UpstreamsListed{Upstreams: list, Hold: hold})
+		w.announce()
 		n.listed.Store(true)
 	})
 }
@@ -340,12 +390,26 @@
 // watchPeers keeps the list of nodes up to date.
 func (n *Node) watchPeers(ctx context.Context) {
 	w := n.watches[n.settings.Tables.Peers]
-	n.follow(ctx, w, peersWait, 0, func() { n.send(chuterelay.PeersListed{Peers: n.listedPeers()}) })
+	n.keep(ctx, w, func() time.Duration { return peersWait }, 0, func() {
+		peers := n.decodePeers(w)
+		n.nodes.Store(&peers)
+		n.send(chuterelay.PeersListed{Peers: peers})
+		w.announce()
+	})
 }
 
-// listedPeers decodes the list of nodes.
+// listedPeers returns the nodes of the last list.
 func (n *Node) listedPeers() []chuterelay.Peer {
-	rows, _ := n.watches[n.settings.Tables.Peers].snapshot()
+	if peers := n.nodes.Load(); peers != nil {
+		return slices.Clone(*peers)
+	}
+
+	return nil
+}
+
+// decodePeers decodes the list of nodes.
+func (n *Node) decodePeers(w *watch) []chuterelay.Peer {
+	rows, _ := w.snapshot()
 	peers := make([]chuterelay.Peer, 0, len(rows))
 	for _, row := range rows {
 		var peer chuterelay.Peer
@@ -381,31 +445,3 @@
 		}
 	}
 }
-
-// Handlers answers other nodes.
-func (n *Node) Handlers() chuteshare.Handlers {
-	return chuteshare.Handlers{
-		Now:      n.Now,
-		NewToken: func() uint64 { return n.handles.Add(1) },
-		OnJob:    n.takeJob,
-		OnDrop: func(token uint64) {
-			n.sendWith(chuterelay.JobDropped{Token: token}, func() { delete(n.jobs, token) })
-		},
-		OnRows: n.shareRows,
-	}
-}
-
-// shareRows hands a table as read to another node.
-func (n *Node) shareRows(table string) ([]chuteshare.Row, uint64) {
-	w, ok := n.watches[table]
-	if !ok {
-		return nil, 0
-	}
-	rows, version := w.snapshot()
-	out := make([]chuteshare.Row, 0, len(rows))
-	for _, row := range rows {
-		out = append(out, chuteshare.Row{Key: row.Key, Value: row.Value, Version: row.Version})
-	}
-
-	return out, version
-}
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -71,18 +71,29 @@
 // and no correctness, so no lease is needed. A shard's collector is in its zone,
 // where it goes on working when zones are cut off from each other.
 func (p peers) collector(lane chutebatch.Lane, now time.Time) Peer {
-	best := p.self
+	chosen, ok := Elect(lane.Pool+"|"+lane.Shard, p.candidates(lane.Shard, now))
+	if !ok {
+		return p.self
+	}
+
+	return chosen
+}
+
+// Elect returns the node for a duty: of those that are strong enough the one that
+// comes first in the duty's own order. All nodes with the same list elect the same.
+func Elect(duty string, among []Peer) (Peer, bool) {
+	var best Peer
 	var bestHash uint64
 	chosen := false
-	candidates := p.candidates(lane.Shard, now)
-	least := strongEnough * strongest(candidates)
-	for _, peer := range candidates {
-		if h := rank(lane, peer); peer.Power >= least && (!chosen || h > bestHash) {
+	least := strongEnough * strongest(among)
+	for _, peer := range among {
+		h := xxhash.Sum64String(duty + "|" + peer.Name)
+		if peer.Power >= least && (!chosen || h > bestHash) {
 			best, bestHash, chosen = peer, h, true
 		}
 	}
 
-	return best
+	return best, chosen
 }
 
 // candidates lists the nodes that are not silent, those of the zone if there are any.
@@ -113,10 +124,6 @@
 	return most
 }
 
-func rank(lane chutebatch.Lane, peer Peer) uint64 {
-	return xxhash.Sum64String(lane.Pool + "|" + lane.Shard + "|" + peer.Name)
-}
-
 // share is this node's part of what all nodes may do together.
 func (p peers) share() float64 {
 	return 1 / float64(max(1, len(p.all)))
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -178,9 +178,50 @@
 	if reply.GetVersion() <= after {
 		return nil, reply.GetVersion(), false, nil
 	}
-	for _, row := range reply.GetRows() {
-		rows = append(rows, Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion()})
+
+	return decodeRows(reply.GetRows()), reply.GetVersion(), true, nil
+}
+
+// followSign is how long a followed node may go without a sign of life.
+const followSign = 3 * followEvery
+
+// Follow reads a table from a peer until the peer is silent or not up to date any
+// more, or more returns false; it calls take with each state that matters.
+func (c *Client) Follow(
+	ctx context.Context, address, table string, take func(rows []Row, version uint64), more func() bool,
+) error {
+	conn, err := c.connection(address)
+	if err != nil {
+		return err
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+
+	watch := time.AfterFunc(followSign, func() { cancel(errSilent) })
+	defer watch.Stop()
 
-	return rows, reply.GetVersion(), true, nil
+	stream, err := chutesharepb.NewShareClient(conn).Follow(ctx, &chutesharepb.FollowRequest{Table: table})
+	for err == nil && more() {
+		var update *chutesharepb.FollowUpdate
+		if update, err = stream.Recv(); err != nil {
+			break
+		}
+		watch.Reset(followSign)
+		if !update.GetCurrent() {
+			return errNotCurrent
+		}
+		if update.GetChanged() {
+			take(decodeRows(update.GetRows()), update.GetVersion())
+		}
+	}
+	if errors.Is(context.Cause(ctx), errSilent) {
+		c.forget(address, conn)
+
+		return errSilent
+	}
+
+	return err
 }
+
+// errNotCurrent ends the following of a peer that can't reach the store itself.
+var errNotCurrent = errors.New("the peer is not up to date with the store")
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -17,6 +17,10 @@
 const (
 	// aliveEvery is how often a collector tells each waiting caller that it lives.
 	aliveEvery = 250 * time.Millisecond
+	// followEvery is how often a followed node says that it is up to date: what its
+	// followers know is at most three times this old, well under the 2 s in which
+	// they have to know of a change.
+	followEvery = 400 * time.Millisecond
 	// bufferBytes is small because messages are.
 	bufferBytes = 8 << 10
 	// vanishedAfter is how long a connection whose other end vanished is kept.
@@ -44,12 +48,25 @@
 	OnDrop func(token uint64)
 	// OnRows returns the rows of a table and the version up to which they were read.
 	OnRows func(table string) ([]Row, uint64)
+	// OnFollow returns a table as read, whether this node is up to date with the
+	// store, and a channel that is closed by the next change.
+	OnFollow func(table string) Followed
 	// Now tells the time in which jobs are meant.
 	Now func() time.Time
 	// NewToken returns a number that was not given out before.
 	NewToken func() uint64
 }
 
+// Followed is a table as a node has read it.
+type Followed struct {
+	Rows    []Row
+	Version uint64
+	// Current says that the node is up to date with the store.
+	Current bool
+	// Changed is closed by the next change that matters.
+	Changed <-chan struct{}
+}
+
 // Server serves other nodes.
 type Server struct {
 	grpc *grpc.Server
@@ -133,6 +150,36 @@
 	}
 }
 
+// Follow hands out a table until the caller goes.
+func (s service) Follow(m *chutesharepb.FollowRequest, stream grpc.ServerStreamingServer[chutesharepb.FollowUpdate]) error {
+	alive := time.NewTicker(followEvery)
+	defer alive.Stop()
+
+	followed := s.handlers.OnFollow(m.GetTable())
+	changed := true
+	for {
+		update := &chutesharepb.FollowUpdate{Current: followed.Current, Version: followed.Version}
+		if changed {
+			update.Changed = true
+			update.Rows = encodeRows(followed.Rows)
+		}
+		if err := stream.Send(update); err != nil {
+			return err
+		}
+		select {
+		case <-followed.Changed:
+			changed = true
+		case <-alive.C:
+			changed = false
+		case <-stream.Context().Done():
+			return nil
+		}
+		next := s.handlers.OnFollow(m.GetTable())
+		changed = changed || next.Changed != followed.Changed
+		followed = next
+	}
+}
+
 // Rows hands out a table as this node has read it.
 func (s service) Rows(_ context.Context, m *chutesharepb.RowsRequest) (*chutesharepb.RowsReply, error) {
 	rows, version := s.handlers.OnRows(m.GetTable())
@@ -140,9 +187,7 @@
 	if version <= m.GetAfter() {
 		return reply, nil
 	}
-	for _, row := range rows {
-		reply.Rows = append(reply.Rows, &chutesharepb.Row{Key: row.Key, Value: row.Value, Version: row.Version})
-	}
+	reply.Rows = encodeRows(rows)
 
 	return reply, nil
 }
--- a/internal/chuteshare/wire.go
+++ b/internal/chuteshare/wire.go
@@ -53,3 +53,21 @@
 
 	return out
 }
+
+func encodeRows(rows []Row) []*chutesharepb.Row {
+	out := make([]*chutesharepb.Row, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, &chutesharepb.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+
+	return out
+}
+
+func decodeRows(rows []*chutesharepb.Row) []Row {
+	out := make([]Row, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion()})
+	}
+
+	return out
+}
