--- a/internal/chutebatch/collector_test.go
+++ b/internal/chutebatch/collector_test.go
@@ -128,7 +128,7 @@
 	t.Run("a slow upstream gets parts only if they end in time there", func(t *testing.T) {
 		c := qt.New(t)
 		slow := []Seat{{Upstream: "u", Slowness: 4}}
-		waited := start.Add(2 * patience)
+		waited := start.Add(slowWait)
 		_, calls := pool(1000).WithJob(newJob(1, 1)).Fill(lane, slow, waited)
 		c.Assert(calls, qt.HasLen, 1)
 		pressed := newJob(1, 1)
--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -14,9 +14,12 @@
 	// worth keeping in one zone: a tenth of a second's share of a zone's link.
 	heavyBytes = 100_000
 	// patience is how long heavy parts wait for an upstream in the zone where their
-	// results are needed, about half a call; longer would cost more callers their
-	// answer than it saves in transfers.
-	patience = 120 * time.Millisecond
+	// results are needed: one call, after which its upstream is free again. Against
+	// half a call it halves the bytes between zones; with two calls more answers are
+	// late than that is worth.
+	patience = 250 * time.Millisecond
+	// slowWait is how long parts wait for a quick upstream before a slow one.
+	slowWait = 240 * time.Millisecond
 	// slowRatio is the measured time of calls, against the expected one, from which
 	// on an upstream gets parts only if the others can't take them.
 	slowRatio = 2.2
@@ -165,7 +168,7 @@
 // suits says whether the job's parts may run at the seat by now.
 func (f *filling) suits(j *job, s Seat) bool {
 	waited := f.now.Sub(j.Since)
-	if s.class() > 0 && (waited < 2*patience || !f.timely(j, s)) {
+	if s.class() > 0 && (waited < slowWait || !f.timely(j, s)) {
 		return false
 	}
 	if j.Zone == "" || j.Zone == s.Zone || !j.heavy() {
