Serve metrics, explain requests from logs, keep cost at the platform's store

Cause: relaying nodes had no metrics, their logs no reader, and cost by stage stayed in the process.

--- a/cmd/azurechute/main.go
+++ b/cmd/azurechute/main.go
@@ -35,6 +35,7 @@
 	app := chutecli.New(version())
 	app.Serve = serve
 	app.Relay = relay
+	app.ReadLedger = chuteplatform.ReadLedger
 
 	return app.Run(ctx, os.Args[1:])
 }
--- a/internal/chutecli/app.go
+++ b/internal/chutecli/app.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,12 +17,14 @@
 	"azurechute.example/azurechute/internal/chutetable"
 )
 
-// App is what the commands run with; New fills in all but Serve and Relay.
+// App is what the commands run with; New fills in all but Serve, Relay and ReadLedger.
 type App struct {
 	// Serve runs the server until ctx ends, with the settings in the named file.
 	Serve func(ctx context.Context, settingsPath string) error
 	// Relay runs a relaying node until ctx ends, with the platform's settings in the named file.
 	Relay func(ctx context.Context, settingsPath string) error
+	// ReadLedger reads the rows of cost counters from the platform's store at an address.
+	ReadLedger func(ctx context.Context, address string) ([]json.RawMessage, error)
 	// Open connects to the platform's services.
 	Open  func(cfg chutetable.Settings) Platform
 	Clock clockwork.Clock
@@ -76,6 +79,7 @@
 	Config  configCommands `cmd:"" help:"Check, publish and follow configurations."`
 	Cost    costCommand    `cmd:"" help:"Show what each stage cost a team."`
 	State   stateCommand   `cmd:"" help:"Dump a node's whole state."`
+	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request, and why."`
 	Version versionCommand `cmd:"" help:"Print the version of this program."`
 }
 
--- a/internal/chutecli/cost.go
+++ b/internal/chutecli/cost.go
@@ -15,6 +15,8 @@
 type costCommand struct {
 	tableFlags
 
+	Platform string `env:"AZURECHUTE_PLATFORM" help:"Address of the platform's store, for nodes that relay; in place of --table." placeholder:"HOST:PORT"`
+
 	Team string `help:"Team to show; all teams when left out." placeholder:"TEAM"`
 }
 
@@ -42,15 +44,10 @@
 
 // Run sums the ledger.
 func (c costCommand) Run(ctx context.Context, s session) error {
-	if c.Table == "" {
-		return usagef("--table or AZURECHUTE_TABLE_URL is needed")
-	}
-	platform := s.Open(chutetable.Settings{TableURL: c.Table})
-	defer platform.Close()
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	s.progress("reading the ledger")
-	rows, err := platform.Scan(ctx, "read ledger", chuteledger.KeyPrefix, 0)
+	rows, err := c.rows(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -66,11 +63,26 @@
 	return nil
 }
 
-func (c costCommand) sum(rows []chutetable.Row) costResult {
+// rows reads the counters from the project's table or from the platform's store.
+func (c costCommand) rows(ctx context.Context, s session) ([]json.RawMessage, error) {
+	if c.Platform != "" && s.ReadLedger != nil {
+		return s.ReadLedger(ctx, c.Platform)
+	}
+	if c.Table == "" {
+		return nil, usagef("--table or AZURECHUTE_TABLE_URL is needed, or --platform or AZURECHUTE_PLATFORM")
+	}
+	platform := s.Open(chutetable.Settings{TableURL: c.Table})
+	defer platform.Close()
+	rows, err := platform.Scan(ctx, "read ledger", chuteledger.KeyPrefix, 0)
 	values := make([]json.RawMessage, 0, len(rows))
 	for _, row := range rows {
 		values = append(values, row.Value)
 	}
+
+	return values, err
+}
+
+func (c costCommand) sum(values []json.RawMessage) costResult {
 	lines, failed := chuteledger.Totals(values, c.Team)
 	result := costResult{Team: c.Team, Lines: append([]chuteledger.Line{}, lines...)}
 	for _, line := range lines {
--- /dev/null
+++ b/internal/chutecli/explain.go
@@ -0,0 +1,181 @@
+package chutecli
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+type explainCommand struct {
+	Request string   `arg:"" help:"The request's id." name:"request-id"`
+	Files   []string `arg:"" help:"Log files of any number of nodes; standard input when left out." optional:"" type:"existingfile"`
+}
+
+// Help returns the command's detailed help.
+func (explainCommand) Help() string {
+	return `Reads log lines of any number of nodes and prints what was decided on one request,
+in order, and why it ended as it did. Lines may have something in front of their JSON.
+
+Examples:
+  azurechute explain 9c41d07be2a35f68 entry-*.log
+  cat entry-*.log | azurechute explain 9c41d07be2a35f68 --output json`
+}
+
+// logLine is one decision on a request as nodes log it.
+type logLine struct {
+	Request  string `json:",omitempty"`
+	Node     string
+	Step     string `json:"message"`
+	Pipeline string `json:",omitempty"`
+	Pool     string `json:",omitempty"`
+	Stage    *int   `json:",omitempty"`
+	Upstream string `json:",omitempty"`
+	Peer     string `json:",omitempty"`
+	At       string `json:",omitempty"`
+	Reason   string `json:",omitempty"`
+	Attempt  int    `json:",omitempty"`
+	WaitMs   int64  `json:",omitempty"`
+	AgeMs    int64
+	LeftMs   int64
+	Version  uint64 `json:",omitempty"`
+}
+
+// explanation is the JSON result of the command.
+type explanation struct {
+	Request string
+	Lines   []logLine
+	// Cause is one sentence.
+	Cause string
+}
+
+// Run prints one request's story.
+func (c explainCommand) Run(ctx context.Context, s session) error {
+	var lines []logLine
+	for _, open := range c.sources(s) {
+		found, err := c.read(ctx, open)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("no line of the logs names request %s; lines may have been left out, look for \"log lines left out\"", c.Request)
+	}
+	// One node decides on a request, by its own clock; a time of day that jumped
+	// does not disturb the order.
+	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+	result := explanation{Request: c.Request, Lines: lines, Cause: causeOf(lines)}
+
+	return s.print(result, func() { s.printExplanation(result) })
+}
+
+// sources returns what to read: a function each that opens a file, or standard input.
+func (c explainCommand) sources(s session) []func() (io.ReadCloser, error) {
+	if len(c.Files) == 0 {
+		return []func() (io.ReadCloser, error){func() (io.ReadCloser, error) { return io.NopCloser(s.Stdin), nil }}
+	}
+	var sources []func() (io.ReadCloser, error)
+	for _, name := range c.Files {
+		s.progress("reading %s", name)
+		sources = append(sources, func() (io.ReadCloser, error) {
+			return os.Open(name) //nolint:gosec // the operator names the file
+		})
+	}
+
+	return sources
+}
+
+// read returns the request's lines of one log.
+func (c explainCommand) read(ctx context.Context, open func() (io.ReadCloser, error)) ([]logLine, error) {
+	r, err := open()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = r.Close() }()
+	wanted := []byte(strconv.Quote(c.Request))
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	var lines []logLine
+	for scanner.Scan() && ctx.Err() == nil {
+		text := scanner.Bytes()
+		start := bytes.IndexByte(text, '{')
+		if start < 0 || !bytes.Contains(text, wanted) {
+			continue
+		}
+		var line logLine
+		// A line that was cut off, as at a kill, can't be read; the others can.
+		if err := json.Unmarshal(text[start:], &line); err != nil || line.Request != c.Request {
+			continue
+		}
+		lines = append(lines, line)
+	}
+
+	return lines, scanner.Err()
+}
+
+// causeOf says in one sentence how the request ended and what came before.
+func causeOf(lines []logLine) string {
+	last := lines[len(lines)-1]
+	failures := map[string]int{}
+	var order []string
+	for _, line := range lines {
+		if line.Step != "call failed" && line.Step != "stage not made" {
+			continue
+		}
+		what := line.Step + " in pool " + line.Pool + " (" + line.Reason + ")"
+		if failures[what] == 0 {
+			order = append(order, what)
+		}
+		failures[what]++
+	}
+	var before []string
+	for _, what := range order {
+		before = append(before, fmt.Sprintf("%s, %d times", what, failures[what]))
+	}
+	end := fmt.Sprintf("%s after %d ms", last.Step, last.AgeMs)
+	if last.Reason != "" {
+		end += ": " + last.Reason
+	}
+	switch last.Step {
+	case "answered", "refused", "cancelled":
+	default:
+		end = fmt.Sprintf("no end is logged; the last step is %q after %d ms, so the node %s may have ended or been cut off", last.Step, last.AgeMs, last.Node)
+	}
+	if len(before) == 0 {
+		return end
+	}
+
+	return end + "; before that: " + strings.Join(before, "; ")
+}
+
+func (s session) printExplanation(e explanation) {
+	rows := [][]string{{"AGE", "LEFT", "NODE", "STEP", "POOL", "STAGE", "TO", "WAIT", "REASON"}}
+	for _, line := range e.Lines {
+		stage := ""
+		if line.Stage != nil {
+			stage = strconv.Itoa(*line.Stage)
+		}
+		wait := ""
+		if line.WaitMs > 0 {
+			wait = fmt.Sprint(line.WaitMs, " ms")
+		}
+		rows = append(rows, []string{
+			fmt.Sprint(line.AgeMs, " ms"), fmt.Sprint(line.LeftMs, " ms"), line.Node, line.Step, line.Pool, stage,
+			cmp.Or(line.Upstream, line.Peer), wait, line.Reason,
+		})
+	}
+	s.columns(rows)
+	s.line("")
+	s.line("%s", e.Cause)
+}
--- /dev/null
+++ b/internal/chutecli/explain_test.go
@@ -0,0 +1,51 @@
+package chutecli
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const storyLog = `  0.1 entry-1 {"Node":"n1","Request":"r1","Pool":"engines","Reason":"NotRun: the queue","AgeMs":90,"LeftMs":10,"message":"refused"}
+{"Node":"n1","Request":"r1","Pool":"engines","AgeMs":0,"LeftMs":100,"message":"admitted"}
+not JSON at all "r1"
+{"Node":"n1","Request":"r2","AgeMs":5,"message":"admitted"}
+{"Node":"n1","Request":"r1","Pool":"parts","Stage":0,"Reason":"Late","AgeMs":80,"LeftMs":20,"message":"stage not made"}
+{"Node":"n1","Request":"r1","AgeMs":
+`
+
+// runExplain runs the command over the story and returns its exit code and output.
+func runExplain(args ...string) (int, string, string) {
+	var out, errors bytes.Buffer
+	app := New("test")
+	app.Stdin, app.Stdout, app.Stderr = strings.NewReader(storyLog), &out, &errors
+
+	return app.Run(context.Background(), append([]string{"explain"}, args...)), out.String(), errors.String()
+}
+
+func TestExplain(t *testing.T) {
+	t.Run("a request's lines come in order, with the cause at the end", func(t *testing.T) {
+		c := qt.New(t)
+		code, out, _ := runExplain("r1")
+		c.Assert(code, qt.Equals, exitOK)
+		c.Assert(out, qt.Matches, `(?s).*admitted.*stage not made.*refused.*`)
+		c.Assert(out, qt.Contains, "refused after 90 ms: NotRun: the queue; before that: stage not made in pool parts (Late), 1 times")
+		c.Assert(out, qt.Not(qt.Contains), "r2")
+	})
+
+	t.Run("a request without an end says so", func(t *testing.T) {
+		c := qt.New(t)
+		_, out, _ := runExplain("r2")
+		c.Assert(out, qt.Contains, "no end is logged")
+	})
+
+	t.Run("an unknown id is an error that says where to look", func(t *testing.T) {
+		c := qt.New(t)
+		code, _, errors := runExplain("r3")
+		c.Assert(code, qt.Not(qt.Equals), exitOK)
+		c.Assert(errors, qt.Contains, "log lines left out")
+	})
+}
--- a/internal/chutecore/reduce.go
+++ b/internal/chutecore/reduce.go
@@ -48,6 +48,8 @@
 		st.attemptFailed(e)
 	case LateUsage:
 		st.charge(e.Attempt, e.Work, e.Usage, true)
+	case LedgerDue:
+		st.ledgerDue(e)
 	case RelayEvent:
 		st.applyRelay(e)
 	default:
--- a/internal/chutecore/relay.go
+++ b/internal/chutecore/relay.go
@@ -21,6 +21,34 @@
 
 func (RelayEffect) effect() {}
 
+// LedgerDue asks for the cost counters that are to be written now; AtExit asks for all that are not written.
+type LedgerDue struct {
+	Stamp
+	AtExit bool
+}
+
+// WriteLedgerRows writes cost counters, each row on the condition of its version, all or none.
+type WriteLedgerRows struct {
+	Rows []chuteledger.Row
+}
+
+func (WriteLedgerRows) effect() {}
+
+// ledgerDue hands out the rows to write in one go.
+func (st *step) ledgerDue(e LedgerDue) {
+	due := st.ledger.Due
+	if e.AtExit {
+		due = st.ledger.DueAtExit
+	}
+	ledger, rows, err := due(st.now)
+	if err != nil || len(rows) == 0 {
+		// A row that can't be encoded stays in memory and is tried again.
+		return
+	}
+	st.ledger = ledger
+	st.do(WriteLedgerRows{Rows: rows})
+}
+
 // WithRelay returns the state with relayed requests served from the given state on.
 func (s State) WithRelay(relay chuterelay.State) State {
 	s.relay = relay
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"azurechute.example/azurechute/internal/chutecore"
+	"azurechute.example/azurechute/internal/chutemeter"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
 	"azurechute.example/azurechute/internal/chuteshare"
@@ -40,6 +41,7 @@
 	decode    Decoders
 	upstreams Upstreams
 	peers     *chuteshare.Client
+	meter     *chutemeter.Meter
 
 	messages chan message
 	queries  chan func(chutecore.State)
@@ -68,6 +70,8 @@
 	at     time.Time
 	event  chuterelay.Event
 	before func()
+	// ledger is set in place of event for what concerns cost counters.
+	ledger chutecore.Event
 }
 
 // New returns a node that does nothing until Start.
@@ -78,7 +82,7 @@
 	n := &Node{
 		settings: settings, clock: clock, started: clock.Now(),
 		log:   log.With().Str("Node", settings.Self.Name).Str("Zone", settings.Self.Zone).Logger(),
-		store: store, decode: decode, upstreams: upstreams, peers: chuteshare.NewClient(),
+		store: store, decode: decode, upstreams: upstreams, peers: chuteshare.NewClient(), meter: chutemeter.New(),
 		messages: make(chan message, backlog), queries: make(chan func(chutecore.State)),
 		running: running, stop: stop,
 		entries: map[uint64]*entry{}, asks: map[uint64]context.CancelFunc{},
@@ -92,6 +96,7 @@
 		Self: settings.Self, Retries: settings.Retries, Seed: settings.Seed,
 	})
 	n.state = chutecore.NewState(identity, settings.Seed, n.Now()).WithRelay(relay)
+	n.addGauges()
 	for _, table := range []string{settings.Tables.Config, settings.Tables.Upstreams, settings.Tables.Peers} {
 		n.watches[table] = newWatch(table)
 	}
@@ -116,6 +121,7 @@
 	n.spawn(n.watchPeers)
 	n.spawn(n.register)
 	n.spawn(n.trim)
+	n.spawn(n.flushLedger)
 }
 
 // Stop ends everything; requests in flight are broken off.
@@ -207,12 +213,22 @@
 		m.before()
 	}
 	var effects []chutecore.Effect
-	n.state, effects = chutecore.Reduce(n.state, chutecore.RelayEvent{
-		Stamp: chutecore.Stamp{At: m.at}, Event: m.event,
-	})
+	event := m.ledger
+	if event == nil {
+		event = chutecore.RelayEvent{Stamp: chutecore.Stamp{At: m.at}, Event: m.event}
+	}
+	n.state, effects = chutecore.Reduce(n.state, event)
+	n.performAll(effects)
+}
+
+// performAll carries effects out in order.
+func (n *Node) performAll(effects []chutecore.Effect) {
 	for _, effect := range effects {
-		if relayed, ok := effect.(chutecore.RelayEffect); ok {
-			n.perform(relayed.Effect)
+		switch e := effect.(type) {
+		case chutecore.RelayEffect:
+			n.perform(e.Effect)
+		case chutecore.WriteLedgerRows:
+			n.spawn(func(ctx context.Context) { n.writeLedger(ctx, e.Rows) })
 		}
 	}
 }
--- /dev/null
+++ b/internal/chutegate/metrics.go
@@ -0,0 +1,39 @@
+package chutegate
+
+import (
+	"io"
+
+	"azurechute.example/azurechute/internal/chutecore"
+)
+
+// addGauges adds the figures that are read when metrics are asked for.
+func (n *Node) addGauges() {
+	n.meter.Gauge("ready", func() float64 { return truth(n.Ready()) })
+	n.meter.Gauge("draining", func() float64 { return truth(n.Draining()) })
+	n.meter.Gauge("config_version", func() float64 {
+		cfg, _ := n.Config()
+
+		return float64(cfg.Version)
+	})
+	n.meter.Gauge("nodes_listed", func() float64 { return float64(len(n.listedPeers())) })
+	n.meter.Gauge("events_waiting", func() float64 { return float64(len(n.messages)) })
+	n.meter.Gauge("requests_in_flight", func() float64 {
+		inFlight := 0
+		n.Query(func(s chutecore.State) { inFlight = s.Relay().InFlight() })
+
+		return float64(inFlight)
+	})
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+
+	return 0
+}
+
+// WriteMetrics writes all figures as text.
+func (n *Node) WriteMetrics(w io.Writer) error {
+	return n.meter.Write(w)
+}
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -30,6 +30,7 @@
 	case chuterelay.Forget:
 		n.forget(e.Handle)
 	case chuterelay.Note:
+		n.meter.Note(e)
 		n.logNote(e)
 	default:
 		n.performParts(effect)
--- a/internal/chutegate/seams.go
+++ b/internal/chutegate/seams.go
@@ -164,6 +164,9 @@
 	// Put and Remove change one row.
 	Put    func(ctx context.Context, table, key string, value []byte) error
 	Remove func(ctx context.Context, table, key string) error
+	// Replace writes rows, each on the condition that it has the given version (0:
+	// absent), all or none. It returns their new version, or else the rows as they are.
+	Replace func(ctx context.Context, table string, rows []Row) (version uint64, present []Row, err error)
 }
 
 // Decoders read the platform's rows; all fields must be set.
@@ -177,6 +180,7 @@
 	Config    string
 	ConfigKey string
 	Upstreams string
-	// Peers is the project's own table of nodes.
-	Peers string
+	// Peers is the project's own table of nodes, Ledger that of cost counters.
+	Peers  string
+	Ledger string
 }
--- /dev/null
+++ b/internal/chutemeter/meter_test.go
@@ -0,0 +1,46 @@
+package chutemeter
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azurechute.example/azurechute/internal/chuterelay"
+)
+
+func text(c *qt.C, m *Meter) string {
+	var b strings.Builder
+	c.Assert(m.Write(&b), qt.IsNil)
+
+	return b.String()
+}
+
+func TestMeter(t *testing.T) {
+	t.Run("decisions are counted by step, pipeline, pool and cause", func(t *testing.T) {
+		c := qt.New(t)
+		m := New()
+		for range 3 {
+			m.Note(chuterelay.Note{
+				Step: chuterelay.StepRefused, Pipeline: "p", Pool: "q", Reason: "NotRun: the queue", Age: 20 * time.Millisecond,
+			})
+		}
+		m.Gauge("ready", func() float64 { return 1 })
+		got := text(c, m)
+		c.Assert(got, qt.Contains, `azurechute_steps_total{step="refused",pipeline="p",pool="q",cause="NotRun"} 3`)
+		c.Assert(got, qt.Contains, `azurechute_step_age_ms{step="refused",pipeline="p",pool="q",cause="",quantile="0.5"} 20`)
+		c.Assert(got, qt.Contains, "azurechute_ready 1\n")
+	})
+
+	t.Run("names that come and go do not fill the memory", func(t *testing.T) {
+		c := qt.New(t)
+		m := New()
+		for i := range 10 * maxSeries {
+			m.Note(chuterelay.Note{Step: chuterelay.StepSent, Pipeline: fmt.Sprint(i)})
+		}
+		c.Assert(len(m.counts) <= maxSeries+1, qt.IsTrue)
+		c.Assert(text(c, m), qt.Contains, `pipeline="(other)"`)
+	})
+}
