Hand waiting jobs back when a node shuts down

Change: DrainStarted gives all waiting jobs back as leaving; a node that ends elects others for its own requests. The test fails without it.

--- a/internal/chutebatch/queue.go
+++ b/internal/chutebatch/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -120,6 +121,19 @@
 	return lanes
 }
 
+// WaitingJobs returns the jobs that have parts waiting for a call, in the order of their ids.
+func (c Collector) WaitingJobs() []Job {
+	var jobs []Job
+	for i := c.jobs.Iterator(); !i.Done(); {
+		if _, j, _ := i.Next(); len(j.pending) > 0 {
+			jobs = append(jobs, j.Job)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b Job) int { return cmp.Compare(a.ID, b.ID) })
+
+	return jobs
+}
+
 // lateAfter is the start by which a job must begin now to make its aim.
 func lateAfter(b chuteroute.Batching, now time.Time) int64 {
 	return now.Add(b.CallTime).UnixNano()
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -34,7 +34,7 @@
 // jobAsked takes a peer's job into the own collector.
 func (st *step) jobAsked(e JobAsked) {
 	if st.draining {
-		st.do(RefuseParts{Token: e.Token, Reason: "this VM is shutting down", Leaving: true})
+		st.do(RefuseParts{Token: e.Token, Reason: leavingReason, Leaving: true})
 
 		return
 	}
@@ -46,6 +46,37 @@
 	st.takeJob(job)
 }
 
+// drain hands the waiting jobs back, so that whoever asked goes to the next collector at once.
+//
+// New jobs go to another node from now on, and its calls take the upstreams'
+// slots. Jobs left waiting here would get none until their time is over.
+func (st *step) drain() {
+	st.draining = true
+	st.peers.leaving = true
+	for _, job := range st.collector.WaitingJobs() {
+		st.handBack(job)
+	}
+}
+
+// handBack gives up a job that another node will run.
+func (st *step) handBack(job chutebatch.Job) {
+	o, ok := st.origins.Get(job.ID)
+	if !ok {
+		return
+	}
+	st.dropJob(job.ID)
+	if o.ask != 0 {
+		st.partsFailed(PartsFailed{Ask: o.ask, Reason: leavingReason})
+
+		return
+	}
+	st.tokens = st.tokens.Delete(o.token)
+	st.do(RefuseParts{Token: o.token, Reason: leavingReason, Leaving: true})
+}
+
+// leavingReason is why a node that is shutting down does not run a job.
+const leavingReason = "this VM is shutting down"
+
 // takeJob queues a job at the own collector.
 func (st *step) takeJob(job chutebatch.Job) {
 	if !st.collector.Admits(job, st.seats(job.Lane()), st.now) {
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -29,6 +29,8 @@
 	self   Peer
 	all    []Peer
 	silent map[string]time.Time
+	// leaving says that this node is shutting down and collects for nobody.
+	leaving bool
 }
 
 // withListed takes in the list of nodes.
@@ -100,7 +102,7 @@
 func (p peers) candidates(zone string, now time.Time) []Peer {
 	var all, near []Peer
 	for _, peer := range p.all {
-		if peer.Name != p.self.Name && now.Before(p.silent[peer.Name]) {
+		if p.passedOver(peer, now) {
 			continue
 		}
 		all = append(all, peer)
@@ -115,6 +117,15 @@
 	return all
 }
 
+// passedOver says whether a node is not to be asked now.
+func (p peers) passedOver(peer Peer, now time.Time) bool {
+	if peer.Name == p.self.Name {
+		return p.leaving
+	}
+
+	return now.Before(p.silent[peer.Name])
+}
+
 func strongest(peers []Peer) float64 {
 	most := 0.0
 	for _, peer := range peers {
--- a/internal/chuterelay/stages_test.go
+++ b/internal/chuterelay/stages_test.go
@@ -157,6 +157,28 @@
 		n.Assert(only[RefuseParts](n).Leaving, qt.IsTrue)
 	})
 
+	t.Run("it hands waiting jobs back at once, and its own requests go to another node", func(t *testing.T) {
+		// SIGTERM comes while jobs wait. New ones go to the next collector, whose
+		// calls take all slots; those left here would wait until their time is over.
+		n := newNode(t)
+		other := Peer{Name: "other", Zone: "z1", Address: "other:1", Power: 1}
+		n.on(PeersListed{Peers: []Peer{self}})
+		for token := range uint64(2) {
+			n.on(JobAsked{Token: token + 8, Job: peerJob("busy", 8)})
+		}
+		n.on(JobAsked{Token: 1, Job: peerJob("waits", 1)})
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		n.on(PeersListed{Peers: []Peer{self, other}})
+		n.on(DrainStarted{})
+		refused := only[RefuseParts](n)
+		n.Assert(refused.Token, qt.Equals, uint64(1))
+		n.Assert(refused.Leaving, qt.IsTrue)
+		n.Assert(only[AskParts](n).Peer, qt.Equals, other)
+		// Calls under way end here, and their results are given out.
+		n.makeParts()
+		n.Assert(take[GiveParts](n), qt.HasLen, 2)
+	})
+
 	t.Run("one overdue call is not taken for slowness, two in a row are", func(t *testing.T) {
 		// An upstream loses answers now and then. Taken for slow it would get longer
 		// timeouts, and each lost answer would cost seconds.
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -159,7 +159,7 @@
 	case PeerSilent:
 		st.peers = st.peers.withSilent(e.Name, st.now)
 	case DrainStarted:
-		st.draining = true
+		st.drain()
 	case Ticked:
 		st.tickAt = time.Time{}
 		st.lookOver()
