Give up late jobs that starve behind others

Cause: in a long burst jobs that had become late yielded to timely ones until their callers' deadlines; callers were held for seconds and heard at the end. Change: a job that is 0.6 s late while timely ones wait is given up as overloaded, with a time to come back.

--- a/internal/chutebatch/collector_test.go
+++ b/internal/chutebatch/collector_test.go
@@ -288,6 +288,21 @@
 		c.Assert(pool(0).Admits(late, seats(1), start), qt.IsTrue)
 	})
 
+	t.Run("a late job that starves behind others is given up, not held to its deadline", func(t *testing.T) {
+		// In a long burst late jobs yield to those that are not late, again and
+		// again. Their callers hear so early enough to come back.
+		c := qt.New(t)
+		late := newJob(1, 1)
+		late.AimAt = start
+		now := start.Add(starvedAfter)
+		_, expired := pool(0).WithJob(late).Expire(now)
+		c.Assert(expired.Failed, qt.HasLen, 0)
+		_, expired = pool(0).WithJob(late).WithJob(newJob(2, 1)).Expire(now)
+		c.Assert(expired.Failed, qt.HasLen, 1)
+		c.Assert(expired.Failed[0].Job.ID, qt.Equals, uint64(1))
+		c.Assert(expired.Failed[0].Reason, qt.Equals, PartOverloaded)
+	})
+
 	t.Run("a job that can't be done in time any more is given up", func(t *testing.T) {
 		c := qt.New(t)
 		col := pool(0).WithJob(newJob(1, 1))
--- a/internal/chutebatch/end.go
+++ b/internal/chutebatch/end.go
@@ -89,26 +89,60 @@
 	return e.c, e.out
 }
 
-// Expire gives up the jobs whose waiting parts can't be done in time any more.
+// starvedAfter is how late a job may become while others that are not late wait,
+// before it is given up: about two calls, in which a short queue would clear.
+const starvedAfter = 600 * time.Millisecond
+
+// Expire gives up the jobs whose waiting parts can't be done in time any more, and
+// those that are late and starve behind others that are not.
 //
 // Without it they would stand in the queue until their callers' deadlines, and be
 // run after their inputs are gone, at the full price of a call.
 func (c Collector) Expire(now time.Time) (Collector, Ended) {
 	var out Ended
 	for i := c.jobs.Iterator(); !i.Done(); {
-		id, j, _ := i.Next()
-		if len(j.pending) == 0 || now.Add(c.pools[j.Pool].CallTime).Before(j.Deadline) {
+		_, j, _ := i.Next()
+		reason := c.hopeless(&j, now)
+		if reason == "" {
 			continue
 		}
 		var frees []Free
-		c, frees = c.WithoutJob(id)
+		c, frees = c.WithoutJob(j.ID)
 		out.Frees = append(out.Frees, frees...)
-		out.Failed = append(out.Failed, FailedJob{Job: j.Job, Reason: PartLate})
+		out.Failed = append(out.Failed, FailedJob{Job: j.Job, Reason: reason})
 	}
 
 	return c, out
 }
 
+// hopeless says why a waiting job is to be given up; empty if it is not.
+func (c Collector) hopeless(j *job, now time.Time) PartFailure {
+	batching := c.pools[j.Pool]
+	switch {
+	case len(j.pending) == 0:
+		return ""
+	case !now.Add(batching.CallTime).Before(j.Deadline):
+		return PartLate
+	case len(j.pending) == j.Parts && j.place().startBy < lateAfter(batching, now.Add(-starvedAfter)) && c.timelyWait(j.Lane(), now):
+		return PartOverloaded
+	default:
+		return ""
+	}
+}
+
+// timelyWait says whether jobs that are not late wait in a lane.
+func (c Collector) timelyWait(l Lane, now time.Time) bool {
+	bound := lateAfter(c.pools[l.Pool], now)
+	timely := false
+	c.walk(l, now, func(j *job) bool {
+		timely = j.place().startBy >= bound
+
+		return false
+	})
+
+	return timely
+}
+
 // ending is one pass over the parts of a call that ended.
 type ending struct {
 	c       Collector
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -239,8 +239,9 @@
 	s.tries++
 	r = r.withStage(a.stage, s)
 	gone := e.Reason == string(chutebatch.PartInputGone) || e.Reason == string(chutebatch.PartLate)
-	gone = gone || e.Reason == string(chutebatch.PartOverloaded)
-	if s.tries >= maxAsks || st.now.Add(r.callTime()).After(r.Deadline) || gone && r.lateBy(st.now) > 0 {
+	overloaded := e.Reason == string(chutebatch.PartOverloaded)
+	tooLate := st.now.Add(r.callTime()).After(r.Deadline) || gone && r.lateBy(st.now) > 0
+	if overloaded || tooLate || s.tries >= maxAsks {
 		st.giveUp(r, stageRefusal(r.Pipeline.Stages[a.stage].Pool, e.Reason))
 
 		return
