--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -10,6 +10,10 @@
 const (
 	// maxAsks bounds how often one stage of a request is asked for.
 	maxAsks = 4
+	// resumePriority and resumeAim put the stages of a broken stream, which are made
+	// again, ahead of all others: its caller has part of the answer and sees a pause.
+	resumePriority = -1
+	resumeAim      = 3 * time.Second
 	// resultMargin is how much sooner than the upstream a node counts a result as
 	// gone: the call that made it ended earlier than the node heard of it, and the
 	// next one has to fetch it.
@@ -32,6 +36,9 @@
 		job.Zone = r.inputZone(stage.After, r.zone)
 		job.Deadline = st.inputsUntil(r, stage.After)
 	}
+	if r.begun {
+		job.Priority, job.AimAt = resumePriority, st.now.Add(resumeAim)
+	}
 	job.Shard = st.shard(job)
 	peer := st.peers.collector(job.Lane(), st.now)
 	a := ask{handle: r.Handle, stage: i, peer: peer}
--- a/internal/chuterelay/stages_test.go
+++ b/internal/chuterelay/stages_test.go
@@ -212,6 +212,28 @@
 		n.Assert(n.expectRefused(RefusedNotRun).RetryAfter, qt.Equals, overloadRetry)
 	})
 
+	t.Run("the stages of a broken stream go ahead of the queue", func(t *testing.T) {
+		// Half of a diagnosis is out when its engine dies, in the middle of a burst.
+		// Behind the queue its stages would come too late to go on.
+		n := newNode(t)
+		s := n.sent(stream(1, chuteroute.Resumable))
+		n.on(AttemptBegan{Handle: 1, Attempt: s.Attempt})
+		for token := range uint64(30) {
+			n.on(JobAsked{Token: token + 1, Job: peerJob("busy", 8)})
+		}
+		take[RunCall](n)
+		n.pass(time.Second)
+		n.ends(s, EndBroken)
+		expectNo[Refuse](n)
+		for id := uint64(1); len(take[RunCall](n)) == 0; id++ {
+			n.on(CallEnded{ID: id, End: chutebatch.CallRefused})
+			n.pass(time.Second / 10)
+			n.on(Ticked{})
+		}
+		n.Assert(n.state.collector.Waiting(chutebatch.Lane{Pool: partPool}) > 0, qt.IsTrue)
+		expectNo[Refuse](n)
+	})
+
 	t.Run("word of a queue is forgotten, so that requests are let in again", func(t *testing.T) {
 		n := newNode(t)
 		n.state.waits = n.state.waits.Set(partPool, heardWait{wait: 3 * time.Second, at: n.now})
