--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -52,6 +52,8 @@
 		n.spawn(func(ctx context.Context) { n.runCall(ctx, e) })
 	case chuterelay.FreeResults:
 		n.spawn(func(ctx context.Context) { n.free(ctx, e) })
+	case chuterelay.Probe:
+		n.spawn(func(ctx context.Context) { n.probe(ctx, e) })
 	case chuterelay.TickAt:
 		n.after(e.At, chuterelay.Ticked{})
 	}
@@ -190,6 +192,14 @@
 	return chutebatch.CallLost, kind
 }
 
+// probe asks whether a silent upstream accepts connections again.
+func (n *Node) probe(ctx context.Context, e chuterelay.Probe) {
+	if !n.pause(ctx, e.At.Sub(n.Now())) {
+		return
+	}
+	n.send(chuterelay.ProbeEnded{Upstream: e.Upstream.ID, Alive: n.upstreams.Alive(ctx, e.Upstream.Address)})
+}
+
 // free tells an upstream that results may go.
 func (n *Node) free(ctx context.Context, e chuterelay.FreeResults) {
 	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
+	"time"
 
 	"azurechute.example/azurechute/internal/chuterelay"
 )
@@ -44,6 +46,8 @@
 	entry *entry
 	send  chuterelay.Send
 	whole *whole
+	// heard is when the upstream last showed a sign of life.
+	heard atomic.Pointer[time.Time]
 }
 
 // file keeps a whole answer for Deliver; the loop calls it.
@@ -55,6 +59,8 @@
 
 func (a *attempt) run(ctx context.Context) chuterelay.AttemptEnded {
 	s := a.send
+	ctx, release := a.guarded(ctx)
+	defer release()
 	ended := chuterelay.AttemptEnded{Handle: s.Handle, Attempt: s.Attempt}
 	answer, err := a.node.upstreams.Exchange(ctx, Call{
 		Incoming: a.entry.incoming, Upstream: s.Upstream, Workspace: s.Workspace,
@@ -62,11 +68,12 @@
 		Fresh: s.Fresh, Priority: s.Priority,
 	})
 	if err != nil {
-		ended.End = endOf(asSendError(err))
+		ended.End = a.endOf(ctx, err)
 		ended.Detail = err.Error()
 
 		return ended
 	}
+	a.touch()
 	defer func() { _ = answer.Body.Close() }()
 	ended.Leaving = answer.Leaving
 	ended.Load = answer.Load
@@ -74,7 +81,7 @@
 		ended.Events, err = a.pass(ctx, answer)
 		ended.End = chuterelay.EndAnswered
 		if err != nil {
-			ended.End = endOf(asSendError(err))
+			ended.End = a.endOf(ctx, err)
 			ended.Detail = err.Error()
 		}
 
@@ -85,7 +92,7 @@
 		err = errTooLong
 	}
 	if err != nil {
-		ended.End = endOf(asSendError(err))
+		ended.End = a.endOf(ctx, err)
 		ended.Detail = err.Error()
 
 		return ended
@@ -158,6 +165,7 @@
 		if err != nil {
 			return count, err
 		}
+		a.touch()
 		if a.entry.lastEvent >= 0 && event.id != a.entry.lastEvent+1 {
 			return count, errOrder
 		}
@@ -187,8 +195,11 @@
 }
 
 // endOf says what a failed exchange means.
-func endOf(failure *SendError) chuterelay.AttemptEnd {
+func (a *attempt) endOf(ctx context.Context, err error) chuterelay.AttemptEnd {
+	failure := asSendError(err)
 	switch {
+	case errors.Is(context.Cause(ctx), errGone):
+		return chuterelay.EndSilent
 	case failure.Unsent:
 		return chuterelay.EndUnreachable
 	case failure.Silent:
--- a/internal/chuterelay/attempt_test.go
+++ b/internal/chuterelay/attempt_test.go
@@ -216,3 +216,34 @@
 		n.expectRefused(RefusedNotRun)
 	})
 }
+
+func TestProbes(t *testing.T) {
+	t.Run("a silent upstream gets no call until it accepts connections again", func(t *testing.T) {
+		// A zone is cut off for seconds. After the first loss no request is tried there;
+		// the upstream is asked by connections of the node's own.
+		n := newNode(t)
+		s := n.sent(plain(1, chuteroute.Repeatable))
+		n.ends(s, EndUnreachable)
+		probe := only[Probe](n)
+		n.Assert(probe.Upstream.ID, qt.Equals, s.Upstream.ID)
+		for range 5 {
+			n.pass(probe.At.Sub(n.now))
+			n.on(ProbeEnded{Upstream: s.Upstream.ID})
+			n.Assert(n.state.Fleet().Usable(s.Upstream.ID, n.now), qt.IsFalse)
+			probe = only[Probe](n)
+		}
+		n.on(ProbeEnded{Upstream: s.Upstream.ID, Alive: true})
+		n.Assert(n.state.Fleet().Usable(s.Upstream.ID, n.now), qt.IsTrue)
+		expectNo[Probe](n)
+	})
+
+	t.Run("one that is not listed any more is not asked again", func(t *testing.T) {
+		n := newNode(t)
+		s := n.sent(plain(1, chuteroute.Repeatable))
+		n.ends(s, EndUnreachable)
+		only[Probe](n)
+		n.on(UpstreamsListed{})
+		n.on(ProbeEnded{Upstream: s.Upstream.ID})
+		expectNo[Probe](n)
+	})
+}
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -221,7 +221,7 @@
 	st.fleet = st.fleet.WithDone(call.Upstream)
 	switch {
 	case e.Failure != "":
-		st.fleet = st.fleet.WithFailure(call.Upstream, e.Failure, st.now)
+		st.failedBy(call.Upstream, e.Failure)
 	default:
 		st.fleet = st.fleet.WithSuccess(call.Upstream, st.now)
 	}
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -31,6 +31,9 @@
 	Resume bool
 	// Fresh asks for a connection that was never used, so that no old one can lose an unrepeatable call.
 	Fresh bool
+	// Replaceable says that another upstream may take over: a silent one is asked
+	// whether it still accepts connections, and given up if not.
+	Replaceable bool
 	// Streams says that events are passed on as they come.
 	Streams  bool
 	Priority int
@@ -101,6 +104,12 @@
 	Refs     []string
 }
 
+// Probe asks, at a time, whether an upstream accepts connections.
+type Probe struct {
+	Upstream chutefleet.Upstream
+	At       time.Time
+}
+
 // TickAt asks for a Ticked event.
 type TickAt struct {
 	At time.Time
@@ -128,5 +137,6 @@
 func (RefuseParts) relayEffect() {}
 func (RunCall) relayEffect()     {}
 func (FreeResults) relayEffect() {}
+func (Probe) relayEffect()       {}
 func (TickAt) relayEffect()      {}
 func (Charge) relayEffect()      {}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -156,6 +156,12 @@
 	Waiting int
 }
 
+// ProbeEnded reports whether a silent upstream accepts connections again.
+type ProbeEnded struct {
+	Upstream string
+	Alive    bool
+}
+
 // DrainStarted reports that the process was asked to end.
 type DrainStarted struct{}
 
@@ -176,5 +182,6 @@
 func (CallEnded) relayEvent()       {}
 func (AttemptBegan) relayEvent()    {}
 func (AttemptEnded) relayEvent()    {}
+func (ProbeEnded) relayEvent()      {}
 func (DrainStarted) relayEvent()    {}
 func (Ticked) relayEvent()          {}
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -35,6 +35,8 @@
 	budgets *immutable.Map[string, Budget]
 	// paces maps an upstream to how quickly it runs calls with parts.
 	paces *immutable.Map[string, pace]
+	// probed are the silent upstreams that are asked whether they are back.
+	probed *immutable.Map[string, bool]
 	// waits maps a pool to how long jobs wait there, as last heard.
 	waits *immutable.Map[string, heardWait]
 	// ownWaits are the waits at the own collector, as last worked out.
@@ -59,6 +61,7 @@
 		tokens:    immutable.NewMap[uint64, uint64](nil),
 		budgets:   immutable.NewMap[string, Budget](nil),
 		paces:     immutable.NewMap[string, pace](nil),
+		probed:    immutable.NewMap[string, bool](nil),
 		waits:     immutable.NewMap[string, heardWait](nil),
 		ownWaits:  chutebatch.NewLaneMap[heardWait](),
 		random:    *rand.NewPCG(s.Seed, s.Seed),
@@ -141,6 +144,8 @@
 		st.attemptBegan(e)
 	case AttemptEnded:
 		st.attemptEnded(e)
+	case ProbeEnded:
+		st.probeEnded(e)
 	default:
 		st.applyNews(event)
 	}
