--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 
 .PHONY: bench
 bench: ## run the benchmarks with allocations
-	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./platform/...
 
 .PHONY: fuzz
 fuzz: ## run each fuzz target for a few seconds
--- a/internal/chuterelay/harness_test.go
+++ b/internal/chuterelay/harness_test.go
@@ -149,16 +149,21 @@
 func (n *node) makeParts() []RunCall {
 	calls := take[RunCall](n)
 	for _, call := range calls {
-		var ends []chutebatch.PartEnd
-		for _, p := range call.Call.Parts {
-			ends = append(ends, chutebatch.PartEnd{Ref: fmt.Sprintf("%s/%d.%d", call.Upstream.ID, p.Job, p.Index)})
-		}
-		n.on(CallEnded{ID: call.Call.ID, End: chutebatch.CallAnswered, Ends: ends, Took: 160 * time.Millisecond})
+		n.answer(call)
 	}
 
 	return calls
 }
 
+// answer ends one call with a result for each part.
+func (n *node) answer(call RunCall) {
+	var ends []chutebatch.PartEnd
+	for _, p := range call.Call.Parts {
+		ends = append(ends, chutebatch.PartEnd{Ref: fmt.Sprintf("%s/%d.%d", call.Upstream.ID, p.Job, p.Index)})
+	}
+	n.on(CallEnded{ID: call.Call.ID, End: chutebatch.CallAnswered, Ends: ends, Took: 160 * time.Millisecond})
+}
+
 // sent brings a request up to its call and returns that.
 func (n *node) sent(s Submission) Send {
 	n.Helper()
