--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -1,9 +1,11 @@
 package chutegate
 
 import (
+	"encoding/json"
 	"io"
 
 	"azurechute.example/azurechute/internal/chutecore"
+	"azurechute.example/azurechute/internal/chuterelay"
 )
 
 // addGauges adds the figures that are read when metrics are asked for.
@@ -33,6 +35,16 @@
 	return 0
 }
 
+// WriteState writes what the node decides by as JSON.
+func (n *Node) WriteState(w io.Writer) error {
+	var view chuterelay.View
+	n.Query(func(s chutecore.State) { view = s.Relay().View(n.Now()) })
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+
+	return encoder.Encode(view)
+}
+
 // WriteMetrics writes all figures as text.
 func (n *Node) WriteMetrics(w io.Writer) error {
 	return n.meter.Write(w)
--- a/internal/chutegate/seams.go
+++ b/internal/chutegate/seams.go
@@ -85,8 +85,6 @@
 	Events  bool
 	Load    *chuterelay.Load
 	Body    io.ReadCloser
-	// SetReadDeadline bounds the next reads of the body.
-	SetReadDeadline func(at time.Time) error
 }
 
 // SendError says how a call failed before there was an answer.
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -47,11 +47,6 @@
 	Peers []Peer
 }
 
-// PeerSilent reports that a peer does not answer.
-type PeerSilent struct {
-	Name string
-}
-
 // Arrived reports a new request.
 type Arrived struct {
 	Submission
@@ -171,7 +166,6 @@
 func (ConfigAdopted) relayEvent()   {}
 func (UpstreamsListed) relayEvent() {}
 func (PeersListed) relayEvent()     {}
-func (PeerSilent) relayEvent()      {}
 func (Arrived) relayEvent()         {}
 func (CallerLeft) relayEvent()      {}
 func (DeadlinePassed) relayEvent()  {}
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -161,8 +161,6 @@
 		st.fillAll()
 	case PeersListed:
 		st.peers = st.peers.withListed(e.Peers)
-	case PeerSilent:
-		st.peers = st.peers.withSilent(e.Name, st.now)
 	case DrainStarted:
 		st.drain()
 	case Ticked:
--- /dev/null
+++ b/internal/chuterelay/view.go
@@ -0,0 +1,66 @@
+package chuterelay
+
+import (
+	"time"
+
+	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutefleet"
+)
+
+// View is what a state dump shows of relayed requests.
+type View struct {
+	Version   uint64
+	Draining  bool
+	InFlight  int
+	Requests  []RequestView
+	Upstreams []chutefleet.View
+	Peers     []PeerView
+	Lanes     []LaneView
+}
+
+// RequestView is one request in flight.
+type RequestView struct {
+	ID       string
+	Pipeline string
+	Pool     string
+	Age      time.Duration
+	Left     time.Duration
+	// Upstream is where its call runs, empty while its stages do.
+	Upstream string `json:",omitempty"`
+	Begun    bool   `json:",omitempty"`
+}
+
+// PeerView is one node with whether it is passed over for its silence.
+type PeerView struct {
+	Peer
+	Silent bool `json:",omitempty"`
+}
+
+// LaneView is one queue of the own collector.
+type LaneView struct {
+	chutebatch.Lane
+	// Parts wait for a call.
+	Parts int
+}
+
+// View returns the state in a form that encodes to JSON.
+func (s State) View(now time.Time) View {
+	v := View{
+		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
+	}
+	for i := s.requests.Iterator(); !i.Done(); {
+		_, r, _ := i.Next()
+		v.Requests = append(v.Requests, RequestView{
+			ID: r.ID, Pipeline: r.Pipeline.Name, Pool: r.pool, Age: now.Sub(r.arrivedAt), Left: r.Deadline.Sub(now),
+			Upstream: r.current.upstream.ID, Begun: r.begun,
+		})
+	}
+	for _, peer := range s.peers.all {
+		v.Peers = append(v.Peers, PeerView{Peer: peer, Silent: s.peers.passedOver(peer, now)})
+	}
+	for _, lane := range s.collector.Lanes() {
+		v.Lanes = append(v.Lanes, LaneView{Lane: lane, Parts: s.collector.Waiting(lane)})
+	}
+
+	return v
+}
