--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,10 @@
 bench: ## run the benchmarks with allocations
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./platform/...
 
+.PHONY: soak
+soak: ## faults from outside on separate processes: make soak SEEDS=50 SECONDS=10 FIRST=1000
+	$(GO) test -count=1 -timeout 60m -run TestSoak -v ./platform -soak.seeds=$(or $(SEEDS),10) -soak.seconds=$(or $(SECONDS),10) -soak.first=$(or $(FIRST),1)
+
 .PHONY: fuzz
 fuzz: ## run each fuzz target for a few seconds
 	@sh .ci/fuzz 5s
