Wait longer after each failed read of the store

Change: the pause doubles from 0.25 to 1.5 s; a peer that is silent on a question for rows loses its connection.

--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -27,8 +27,11 @@
 	// readTimeout bounds a read that does not wait: the store may answer sixty times
 	// slower than its usual 4 ms.
 	readTimeout = 800 * time.Millisecond
-	// retryPause is the pause after a failed read.
-	retryPause = 250 * time.Millisecond
+	// retryPause is the pause after a failed read; it doubles with each further one
+	// up to longestRetryPause. All nodes read at once while the store is away, and
+	// each call counts; after its return a change has seconds to be in force.
+	retryPause        = 250 * time.Millisecond
+	longestRetryPause = 1500 * time.Millisecond
 )
 
 // read brings the watch up to date once, and says whether its rows may have changed.
@@ -68,6 +71,7 @@
 // each read that may have changed it.
 func (n *Node) keep(ctx context.Context, w *watch, wait func() time.Duration, every time.Duration, changed func()) {
 	var direct time.Time
+	failed := 0
 	for ctx.Err() == nil {
 		if n.Now().After(direct) && n.follow(ctx, w, changed) {
 			// The node that was followed is silent or out of date: read the store
@@ -77,8 +81,11 @@
 		began := n.Now()
 		err := n.readOnce(ctx, w, wait(), changed)
 		pause := every - n.Now().Sub(began)
-		if err != nil {
-			pause = retryPause
+		if err == nil {
+			failed = 0
+		} else {
+			pause = min(longestRetryPause, retryPause<<min(failed, 8))
+			failed++
 		}
 		if pause > 0 && !n.pause(ctx, pause) {
 			return
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -173,6 +173,10 @@
 
 	reply, err := chutesharepb.NewShareClient(conn).Rows(ctx, &chutesharepb.RowsRequest{Table: table, After: after})
 	if err != nil {
+		if ctx.Err() != nil {
+			// Silent: the next question shall not wait on the same connection.
+			c.forget(address, conn)
+		}
 		return nil, 0, false, oops.In("share").With("step", "rows", "peer", address).Wrap(err)
 	}
 	if reply.GetVersion() <= after {
