Make heavy results beside the last of the other stages

Ruled out: the slots (calls of two to four parts of eight). Change: a stage with 1 MB of results or more is asked for when the other stages are at their last; the test shows both in one round.

--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -80,7 +80,7 @@
 // advance starts what can start: stages whose inputs are there, or else the call.
 func (st *step) advance(r request) {
 	for i := range r.stages {
-		if current, ok := st.requests.Get(r.Handle); ok && current.ready(i) {
+		if current, ok := st.requests.Get(r.Handle); ok && current.ready(i) && !current.early(i) {
 			st.askStage(current, i)
 		}
 	}
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -103,6 +103,38 @@
 	return true
 }
 
+// heavyResult is the size of a stage's results from which on they are not made
+// sooner than needed: a tenth of an upstream's room where results are largest.
+const heavyResult = 1_000_000
+
+// early says whether a stage's heavy results would lie and wait for other stages.
+//
+// They take the scarcest room, and the call needs them no sooner than the results
+// of the longest other way. So they are made beside that way's last stage.
+func (r request) early(i int) bool {
+	if r.begun || r.Pipeline.Stages[i].ResultBytes*int64(r.parts(i)) < heavyResult {
+		return false
+	}
+	for n := range r.stages {
+		if n != i && !r.stages[n].done && !after(r, n, i) && r.followed(n) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// followed says whether another unfinished stage takes a stage's results in.
+func (r request) followed(i int) bool {
+	for n := range r.stages {
+		if after(r, n, i) && !r.stages[n].done {
+			return true
+		}
+	}
+
+	return false
+}
+
 // refs lists the results of the stages in order.
 func (r request) refs(stages []int) []string {
 	var refs []string
--- a/internal/chuterelay/stages_test.go
+++ b/internal/chuterelay/stages_test.go
@@ -66,6 +66,27 @@
 		n.Assert(only[Send](n).Inputs, qt.HasLen, 0)
 	})
 
+	t.Run("heavy results are made beside the last of the other stages, not ahead of them", func(t *testing.T) {
+		// A draft has one heavy stage beside a chain of two. Made at once, its results
+		// would take an upstream's room while the chain runs, and keep others waiting.
+		n := newNode(t)
+		s := stream(1, chuteroute.Resumable)
+		s.Pipeline.Stages = append(s.Pipeline.Stages, chuteroute.Stage{Pool: partPool, ResultBytes: heavyResult})
+		s.Parts = []int{1, 2, 1}
+		n.on(Arrived{Submission: s})
+		first := n.makeParts()
+		n.Assert(first, qt.HasLen, 1)
+		n.Assert(first[0].Call.Jobs[0].Stage, qt.Equals, 0)
+		stages := map[int]bool{}
+		for _, call := range n.makeParts() {
+			for _, job := range call.Call.Jobs {
+				stages[job.Stage] = true
+			}
+		}
+		n.Assert(stages, qt.DeepEquals, map[int]bool{1: true, 2: true})
+		n.Assert(only[Send](n).Inputs, qt.HasLen, 3)
+	})
+
 	t.Run("inputs that are gone at the engine are made again", func(t *testing.T) {
 		n := newNode(t)
 		s := n.sent(stream(1, chuteroute.Resumable))
