--- a/internal/chutebatch/collector_test.go
+++ b/internal/chutebatch/collector_test.go
@@ -199,16 +199,6 @@
 		c.Assert(refusals < 10, qt.IsTrue, qt.Commentf("%d refusals", refusals))
 	})
 
-	t.Run("the upstream's own word on its room replaces the guess", func(t *testing.T) {
-		c := qt.New(t)
-		col, calls := pool(50).WithJob(newJob(1, 1)).Fill(lane, seats(1), start)
-		col, _ = col.WithCallEnded(calls[0].ID, CallAnswered, []PartEnd{{Failure: PartNoRoom}}, "z", 100, start)
-		c.Assert(col.Crowded("u0", start), qt.IsTrue)
-		half := col.WithFree("p", "u0", 25, start)
-		c.Assert(half.left("p", "u0", start), qt.Equals, int64(25))
-		c.Assert(col.WithFree("p", "u0", 50, start).Crowded("u0", start), qt.IsFalse)
-	})
-
 	t.Run("a result whose caller left meanwhile is freed", func(t *testing.T) {
 		c := qt.New(t)
 		col, calls := pool(50).WithJob(newJob(1, 2)).Fill(lane, seats(1), start)
--- a/internal/chutebatch/room.go
+++ b/internal/chutebatch/room.go
@@ -100,27 +100,3 @@
 
 	return c
 }
-
-// crowdedShare is the part of an upstream's room from which on what others hold matters.
-const crowdedShare = 0.1
-
-// WithFree takes in an upstream's own word on its free room: what neither that nor
-// the own results take is held by others.
-func (c Collector) WithFree(pool, upstream string, free int64, now time.Time) Collector {
-	batching := c.pools[pool]
-	own, _ := c.rooms.Get(upstream)
-	others := batching.Room - own.at(now).bytes - free
-	if float64(others) < crowdedShare*float64(batching.Room) {
-		c.strangers = c.strangers.Delete(upstream)
-
-		return c
-	}
-	c.strangers = c.strangers.Set(upstream, stranger{bytes: others, since: now, until: now.Add(batching.ResultTTL)})
-
-	return c
-}
-
-// Crowded says whether others are known to hold room at an upstream.
-func (c Collector) Crowded(upstream string, now time.Time) bool {
-	return c.foreign(upstream, now) > 0
-}
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -52,8 +52,6 @@
 		n.spawn(func(ctx context.Context) { n.runCall(ctx, e) })
 	case chuterelay.FreeResults:
 		n.spawn(func(ctx context.Context) { n.free(ctx, e) })
-	case chuterelay.AskRoom:
-		n.spawn(func(ctx context.Context) { n.askRoom(ctx, e) })
 	case chuterelay.Probe:
 		n.spawn(func(ctx context.Context) { n.probe(ctx, e) })
 	case chuterelay.TickAt:
@@ -194,21 +192,6 @@
 	return chutebatch.CallLost, kind
 }
 
-// askRoom asks an upstream for its free room.
-func (n *Node) askRoom(ctx context.Context, e chuterelay.AskRoom) {
-	if !n.pause(ctx, e.At.Sub(n.Now())) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
-	defer cancel()
-	free, err := n.upstreams.Room(ctx, e.Upstream)
-	if err != nil {
-		n.log.Debug().Err(err).Str("Upstream", e.Upstream.ID).Msg("an upstream does not tell its room")
-		free = -1
-	}
-	n.send(chuterelay.RoomReported{Upstream: e.Upstream.ID, Free: free})
-}
-
 // probe asks whether a silent upstream accepts connections again.
 func (n *Node) probe(ctx context.Context, e chuterelay.Probe) {
 	if !n.pause(ctx, e.At.Sub(n.Now())) {
--- a/internal/chutegate/seams.go
+++ b/internal/chutegate/seams.go
@@ -130,8 +130,6 @@
 	RunParts func(ctx context.Context, u chutefleet.Upstream, parts []PartWork) (PartsAnswer, error)
 	// Free tells an upstream which results nobody needs.
 	Free func(ctx context.Context, u chutefleet.Upstream, refs []string) error
-	// Room returns an upstream's free room for results in bytes.
-	Room func(ctx context.Context, u chutefleet.Upstream) (int64, error)
 	// Alive says whether anything accepts connections at an address.
 	Alive func(ctx context.Context, address string) bool
 	// Trim drops connections that were idle for too long.
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -192,7 +192,6 @@
 	st.collector, ended = st.collector.WithCallEnded(e.ID, e.End, e.Ends, u.Zone, allowed, st.now)
 	st.budgets = st.budgets.Set(call.Pool, budget.WithSpent(ended.Requeued, st.now))
 	st.settle(ended)
-	st.askRoom(call.Upstream, e.Ends)
 	st.fill(call.Lane)
 }
 
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -110,12 +110,6 @@
 	At       time.Time
 }
 
-// AskRoom asks, at a time, an upstream for its free room.
-type AskRoom struct {
-	Upstream chutefleet.Upstream
-	At       time.Time
-}
-
 // TickAt asks for a Ticked event.
 type TickAt struct {
 	At time.Time
@@ -143,7 +137,6 @@
 func (RefuseParts) relayEffect() {}
 func (RunCall) relayEffect()     {}
 func (FreeResults) relayEffect() {}
-func (AskRoom) relayEffect()     {}
 func (Probe) relayEffect()       {}
 func (TickAt) relayEffect()      {}
 func (Charge) relayEffect()      {}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -151,12 +151,6 @@
 	Waiting int
 }
 
-// RoomReported reports an upstream's free room for results in bytes; negative if it did not tell.
-type RoomReported struct {
-	Upstream string
-	Free     int64
-}
-
 // ProbeEnded reports whether a silent upstream accepts connections again.
 type ProbeEnded struct {
 	Upstream string
@@ -182,7 +176,6 @@
 func (CallEnded) relayEvent()       {}
 func (AttemptBegan) relayEvent()    {}
 func (AttemptEnded) relayEvent()    {}
-func (RoomReported) relayEvent()    {}
 func (ProbeEnded) relayEvent()      {}
 func (DrainStarted) relayEvent()    {}
 func (Ticked) relayEvent()          {}
--- a/internal/chuterelay/stages_test.go
+++ b/internal/chuterelay/stages_test.go
@@ -200,22 +200,6 @@
 		n.Assert(take[GiveParts](n), qt.HasLen, 2)
 	})
 
-	t.Run("an upstream without room for a part is asked for its room until others hold none", func(t *testing.T) {
-		n := newNode(t)
-		n.on(JobAsked{Token: 1, Job: peerJob("theirs", 1)})
-		call := only[RunCall](n)
-		n.on(CallEnded{
-			ID: call.Call.ID, End: chutebatch.CallAnswered, Ends: []chutebatch.PartEnd{{Failure: chutebatch.PartNoRoom}},
-		})
-		first := only[AskRoom](n)
-		n.Assert(first.Upstream.ID, qt.Equals, call.Upstream.ID)
-		n.on(RoomReported{Upstream: first.Upstream.ID, Free: 1000})
-		again := only[AskRoom](n)
-		n.Assert(again.At, qt.Equals, n.now.Add(roomEvery))
-		n.on(RoomReported{Upstream: first.Upstream.ID, Free: 1 << 20})
-		expectNo[AskRoom](n)
-	})
-
 	t.Run("one overdue call is not taken for slowness, two in a row are", func(t *testing.T) {
 		// An upstream loses answers now and then. Taken for slow it would get longer
 		// timeouts, and each lost answer would cost seconds.
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -37,8 +37,6 @@
 	paces *immutable.Map[string, pace]
 	// probed are the silent upstreams that are asked whether they are back.
 	probed *immutable.Map[string, bool]
-	// roomAsked are the upstreams that are being asked for their room.
-	roomAsked *immutable.Map[string, bool]
 	// waits maps a pool to how long jobs wait there, as last heard.
 	waits *immutable.Map[string, heardWait]
 	// ownWaits are the waits at the own collector, as last worked out.
@@ -64,7 +62,6 @@
 		budgets:   immutable.NewMap[string, Budget](nil),
 		paces:     immutable.NewMap[string, pace](nil),
 		probed:    immutable.NewMap[string, bool](nil),
-		roomAsked: immutable.NewMap[string, bool](nil),
 		waits:     immutable.NewMap[string, heardWait](nil),
 		ownWaits:  chutebatch.NewLaneMap[heardWait](),
 		random:    *rand.NewPCG(s.Seed, s.Seed),
@@ -149,8 +146,6 @@
 		st.attemptEnded(e)
 	case ProbeEnded:
 		st.probeEnded(e)
-	case RoomReported:
-		st.roomReported(e)
 	default:
 		st.applyNews(event)
 	}
