--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -143,6 +143,11 @@
 	}
 }
 
+// RefuseUnsent refuses all requests that no upstream has got yet.
+func (n *Node) RefuseUnsent() {
+	n.send(chuterelay.DrainEnding{})
+}
+
 // Draining says whether the node was asked to end.
 func (n *Node) Draining() bool {
 	return n.draining.Load()
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -151,6 +151,18 @@
 	st.giveUp(r, refusal)
 }
 
+// refuseUnsent refuses the requests that no upstream has got, shortly before the process ends.
+//
+// They would be cut off with the process; refused now they have truly not run, and
+// their callers go to another node with time left.
+func (st *step) refuseUnsent() {
+	for i := st.requests.Iterator(); !i.Done(); {
+		if _, r, _ := i.Next(); r.current.id == 0 && !r.begun {
+			st.giveUp(r, notRun(leavingReason))
+		}
+	}
+}
+
 // stopCall cancels the call under way.
 func (st *step) stopCall(r request) {
 	if r.current.id == 0 {
--- a/internal/chuterelay/attempt_test.go
+++ b/internal/chuterelay/attempt_test.go
@@ -247,3 +247,17 @@
 		expectNo[Probe](n)
 	})
 }
+
+func TestDrainEnding(t *testing.T) {
+	// The process ends in two seconds. One request is at an upstream and may finish;
+	// one waits for its stages and would be cut off.
+	n := newNode(t)
+	sent := n.sent(plain(1, chuteroute.Unrepeatable))
+	n.on(Arrived{Submission: stream(2, chuteroute.Resumable)})
+	n.on(DrainEnding{})
+	refused := only[Refuse](n)
+	n.Assert(refused.Handle, qt.Equals, uint64(2))
+	n.Assert(refused.Refusal.Kind, qt.Equals, RefusedNotRun)
+	n.ends(sent, EndAnswered)
+	n.Assert(only[Deliver](n).Handle, qt.Equals, uint64(1))
+}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -160,6 +160,9 @@
 // DrainStarted reports that the process was asked to end.
 type DrainStarted struct{}
 
+// DrainEnding reports that the process ends soon.
+type DrainEnding struct{}
+
 // Ticked reports that waiting parts should be looked over.
 type Ticked struct{}
 
@@ -178,4 +181,5 @@
 func (AttemptEnded) relayEvent()    {}
 func (ProbeEnded) relayEvent()      {}
 func (DrainStarted) relayEvent()    {}
+func (DrainEnding) relayEvent()     {}
 func (Ticked) relayEvent()          {}
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -163,6 +163,8 @@
 		st.peers = st.peers.withListed(e.Peers)
 	case DrainStarted:
 		st.drain()
+	case DrainEnding:
+		st.refuseUnsent()
 	case Ticked:
 		st.tickAt = time.Time{}
 		st.lookOver()
