Tell cut off zones by two silent parties, and avoid them at once

Cause: when a zone was cut off, requests planned for it asked its collectors one after the other, 0.4 s each, until all four tries were used up; engines there were found out one by one as well, 0.35 s each. Ruled out: collectors that shut down (their refusals name it) and killed ones (refused connections fail at once, and the next one answers). Two nodes or upstreams of another zone from which nothing came back within 2 s, with no sign of life from the zone since, mean that it is cut off: no call, no stage and no collector there while there are others. Probes of silent upstreams keep the evidence fresh or end it. Removed once: with 200 proofs in place of two, three of the new tests fail. Not covered: a node that is itself cut off sees all other zones so, which is what it should do: it goes on with its own zone.

--- a/internal/chutefleet/choose.go
+++ b/internal/chutefleet/choose.go
@@ -31,6 +31,8 @@
 	Without []string
 	// Zone is preferred where loads are alike; empty means the node's own.
 	Zone string
+	// Unreachable lists zones that are only chosen from if no other is left.
+	Unreachable []string
 }
 
 // candidate is a usable member with its believed load.
@@ -41,7 +43,7 @@
 
 // Choose picks the upstream for a call; draw is a number in [0,1) that breaks ties.
 func (f Fleet) Choose(q Query, now time.Time, draw float64) (Upstream, bool) {
-	candidates := f.candidates(q, now)
+	candidates := reachable(f.candidates(q, now), q.Unreachable)
 	if len(candidates) == 0 {
 		return Upstream{}, false
 	}
@@ -71,6 +73,24 @@
 	return out
 }
 
+// reachable leaves out the candidates of unreachable zones, unless there are no others.
+func reachable(all []candidate, unreachable []string) []candidate {
+	if len(unreachable) == 0 {
+		return all
+	}
+	var reached []candidate
+	for i := range all {
+		if !slices.Contains(unreachable, all[i].Zone) {
+			reached = append(reached, all[i])
+		}
+	}
+	if len(reached) == 0 {
+		return all
+	}
+
+	return reached
+}
+
 // holder returns the first upstream in the affinity's own order that is not overloaded.
 //
 // Each node works out the same order from the list alone, so that requests with
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -130,7 +130,9 @@
 		if !ended {
 			return
 		}
-		n.send(chuterelay.PartsFailed{Ask: e.Ask, PeerLost: end.Lost, Reason: end.Reason, Wait: end.Wait})
+		n.send(chuterelay.PartsFailed{
+			Ask: e.Ask, PeerLost: end.Lost, PeerSilent: end.Silent, Reason: end.Reason, Wait: end.Wait,
+		})
 	})
 }
 
@@ -170,6 +172,7 @@
 	switch {
 	case err != nil:
 		ended.End, ended.Failure = lostCall(err)
+		ended.Silent = asSendError(err).Silent
 		n.log.Debug().Err(err).Str("Upstream", e.Upstream.ID).Str("Pool", e.Upstream.Pool).
 			Int("Parts", len(parts)).Msg("call with parts failed")
 	case answer.Refused:
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -69,6 +69,7 @@
 	})
 	if err != nil {
 		ended.End = a.endOf(ctx, err)
+		ended.Silent = ended.End == chuterelay.EndSilent || asSendError(err).Silent
 		ended.Detail = err.Error()
 
 		return ended
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -55,7 +55,9 @@
 
 // choose picks the upstream for the request's call.
 func (st *step) choose(r request) (chutefleet.Upstream, bool) {
-	query := chutefleet.Query{Pool: r.pool, Without: r.tried, Zone: r.resultZone()}
+	query := chutefleet.Query{
+		Pool: r.pool, Without: r.tried, Zone: r.resultZone(), Unreachable: st.zones.allCutOff(st.now),
+	}
 	if r.Pipeline.Affinity {
 		query.Affinity = r.Affinity
 	}
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -41,6 +41,7 @@
 		st.note(StepBegan, r, func(n *Note) { n.Upstream = r.current.upstream.ID })
 	}
 	r.begun = true
+	st.zones = st.zones.withHeard(r.current.upstream.Zone)
 	st.fleet = st.fleet.WithRead(r.current.upstream.ID, r.current.tokens).WithSuccess(r.current.upstream.ID, st.now)
 	r.current.tokens = 0
 	for _, i := range r.Pipeline.Leaves() {
@@ -107,6 +108,7 @@
 // noteAttempt takes in what a call's end says of its upstream.
 func (st *step) noteAttempt(r request, e AttemptEnded) {
 	id := r.current.upstream.ID
+	st.noteZone(r.current.upstream, e.Silent, e.End != EndUnreachable && e.End != EndSilent && e.End != EndBroken)
 	switch e.End {
 	case EndAnswered, EndInputGone:
 		st.fleet = st.fleet.WithSuccess(id, st.now)
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -143,17 +143,23 @@
 // A shard whose upstreams are all gone or set aside is served by the others, so
 // that a zone without healthy upstreams of a pool does not fail its requests.
 func (st *step) seats(lane chutebatch.Lane) []chutebatch.Seat {
-	var all, own []chutebatch.Seat
+	var all, own, reached []chutebatch.Seat
 	for _, u := range st.fleet.UsableIn(lane.Pool, st.now) {
 		pace, _ := st.paces.Get(u.ID)
 		seat := chutebatch.Seat{Upstream: u.ID, Zone: u.Zone, Slowness: pace.slowness}
 		all = append(all, seat)
+		if st.zones.cutOff(u.Zone, st.now) {
+			continue
+		}
+		reached = append(reached, seat)
 		if u.Zone == lane.Shard {
 			own = append(own, seat)
 		}
 	}
-	if len(own) > 0 {
-		return own
+	for _, seats := range [][]chutebatch.Seat{own, reached} {
+		if len(seats) > 0 {
+			return seats
+		}
 	}
 
 	return all
@@ -219,6 +225,9 @@
 // noteCall takes in what a call's end says of its upstream.
 func (st *step) noteCall(call chutebatch.Call, e CallEnded) {
 	st.fleet = st.fleet.WithDone(call.Upstream)
+	if u, ok := st.fleet.Get(call.Upstream); ok {
+		st.noteZone(u, e.Silent, e.End == chutebatch.CallAnswered)
+	}
 	switch {
 	case e.Failure != "":
 		st.failedBy(call.Upstream, e.Failure)
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -72,11 +72,14 @@
 	Wait time.Duration
 }
 
-// PartsFailed reports that an ask brought no results; PeerLost says that the peer itself is gone or silent.
+// PartsFailed reports that an ask brought no results.
 type PartsFailed struct {
-	Ask      uint64
-	PeerLost bool
-	Reason   string
+	Ask uint64
+	// PeerLost says that the peer itself is gone, leaving or silent, PeerSilent that
+	// nothing came back from it.
+	PeerLost   bool
+	PeerSilent bool
+	Reason     string
 	// Wait is how long a job of the same kind would wait there now.
 	Wait time.Duration
 }
@@ -100,6 +103,8 @@
 	Took time.Duration
 	// Failure is empty unless the upstream failed in a way that counts against it.
 	Failure chutefleet.FailureKind
+	// Silent says that nothing came back, not even a refused connection.
+	Silent  bool
 	Leaving bool
 }
 
@@ -139,6 +144,8 @@
 	End     AttemptEnd
 	// HasAnswer says that the upstream's own answer can be passed on.
 	HasAnswer bool
+	// Silent says that nothing came back, not even a refused connection.
+	Silent bool
 	// Events counts the events that went to the caller in this attempt.
 	Events  int
 	Leaving bool
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -72,8 +72,8 @@
 // passed over by that one only. Two collectors for one lane cost refused calls
 // and no correctness, so no lease is needed. A shard's collector is in its zone,
 // where it goes on working when zones are cut off from each other.
-func (p peers) collector(lane chutebatch.Lane, now time.Time) Peer {
-	chosen, ok := Elect(lane.Pool+"|"+lane.Shard, p.candidates(lane.Shard, now))
+func (p peers) collector(lane chutebatch.Lane, unreachable []string, now time.Time) Peer {
+	chosen, ok := Elect(lane.Pool+"|"+lane.Shard, p.candidates(lane.Shard, unreachable, now))
 	if !ok {
 		return p.self
 	}
@@ -99,10 +99,10 @@
 }
 
 // candidates lists the nodes that are not silent, those of the zone if there are any.
-func (p peers) candidates(zone string, now time.Time) []Peer {
+func (p peers) candidates(zone string, unreachable []string, now time.Time) []Peer {
 	var all, near []Peer
 	for _, peer := range p.all {
-		if p.passedOver(peer, now) {
+		if p.passedOver(peer, now) || slices.Contains(unreachable, peer.Zone) {
 			continue
 		}
 		all = append(all, peer)
--- a/internal/chuterelay/probe.go
+++ b/internal/chuterelay/probe.go
@@ -23,6 +23,16 @@
 	}
 }
 
+// noteZone takes in what the end of a call says of the upstream's zone.
+func (st *step) noteZone(u chutefleet.Upstream, silent, answered bool) {
+	switch {
+	case silent:
+		st.zones = st.zones.withSilent(u.Zone, u.ID, st.now)
+	case answered:
+		st.zones = st.zones.withHeard(u.Zone)
+	}
+}
+
 // failedBy notes a failure that counts against an upstream.
 func (st *step) failedBy(id string, kind chutefleet.FailureKind) {
 	if kind == chutefleet.FailureSilent {
@@ -40,9 +50,11 @@
 	switch {
 	case !listed || u.State != chutefleet.StateReady:
 	case e.Alive:
+		st.zones = st.zones.withHeard(u.Zone)
 		st.fleet = st.fleet.WithSuccess(e.Upstream, st.now)
 		st.fillAll()
 	default:
+		st.zones = st.zones.withStillSilent(u.Zone, u.ID, st.now)
 		st.silent(e.Upstream)
 	}
 }
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -39,8 +39,9 @@
 	if r.begun {
 		job.Priority, job.AimAt = resumePriority, st.now.Add(resumeAim)
 	}
+	job.Zone = st.zones.reachable(job.Zone, st.now)
 	job.Shard = st.shard(job)
-	peer := st.peers.collector(job.Lane(), st.now)
+	peer := st.peers.collector(job.Lane(), st.zones.allCutOff(st.now), st.now)
 	a := ask{handle: r.Handle, stage: i, peer: peer}
 	s := r.stages[i]
 	s.ask = id
@@ -120,6 +121,7 @@
 	if !ok || r.stages[a.stage].ask != e.Ask {
 		return
 	}
+	st.zones = st.zones.withHeard(a.peer.Zone)
 	st.noteWait(r.Pipeline.Stages[a.stage].Pool, e.Wait)
 	s := r.stages[a.stage]
 	s.done = true
@@ -224,6 +226,9 @@
 	if e.PeerLost {
 		st.peers = st.peers.withSilent(a.peer.Name, st.now)
 	}
+	if e.PeerSilent {
+		st.zones = st.zones.withSilent(a.peer.Zone, a.peer.Name, st.now)
+	}
 	r, ok := st.requests.Get(a.handle)
 	if !ok || r.stages[a.stage].ask != e.Ask {
 		return
--- a/internal/chuterelay/stages_test.go
+++ b/internal/chuterelay/stages_test.go
@@ -18,7 +18,7 @@
 	for i := range 100 {
 		peer := Peer{Name: fmt.Sprint("peer", i), Zone: "z2", Address: "peer:1", Power: 1}
 		n.on(PeersListed{Peers: []Peer{self, peer}})
-		if n.state.peers.collector(chutebatch.Lane{Pool: partPool}, n.now).Name == peer.Name {
+		if n.state.peers.collector(chutebatch.Lane{Pool: partPool}, nil, n.now).Name == peer.Name {
 			return n
 		}
 	}
@@ -136,10 +136,10 @@
 	t.Run("it is asked again after a while", func(t *testing.T) {
 		n := withPeer(t)
 		lane := chutebatch.Lane{Pool: partPool}
-		peer := n.state.peers.collector(lane, n.now)
+		peer := n.state.peers.collector(lane, nil, n.now)
 		n.state.peers = n.state.peers.withSilent(peer.Name, n.now)
-		n.Assert(n.state.peers.collector(lane, n.now).Name, qt.Equals, self.Name)
-		n.Assert(n.state.peers.collector(lane, n.now.Add(peerPause)).Name, qt.Equals, peer.Name)
+		n.Assert(n.state.peers.collector(lane, nil, n.now).Name, qt.Equals, self.Name)
+		n.Assert(n.state.peers.collector(lane, nil, n.now.Add(peerPause)).Name, qt.Equals, peer.Name)
 	})
 }
 
@@ -276,17 +276,17 @@
 		}
 		strong := Peer{Name: "strong", Zone: "z2", Power: 0.8}
 		p := peers{self: self}.withListed(append(all, strong))
-		c.Assert(p.collector(lane, start), qt.Equals, strong)
+		c.Assert(p.collector(lane, nil, start), qt.Equals, strong)
 		// Without the strong one, a weak one of the zone goes before strangers.
 		p = p.withSilent("strong", start)
-		c.Assert(p.collector(lane, start).Zone, qt.Equals, "z2")
+		c.Assert(p.collector(lane, nil, start).Zone, qt.Equals, "z2")
 	})
 
 	t.Run("all nodes with the same list choose the same one", func(t *testing.T) {
 		c := qt.New(t)
 		a, b := Peer{Name: "a", Power: 1}, Peer{Name: "b", Power: 1}
-		here := peers{self: a}.withListed([]Peer{a, b}).collector(lane, start)
-		there := peers{self: b}.withListed([]Peer{b, a}).collector(lane, start)
+		here := peers{self: a}.withListed([]Peer{a, b}).collector(lane, nil, start)
+		there := peers{self: b}.withListed([]Peer{b, a}).collector(lane, nil, start)
 		c.Assert(here, qt.Equals, there)
 	})
 }
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -35,6 +35,8 @@
 	budgets *immutable.Map[string, Budget]
 	// paces maps an upstream to how quickly it runs calls with parts.
 	paces *immutable.Map[string, pace]
+	// zones tells which other zones are cut off from this node.
+	zones zones
 	// probed are the silent upstreams that are asked whether they are back.
 	probed *immutable.Map[string, bool]
 	// waits maps a pool to how long jobs wait there, as last heard.
@@ -67,6 +69,7 @@
 		waits:     immutable.NewMap[string, heardWait](nil),
 		ownWaits:  chutebatch.NewLaneMap[heardWait](),
 		patiences: newPatiences(),
+		zones:     newZones(s.Self.Zone),
 		random:    *rand.NewPCG(s.Seed, s.Seed),
 	}
 }
--- /dev/null
+++ b/internal/chuterelay/zones_test.go
@@ -0,0 +1,135 @@
+package chuterelay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuteroute"
+)
+
+// withFarZone returns a node that knows six upstreams of each pool in another zone
+// and two in its own.
+func withFarZone(t testing.TB) *node {
+	t.Helper()
+	n := newNode(t)
+	all := testUpstreams()
+	for _, pool := range []string{enginePool, plainPool, partPool} {
+		for i := range 6 {
+			all = append(all, chutefleet.Upstream{
+				ID: fmt.Sprint("far-", pool, i), Pool: pool, Address: "far:1", Zone: "z2", Slots: 8,
+				State: chutefleet.StateReady,
+			})
+		}
+	}
+	n.on(UpstreamsListed{Upstreams: all})
+	n.effects = nil
+
+	return n
+}
+
+// untilFar sends plain requests until one goes to the other zone; the earlier ones
+// keep the near upstreams busy.
+func (n *node) untilFar(handle *uint64) Send {
+	n.Helper()
+	for range 200 {
+		*handle++
+		s := n.sent(plain(*handle, chuteroute.Repeatable))
+		if s.Upstream.Zone == "z2" {
+			return s
+		}
+	}
+	n.Fatal("no request ever goes to the other zone")
+
+	return Send{}
+}
+
+func TestZoneCutOff(t *testing.T) {
+	t.Run("after two silent upstreams no request is tried there", func(t *testing.T) {
+		// A zone is cut off. Its upstreams accept nothing and refuse nothing, and each
+		// attempt takes a third of a second to fail. Callers would meet them one by one.
+		n := withFarZone(t)
+		handle := uint64(0)
+		n.loseFar(&handle)
+		for range 30 {
+			handle++
+			n.Assert(n.sent(plain(handle, chuteroute.Repeatable)).Upstream.Zone, qt.Equals, "z1")
+		}
+	})
+
+	t.Run("a probe that gets through ends it", func(t *testing.T) {
+		n := withFarZone(t)
+		handle := uint64(0)
+		lost := n.loseFar(&handle)
+		for range 10 {
+			n.pass(probeEvery)
+			for _, id := range lost {
+				n.on(ProbeEnded{Upstream: id})
+			}
+			n.Assert(n.state.zones.cutOff("z2", n.now), qt.IsTrue)
+		}
+		n.on(ProbeEnded{Upstream: lost[0], Alive: true})
+		n.Assert(n.state.zones.cutOff("z2", n.now), qt.IsFalse)
+	})
+
+	t.Run("refused connections are no proof: something there answers", func(t *testing.T) {
+		n := withFarZone(t)
+		handle := uint64(0)
+		for range 2 {
+			s := n.untilFar(&handle)
+			n.on(AttemptEnded{Handle: s.Handle, Attempt: s.Attempt, End: EndUnreachable})
+			take[Send](n)
+		}
+		n.Assert(n.state.zones.cutOff("z2", n.now), qt.IsFalse)
+	})
+
+	t.Run("the own zone is never given up", func(t *testing.T) {
+		c := qt.New(t)
+		z := newZones("z1").withSilent("z1", "a", start).withSilent("z1", "b", start)
+		c.Assert(z.cutOff("z1", start), qt.IsFalse)
+	})
+
+	t.Run("stages are collected and made in a zone that is reached", func(t *testing.T) {
+		// A request was planned for the other zone. Its collectors are silent one after
+		// the other; asked in turn they would use up all tries and the caller's time.
+		n := withFarZone(t)
+		var all []Peer
+		for i := range 20 {
+			all = append(all, Peer{Name: fmt.Sprint("far", i), Zone: "z2", Power: 1})
+		}
+		n.on(PeersListed{Peers: append(all, self)})
+		handle := uint64(100)
+		n.loseFar(&handle)
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		expectNo[AskParts](n)
+		n.Assert(only[RunCall](n).Upstream.Zone, qt.Equals, "z1")
+	})
+
+	t.Run("silent nodes prove it too", func(t *testing.T) {
+		n := withPeer(t)
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		asked := only[AskParts](n)
+		n.on(PartsFailed{Ask: asked.Ask, PeerLost: true, PeerSilent: true, Reason: "silent"})
+		known, _ := n.state.zones.silent.Get("z2")
+		n.Assert(known, qt.HasLen, 1)
+	})
+}
+
+// loseFar makes two upstreams of the other zone silent to requests and returns them.
+func (n *node) loseFar(handle *uint64) []string {
+	n.Helper()
+	var lost []string
+	for range zoneProofs {
+		s := n.untilFar(handle)
+		n.on(AttemptEnded{Handle: s.Handle, Attempt: s.Attempt, End: EndUnreachable, Silent: true})
+		take[Send](n)
+		lost = append(lost, s.Upstream.ID)
+	}
+	n.effects = nil
+	n.pass(time.Millisecond)
+
+	return lost
+}
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -9,7 +9,9 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
@@ -92,7 +94,9 @@
 // JobEnd is how a job at a peer ended.
 type JobEnd struct {
 	// Lost says that the peer is gone, silent or shutting down.
-	Lost   bool
+	Lost bool
+	// Silent says that no connection came about, or that nothing came back on one.
+	Silent bool
 	Reason string
 	// Wait is how long a job of the same kind would wait there now.
 	Wait time.Duration
@@ -123,11 +127,11 @@
 	case errors.Is(context.Cause(ctx), errSilent):
 		c.forget(address, conn)
 
-		return JobEnd{Lost: true, Reason: errSilent.Error()}, true
+		return JobEnd{Lost: true, Silent: true, Reason: errSilent.Error()}, true
 	case ctx.Err() != nil:
 		return JobEnd{}, false
 	case err != nil:
-		return JobEnd{Lost: true, Reason: err.Error()}, true
+		return JobEnd{Lost: true, Silent: status.Code(err) == codes.Unavailable, Reason: err.Error()}, true
 	}
 
 	return end, true
