Wait for a zone's reader that has lost the store, and ask once for all tables

Cause: when the node that reads the store for its zone lost it, even for one lost answer, all its followers read three tables each for 3 s. Ruled out: the readers' own questions (about 12 a second in all, 600 calls) and starts (five calls each, 123 starts). Change: a follower waits 0.7 s for a reader that lives and has lost the store, then asks for one table; the wait doubles up to 3 s while the store fails it too. If the store answers, the reader is passed over and another one elected. A reader that is gone is replaced by the next one; only after two in a row a node reads for itself.

--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -48,6 +48,8 @@
 	config   atomic.Pointer[chuteroute.Config]
 	nodes    atomic.Pointer[[]chuterelay.Peer]
 	lost     lostReaders
+	// storeFailedAt is when the store last failed this node; nil if it never did.
+	storeFailedAt atomic.Pointer[time.Time]
 	// listed says that the list of upstreams was read once.
 	listed   atomic.Bool
 	draining atomic.Bool
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -71,12 +71,28 @@
 // each read that may have changed it.
 func (n *Node) keep(ctx context.Context, w *watch, wait func() time.Duration, every time.Duration, changed func()) {
 	var direct time.Time
-	failed := 0
+	var stale staleness
+	failed, lost := 0, 0
 	for ctx.Err() == nil {
-		if n.Now().After(direct) && n.follow(ctx, w, changed) {
-			// The node that was followed is silent or out of date: read the store
-			// for a while.
-			direct = n.Now().Add(directSpell)
+		if n.Now().After(direct) {
+			end := n.follow(ctx, w, &stale, changed)
+			switch end {
+			case followOther:
+				lost = 0
+
+				continue
+			case followStale:
+				n.readInPlace(ctx, w, &stale, changed)
+
+				continue
+			case followLost:
+				if lost++; lost < lostInRow {
+					continue
+				}
+				direct = n.Now().Add(directSpell)
+			case followNobody:
+			}
+			lost = 0
 		}
 		began := n.Now()
 		err := n.readOnce(ctx, w, wait(), changed)
@@ -99,6 +115,10 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if err != nil {
+		now := n.Now()
+		n.storeFailedAt.Store(&now)
+	}
 	if w.reached(err == nil, n.Now()) {
 		n.log.Info().Str("Table", w.table).Bool("Reached", err == nil).AnErr("Cause", err).Msg("store")
 	}
--- a/internal/chutegate/share.go
+++ b/internal/chutegate/share.go
@@ -1,7 +1,6 @@
 package chutegate
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -10,54 +9,10 @@
 	"azurechute.example/azurechute/internal/chuteshare"
 )
 
-const (
-	// followAbove is the number of nodes from which on one node a zone reads the
-	// store for the others. Each node that reads makes about three calls a second;
-	// below this number that costs less than what a silent reader would.
-	followAbove = 12
-	// directSpell is how long a node reads the store itself after the one that it
-	// followed was lost.
-	directSpell = 3 * time.Second
-)
-
-// follow takes a table from the zone's reader until that fails; false means that
-// this node has to read the store itself for now.
-func (n *Node) follow(ctx context.Context, w *watch, changed func()) bool {
-	if _, synced := w.after(); !synced {
-		return false
-	}
-	reader, ok := n.reader()
-	if !ok {
-		return false
-	}
-	w.setFollowing(true)
-	defer w.setFollowing(false)
-	take := func(rows []chuteshare.Row, version uint64) {
-		w.reached(true, n.Now())
-		if w.replace(pageOf(rows, version)) {
-			changed()
-		}
-	}
-	held := false
-	same := func() bool {
-		// What was kept while the list settled has to be looked at once more after it.
-		if settling := w.settling(n.Now()); settling || held {
-			held = settling
-			changed()
-		}
-		now, ok := n.reader()
-
-		return ok && now.Name == reader.Name
-	}
-	err := n.peers.Follow(ctx, reader.Address, w.table, take, same)
-	if err != nil && ctx.Err() == nil {
-		n.lost.add(reader.Name, n.Now())
-		n.log.Info().Str("Table", w.table).Str("Peer", reader.Name).AnErr("Cause", err).
-			Msg("the zone's reader is lost, reading the store")
-	}
-
-	return err != nil
-}
+// followAbove is the number of nodes from which on one node a zone reads the
+// store for the others. Each node that reads makes about three calls a second;
+// below this number that costs less than what a silent reader would.
+const followAbove = 12
 
 // lostReaders remembers nodes that were lost as readers.
 type lostReaders struct {
@@ -137,7 +92,7 @@
 	return sharedRows(rows), version
 }
 
-// shareFollowed hands a table to a follower; a node that is ending asks it to go elsewhere.
+// shareFollowed hands a table to a follower; one that is ending is up to date to the last.
 func (n *Node) shareFollowed(table string) chuteshare.Followed {
 	w, ok := n.watches[table]
 	if !ok {
@@ -146,7 +101,7 @@
 	rows, version, current, changed := w.followed()
 
 	return chuteshare.Followed{
-		Rows: sharedRows(rows), Version: version, Current: current && !n.draining.Load(), Changed: changed,
+		Rows: sharedRows(rows), Version: version, Current: current, Changed: changed,
 	}
 }
 
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -193,10 +193,11 @@
 // followSign is how long a followed node may go without a sign of life.
 const followSign = 3 * followEvery
 
-// Follow reads a table from a peer until the peer is silent or not up to date any
-// more, or more returns false; it calls take with each state that matters.
+// Follow reads a table from a peer until the peer is gone or silent, or more returns
+// false; it calls take with each state that matters, and more after each word of
+// the peer with whether the peer is up to date with the store.
 func (c *Client) Follow(
-	ctx context.Context, address, table string, take func(rows []Row, version uint64), more func() bool,
+	ctx context.Context, address, table string, take func(rows []Row, version uint64), more func(current bool) bool,
 ) error {
 	conn, err := c.connection(address)
 	if err != nil {
@@ -209,18 +210,18 @@
 	defer watch.Stop()
 
 	stream, err := chutesharepb.NewShareClient(conn).Follow(ctx, &chutesharepb.FollowRequest{Table: table})
-	for err == nil && more() {
+	for err == nil {
 		var update *chutesharepb.FollowUpdate
 		if update, err = stream.Recv(); err != nil {
 			break
 		}
 		watch.Reset(followSign)
-		if !update.GetCurrent() {
-			return errNotCurrent
-		}
 		if update.GetChanged() {
 			take(decodeRows(update.GetRows()), update.GetVersion())
 		}
+		if !more(update.GetCurrent()) {
+			return nil
+		}
 	}
 	if errors.Is(context.Cause(ctx), errSilent) {
 		c.forget(address, conn)
@@ -230,6 +231,3 @@
 
 	return err
 }
-
-// errNotCurrent ends the following of a peer that can't reach the store itself.
-var errNotCurrent = errors.New("the peer is not up to date with the store")
