Turn requests away at the first stage for the queues of later ones

Cause: the queue of a request's second and third stage was known to its node only from its own earlier results, for a second, and without regard to urgency: a digest (most urgent) was judged by the wait of a check and the other way round. Ruled out: that the first stage itself was short (its calls had 3.7 to 7 of 8 parts). Change: one node collects for all pools of a shard, knows all their queues, and turns a job away for the waits on the longest way through the later stages. Waits are told and kept by lane and urgency. Tests: TestOverload (two new ones).

--- a/internal/chutebatch/admit.go
+++ b/internal/chutebatch/admit.go
@@ -11,15 +11,15 @@
 	lateAllowance = 300 * time.Millisecond
 )
 
-// Admits says whether a job can still be of use behind the parts that go ahead of it.
+// Admits says whether a job can still be of use behind the parts that go ahead of
+// it, for which it waits here and at the stages that follow.
 //
 // Under a burst the queue grows until each job is late, and those turned away at
 // last have held their callers for seconds. Turned away on arrival they can come
 // back, and what is taken in is on time. A job is only turned away for the queue
 // in front of it, never for being late by itself.
-func (c Collector) Admits(j Job, seats []Seat, now time.Time) bool {
+func (c Collector) Admits(j Job, wait time.Duration, now time.Time) bool {
 	full := c.pools[j.Pool].FullCall()
-	wait := c.Wait(j, seats, now)
 	if wait <= full {
 		return true
 	}
--- a/internal/chutebatch/collector.go
+++ b/internal/chutebatch/collector.go
@@ -32,6 +32,8 @@
 	Deadline time.Time
 	// Rest is the time that the request needs after this stage.
 	Rest time.Duration
+	// Then lists the pools of the stages that follow, on the way that takes longest.
+	Then []string
 	// Zone is where the results are needed.
 	Zone string
 	// Since is when the job came to this collector.
--- a/internal/chutebatch/collector_test.go
+++ b/internal/chutebatch/collector_test.go
@@ -266,8 +266,8 @@
 		for id := range uint64(40) {
 			col = col.WithJob(newJob(id+1, 8))
 		}
-		c.Assert(col.Admits(newJob(99, 1), seats(1), start), qt.IsFalse)
-		c.Assert(col.Admits(newJob(99, 1), seats(40), start), qt.IsTrue)
+		c.Assert(admits(col, newJob(99, 1), seats(1)), qt.IsFalse)
+		c.Assert(admits(col, newJob(99, 1), seats(40)), qt.IsTrue)
 	})
 
 	t.Run("an urgent job is not turned away for the less urgent in front of it", func(t *testing.T) {
@@ -278,14 +278,14 @@
 			less.Priority = 2
 			col = col.WithJob(less)
 		}
-		c.Assert(col.Admits(newJob(99, 1), seats(1), start), qt.IsTrue)
+		c.Assert(admits(col, newJob(99, 1), seats(1)), qt.IsTrue)
 	})
 
 	t.Run("a late job is not turned away where nothing waits", func(t *testing.T) {
 		c := qt.New(t)
 		late := newJob(1, 1)
 		late.AimAt = start
-		c.Assert(pool(0).Admits(late, seats(1), start), qt.IsTrue)
+		c.Assert(admits(pool(0), late, seats(1)), qt.IsTrue)
 	})
 
 	t.Run("a late job that starves behind others is given up, not held to its deadline", func(t *testing.T) {
@@ -313,3 +313,8 @@
 		c.Assert(col.Waiting(lane), qt.Equals, 0)
 	})
 }
+
+// admits says whether a collector takes a job in by its own queue.
+func admits(c Collector, j Job, seats []Seat) bool {
+	return c.Admits(j, c.Wait(j, seats, start), start)
+}
--- a/internal/chutebatch/queue.go
+++ b/internal/chutebatch/queue.go
@@ -22,6 +22,11 @@
 type laneHasher struct{}
 
 func (laneHasher) Hash(l Lane) uint32 {
+	return HashLane(l)
+}
+
+// HashLane returns a hash of a lane.
+func HashLane(l Lane) uint32 {
 	return uint32(xxhash.Sum64String(l.Pool + "|" + l.Shard)) //nolint:gosec // the low half of a hash
 }
 
--- a/internal/chuterelay/admit.go
+++ b/internal/chuterelay/admit.go
@@ -1,6 +1,10 @@
 package chuterelay
 
-import "time"
+import (
+	"time"
+
+	"azurechute.example/azurechute/internal/chutebatch"
+)
 
 const (
 	// waitLife is how long a collector's word on its queue counts; a queue of a
@@ -20,14 +24,38 @@
 	at   time.Time
 }
 
+// queueKey names the jobs that wait alike: those of one lane and urgency.
+type queueKey struct {
+	lane     chutebatch.Lane
+	priority int
+}
+
+// queueHasher hashes such keys for the library's map.
+type queueHasher struct{}
+
+func (queueHasher) Hash(k queueKey) uint32 {
+	return chutebatch.HashLane(k.lane) + uint32(k.priority) //nolint:gosec // a hash
+}
+
+func (queueHasher) Equal(a, b queueKey) bool {
+	return a == b
+}
+
+// queueOf names the queue in which a request's stage would wait.
+func (st *step) queueOf(r request, stage int) queueKey {
+	job := chutebatch.Job{Pool: r.Pipeline.Stages[stage].Pool, Zone: st.zones.reachable(r.zone, st.now)}
+
+	return queueKey{lane: chutebatch.Lane{Pool: job.Pool, Shard: st.shard(job)}, priority: r.priority()}
+}
+
 // noteWait takes a collector's word on its queue.
-func (st *step) noteWait(pool string, wait time.Duration) {
-	st.waits = st.waits.Set(pool, heardWait{wait: wait, at: st.now})
+func (st *step) noteWait(queue queueKey, wait time.Duration) {
+	st.waits = st.waits.Set(queue, heardWait{wait: wait, at: st.now})
 }
 
-// wait is how long jobs are believed to wait at a pool's collector now.
-func (st *step) wait(pool string) time.Duration {
-	heard, ok := st.waits.Get(pool)
+// wait is how long jobs are believed to wait in a queue now.
+func (st *step) wait(queue queueKey) time.Duration {
+	heard, ok := st.waits.Get(queue)
 	if !ok || st.now.Sub(heard.at) >= waitLife {
 		return 0
 	}
@@ -44,7 +72,7 @@
 		}
 	}
 	if stage >= 0 {
-		longest += st.wait(r.Pipeline.Stages[stage].Pool)
+		longest += st.wait(st.queueOf(r, stage))
 	}
 
 	return longest
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -23,14 +23,14 @@
 		// A stage without parts for this request is left out.
 		r.stages[i].done = r.parts(i) == 0
 	}
+	if planned, ok := st.choose(r); ok {
+		r.zone = planned.Zone
+	}
 	if wait, hopeless := st.hopeless(r); hopeless {
 		st.giveUp(r, overloaded("the queues of its stages are too long: "+wait.String()))
 
 		return
 	}
-	if planned, ok := st.choose(r); ok {
-		r.zone = planned.Zone
-	}
 	st.put(r)
 	st.note(StepAdmitted, r, func(n *Note) { n.Zone = r.zone })
 	st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
@@ -96,17 +96,26 @@
 
 // rest is the time that the request usually needs after a stage.
 func (st *step) rest(r request, stage int) time.Duration {
-	longest := time.Duration(0)
+	longest, _ := st.restOf(r, stage)
+
+	return longest
+}
+
+// restOf is the time that the request usually needs after a stage, and the pools of
+// the stages on the way that takes so long.
+func (st *step) restOf(r request, stage int) (time.Duration, []string) {
+	longest, way := r.callTime(), []string(nil)
 	for i := range r.Pipeline.Stages {
-		if after(r, i, stage) && !r.stages[i].done {
-			longest = max(longest, st.stageTime(r, i)+st.rest(r, i))
+		if !after(r, i, stage) || r.stages[i].done {
+			continue
+		}
+		needs, then := st.restOf(r, i)
+		if needs += st.stageTime(r, i); needs > longest {
+			longest, way = needs, append([]string{r.Pipeline.Stages[i].Pool}, then...)
 		}
-	}
-	if longest > 0 {
-		return longest
 	}
 
-	return r.callTime()
+	return longest, way
 }
 
 func after(r request, i, stage int) bool {
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -79,7 +79,7 @@
 
 // takeJob queues a job at the own collector.
 func (st *step) takeJob(job chutebatch.Job) {
-	if !st.collector.Admits(job, st.seats(job.Lane()), st.now) {
+	if !st.collector.Admits(job, st.waitsAhead(job), st.now) {
 		st.refuseJob(chutebatch.FailedJob{Job: job, Reason: chutebatch.PartOverloaded})
 
 		return
@@ -89,6 +89,23 @@
 	st.fill(job.Lane())
 }
 
+// waitsAhead sums the waits of a job here and at the stages that follow, as far as
+// this node collects for them too.
+//
+// The queue of a request's second stage shows only there otherwise: by then the
+// first stage has run for it in vain, and its caller has waited for that.
+func (st *step) waitsAhead(job chutebatch.Job) time.Duration {
+	wait := st.collector.Wait(job, st.seats(job.Lane()), st.now)
+	for _, pool := range job.Then {
+		later := job
+		later.Pool = pool
+		later.Shard = st.shard(later)
+		wait += st.laneWait(later)
+	}
+
+	return wait
+}
+
 // jobDropped ends a peer's lease on a job and its results.
 func (st *step) jobDropped(e JobDropped) {
 	if id, ok := st.tokens.Get(e.Token); ok {
@@ -292,14 +309,15 @@
 // laneWait is how long a job of this kind would wait at the own collector now.
 func (st *step) laneWait(like chutebatch.Job) time.Duration {
 	lane := like.Lane()
-	if heard, ok := st.ownWaits.Get(lane); ok && st.now.Sub(heard.at) < waitFresh {
+	key := queueKey{lane: lane, priority: like.Priority}
+	if heard, ok := st.ownWaits.Get(key); ok && st.now.Sub(heard.at) < waitFresh {
 		return heard.wait
 	}
 	// A new job of the kind has its whole time before it.
 	like.AimAt = st.now.Add(like.AimAt.Sub(like.Since))
 	like.ID = math.MaxUint64
 	wait := st.collector.Wait(like, st.seats(lane), st.now)
-	st.ownWaits = st.ownWaits.Set(lane, heardWait{wait: wait, at: st.now})
+	st.ownWaits = st.ownWaits.Set(key, heardWait{wait: wait, at: st.now})
 
 	return wait
 }
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -66,14 +66,20 @@
 // on a weak VM the parts of a whole pool would wait for its processor or its link.
 const strongEnough = 0.5
 
+// collecting names the duty of a collector, with the shard.
+const collecting = "collector|"
+
 // collector returns the node that gathers the parts of a lane.
 //
+// It is the same for all lanes of a shard: so it knows the queues of a request's
+// later stages when the first one asks, and turns the request away at once.
+//
 // Each node works it out alone from the list; a node that is silent to one is
 // passed over by that one only. Two collectors for one lane cost refused calls
 // and no correctness, so no lease is needed. A shard's collector is in its zone,
 // where it goes on working when zones are cut off from each other.
 func (p peers) collector(lane chutebatch.Lane, unreachable []string, now time.Time) Peer {
-	chosen, ok := Elect(lane.Pool+"|"+lane.Shard, p.candidates(lane.Shard, unreachable, now))
+	chosen, ok := Elect(collecting+lane.Shard, p.candidates(lane.Shard, unreachable, now))
 	if !ok {
 		return p.self
 	}
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -24,10 +24,11 @@
 func (st *step) askStage(r request, i int) {
 	stage := r.Pipeline.Stages[i]
 	id := st.newID()
+	rest, then := st.restOf(r, i)
 	job := chutebatch.Job{
 		Request: r.ID, Pool: stage.Pool, Stage: i, Parts: r.parts(i),
 		ResultBytes: stage.ResultBytes, Priority: r.priority(), AimAt: r.aimAt, Deadline: r.Deadline,
-		Rest: st.rest(r, i), Zone: r.zone, Since: st.now,
+		Rest: rest, Then: then, Zone: r.zone, Since: st.now,
 	}
 	if len(stage.After) == 0 {
 		job.Key = r.PartKey
@@ -42,12 +43,14 @@
 	job.Zone = st.zones.reachable(job.Zone, st.now)
 	job.Shard = st.shard(job)
 	peer := st.peers.collector(job.Lane(), st.zones.allCutOff(st.now), st.now)
-	a := ask{handle: r.Handle, stage: i, peer: peer}
+	a := ask{
+		handle: r.Handle, stage: i, peer: peer, queue: queueKey{lane: job.Lane(), priority: r.priority()},
+	}
 	s := r.stages[i]
 	s.ask = id
 	st.put(r.withStage(i, s))
 	st.note(StepAsked, r, func(n *Note) {
-		n.Pool, n.Stage, n.Peer, n.Zone, n.Wait = stage.Pool, i, peer.Name, job.Zone, st.wait(stage.Pool)
+		n.Pool, n.Stage, n.Peer, n.Zone, n.Wait = stage.Pool, i, peer.Name, job.Zone, st.wait(st.queueOf(r, i))
 	})
 	if peer.Name == st.settings.Self.Name {
 		job.ID = st.newID()
@@ -122,7 +125,7 @@
 		return
 	}
 	st.zones = st.zones.withHeard(a.peer.Zone)
-	st.noteWait(r.Pipeline.Stages[a.stage].Pool, e.Wait)
+	st.noteWait(a.queue, e.Wait)
 	s := r.stages[a.stage]
 	s.done = true
 	s.results = e.Results
@@ -243,7 +246,7 @@
 		n.Pool, n.Stage, n.Peer, n.Reason = r.Pipeline.Stages[a.stage].Pool, a.stage, a.peer.Name, e.Reason
 	})
 	if !e.PeerLost {
-		st.noteWait(r.Pipeline.Stages[a.stage].Pool, e.Wait)
+		st.noteWait(a.queue, e.Wait)
 	}
 	st.asks = st.asks.Delete(e.Ask)
 	s := r.stages[a.stage]
--- a/internal/chuterelay/stages_test.go
+++ b/internal/chuterelay/stages_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
@@ -222,12 +223,54 @@
 	}
 }
 
+// partQueue is where the stages of stream() wait.
+var partQueue = queueKey{lane: chutebatch.Lane{Pool: partPool}}
+
 func TestOverload(t *testing.T) {
+	t.Run("a collector turns a job away for the queue of the stage that follows", func(t *testing.T) {
+		// The pool of the first stage is idle, that of the second one has seconds of
+		// work. Taken in, the job would cost the first pool a part and its caller the
+		// time until the second collector turns it away.
+		n := newNode(t)
+		cfg := testConfig(2)
+		cfg.Pools["idle"] = chuteroute.Pool{Name: "idle", Batching: cfg.Pools[partPool].Batching}
+		n.on(ConfigAdopted{Config: cfg})
+		n.on(UpstreamsListed{Upstreams: append(testUpstreams(), chutefleet.Upstream{
+			ID: "idle0", Pool: "idle", Zone: "z1", State: chutefleet.StateReady,
+		})})
+		for token := range uint64(40) {
+			n.on(JobAsked{Token: token + 1, Job: peerJob("busy", 8)})
+		}
+		n.effects = nil
+		first := peerJob("first", 1)
+		first.Pool = "idle"
+		n.on(JobAsked{Token: 100, Job: first})
+		expectNo[RefuseParts](n)
+		first.Then = []string{partPool}
+		n.on(JobAsked{Token: 101, Job: first})
+		n.Assert(only[RefuseParts](n).Reason, qt.Equals, string(chutebatch.PartOverloaded))
+	})
+
+	t.Run("word of an urgent queue says nothing of one that is less urgent", func(t *testing.T) {
+		// Urgent jobs hardly wait while others wait for seconds. Taken for one queue,
+		// urgent requests would be refused for the others, and others let in in vain.
+		n := newNode(t)
+		less := partQueue
+		less.priority = 1
+		n.state.waits = n.state.waits.Set(less, heardWait{wait: 3 * time.Second, at: n.now})
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		expectNo[Refuse](n)
+		s := stream(2, chuteroute.Resumable)
+		s.Pipeline.Priority = 1
+		n.on(Arrived{Submission: s})
+		n.Assert(only[Refuse](n).Refusal.RetryAfter, qt.Equals, overloadRetry)
+	})
+
 	t.Run("a request is turned away on arrival for the queue of a later stage", func(t *testing.T) {
 		// The first stage idles while the second one's queue is seconds long. Let in,
 		// the request would cost the first stage for nothing and hold its caller.
 		n := newNode(t)
-		n.state.waits = n.state.waits.Set(partPool, heardWait{wait: 3 * time.Second, at: n.now})
+		n.state.waits = n.state.waits.Set(partQueue, heardWait{wait: 3 * time.Second, at: n.now})
 		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
 		expectNo[RunCall](n)
 		n.Assert(n.expectRefused(RefusedNotRun).RetryAfter, qt.Equals, overloadRetry)
@@ -257,7 +300,7 @@
 
 	t.Run("word of a queue is forgotten, so that requests are let in again", func(t *testing.T) {
 		n := newNode(t)
-		n.state.waits = n.state.waits.Set(partPool, heardWait{wait: 3 * time.Second, at: n.now})
+		n.state.waits = n.state.waits.Set(partQueue, heardWait{wait: 3 * time.Second, at: n.now})
 		n.pass(waitLife)
 		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
 		expectNo[Refuse](n)
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -39,10 +39,10 @@
 	zones zones
 	// probed are the silent upstreams that are asked whether they are back.
 	probed *immutable.Map[string, bool]
-	// waits maps a pool to how long jobs wait there, as last heard.
-	waits *immutable.Map[string, heardWait]
-	// ownWaits are the waits at the own collector, as last worked out.
-	ownWaits *immutable.Map[chutebatch.Lane, heardWait]
+	// waits are how long jobs wait, as last heard, ownWaits the same at the own
+	// collector, as last worked out.
+	waits    *immutable.Map[queueKey, heardWait]
+	ownWaits *immutable.Map[queueKey, heardWait]
 	// patiences tells callers that come back from new ones.
 	patiences patiences
 	// tickAt is when the next Ticked event is due; zero if none is.
@@ -66,8 +66,8 @@
 		budgets:   immutable.NewMap[string, Budget](nil),
 		paces:     immutable.NewMap[string, pace](nil),
 		probed:    immutable.NewMap[string, bool](nil),
-		waits:     immutable.NewMap[string, heardWait](nil),
-		ownWaits:  chutebatch.NewLaneMap[heardWait](),
+		waits:     immutable.NewMap[queueKey, heardWait](queueHasher{}),
+		ownWaits:  immutable.NewMap[queueKey, heardWait](queueHasher{}),
 		patiences: newPatiences(),
 		zones:     newZones(s.Self.Zone),
 		random:    *rand.NewPCG(s.Seed, s.Seed),
@@ -106,6 +106,7 @@
 	handle uint64
 	stage  int
 	peer   Peer
+	queue  queueKey
 	// job is the own collector's job; 0 if a peer was asked.
 	job uint64
 	// orphaned says that the peer was lost after it had made the results, so that
--- a/internal/chuteshare/wire.go
+++ b/internal/chuteshare/wire.go
@@ -20,7 +20,7 @@
 		Request: j.Request, Pool: j.Pool, Stage: int32(j.Stage), Parts: int32(j.Parts), //nolint:gosec // small counts
 		Key: j.Key, Inputs: j.Inputs, ResultBytes: j.ResultBytes, Priority: int32(j.Priority), //nolint:gosec // small
 		AimMs: j.AimAt.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
-		RestMs: j.Rest.Milliseconds(), Zone: j.Zone, Shard: j.Shard,
+		RestMs: j.Rest.Milliseconds(), Zone: j.Zone, Shard: j.Shard, Then: j.Then,
 	}
 }
 
@@ -33,6 +33,7 @@
 		Rest:     time.Duration(m.GetRestMs()) * time.Millisecond,
 		Zone:     m.GetZone(),
 		Shard:    m.GetShard(),
+		Then:     m.GetThen(),
 	}
 }
 
