Let a part without room teach its size only, and hold small calls back for room

Cause: under load the calls of the second stage of the grown catalogue held 27 of 42 parts, by turns 42 and 3, although hundreds waited: room for results binds there. Two things made it scarcer than it is. A part that found no room (0.2% of them) was taken to prove that all room not counted as held was taken by others, at the time of the answer; results freed while the call ran counted as such, so that 78% of the calls went to upstreams with 0.8 of 7.3 MB written off. And a call of three parts took its slot for 0.16 s while the room for twenty came free. Change: what a part without room proves is its own size and what was left beside its call when that went out. A call below half of the full one waits while parts for it find no room and results there will be freed. Tests: TestRoom, two new ones; both fail on the code before.

--- a/internal/chutebatch/collector.go
+++ b/internal/chutebatch/collector.go
@@ -64,6 +64,8 @@
 	Parts    []Part
 	// Jobs are the parts' jobs, in the same order.
 	Jobs []Job
+	// spare is the room that was believed to be left at the upstream beside the parts.
+	spare int64
 }
 
 // PartEnd is how one part of a call ended.
--- a/internal/chutebatch/collector_test.go
+++ b/internal/chutebatch/collector_test.go
@@ -162,6 +162,24 @@
 		c.Assert(calls, qt.HasLen, 1)
 	})
 
+	t.Run("a small call waits for room that comes free soon", func(t *testing.T) {
+		// Room for one part is left while eight wait. Its call would take the slot for
+		// most of the time of a full one, and the room comes free in the middle of it.
+		c := qt.New(t)
+		col, calls := pool(80).WithJob(newJob(1, 7)).Fill(lane, seats(1), start)
+		col, _ = answered(col, calls[0], start)
+		col = col.WithJob(newJob(2, 8))
+		_, calls = col.Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 0)
+		freed, _ := col.WithoutJob(1)
+		_, calls = freed.Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 1)
+		c.Assert(calls[0].Parts, qt.HasLen, 8)
+		// With fewer parts waiting there is nothing to gain.
+		_, calls = col.Fill(lane, seats(1), start.Add(4*time.Second))
+		c.Assert(calls, qt.HasLen, 1)
+	})
+
 	t.Run("a refusal for want of room teaches what others hold", func(t *testing.T) {
 		// A collector was killed; what it had made lies at the upstream and nobody
 		// counts it. The next collector's part is refused, and asking again at once
@@ -176,6 +194,19 @@
 		c.Assert(calls, qt.HasLen, 1)
 	})
 
+	t.Run("one part too many teaches no more than its size", func(t *testing.T) {
+		// Results are somewhat larger than announced, and the last part of a call finds
+		// no room. While the call ran, other results were freed: that room is there.
+		c := qt.New(t)
+		col, calls := pool(80).WithJob(newJob(1, 4)).Fill(lane, seats(1), start)
+		col, _ = answered(col, calls[0], start)
+		col, calls = col.WithJob(newJob(2, 4)).Fill(lane, seats(1), start)
+		col, _ = col.WithoutJob(1)
+		ends := []PartEnd{{Ref: "a"}, {Ref: "b"}, {Ref: "c"}, {Failure: PartNoRoom}}
+		col, _ = col.WithCallEnded(calls[0].ID, CallAnswered, ends, "z", 100, start)
+		c.Assert(col.left("p", "u0", start), qt.Equals, int64(80-30-10))
+	})
+
 	t.Run("refusals one after the other do not forget what the first one taught", func(t *testing.T) {
 		// After a kill the upstream is full for seconds. Each refusal leaves a little
 		// less unknown; learnt from alone, the last one says that there is room.
--- a/internal/chutebatch/end.go
+++ b/internal/chutebatch/end.go
@@ -82,13 +82,25 @@
 		}
 		e.file(part, partEnd, end == CallRefused)
 	}
-	if slices.ContainsFunc(ends, func(p PartEnd) bool { return p.Failure == PartNoRoom }) {
-		e.c = e.c.withoutRoom(call, now)
+	if missing := call.withoutRoom(ends); missing > 0 {
+		e.c = e.c.withoutRoom(call, missing, now)
 	}
 
 	return e.c, e.out
 }
 
+// withoutRoom sums the sizes of the parts that found no room.
+func (c Call) withoutRoom(ends []PartEnd) int64 {
+	missing := int64(0)
+	for i := range min(len(ends), len(c.Jobs)) {
+		if ends[i].Failure == PartNoRoom {
+			missing += c.Jobs[i].ResultBytes
+		}
+	}
+
+	return missing
+}
+
 // starvedAfter is how late a job may become while others that are not late wait,
 // before it is given up: about two calls, in which a short queue would clear.
 const starvedAfter = 600 * time.Millisecond
--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -53,7 +53,9 @@
 		if !found {
 			break
 		}
-		calls = append(calls, f.call(seat))
+		if call, ok := f.call(seat); ok {
+			calls = append(calls, call)
+		}
 	}
 
 	return f.c, calls
@@ -135,10 +137,12 @@
 	return other
 }
 
-// call takes the parts of one call, in the order of their jobs, and the seat out of the round.
-func (f *filling) call(seat int) Call {
+// call takes the parts of one call, in the order of their jobs, and the seat out of the
+// round; false means that the seat is better left free for now.
+func (f *filling) call(seat int) (Call, bool) {
 	var parts []Part
 	left := f.left[seat]
+	crowded := 0
 	f.c.walk(f.lane, f.now, func(j *job) bool {
 		if !f.useful(j) || !f.suits(j, f.seats[seat]) {
 			return true
@@ -148,7 +152,9 @@
 				return false
 			}
 			if left < j.ResultBytes {
-				break
+				crowded++
+
+				continue
 			}
 			parts = append(parts, Part{Job: j.ID, Index: index})
 			left -= j.ResultBytes
@@ -156,13 +162,37 @@
 
 		return true
 	})
-	f.c.lastCall++
-	call := Call{ID: f.c.lastCall, Pool: f.lane.Pool, Lane: f.lane, Upstream: f.seats[seat].Upstream, Parts: parts}
-	f.c, call = f.c.withCall(call)
+	upstream := f.seats[seat].Upstream
 	f.seats = slices.Delete(f.seats, seat, seat+1)
 	f.left = slices.Delete(f.left, seat, seat+1)
+	if f.waste(upstream, len(parts), crowded) {
+		return Call{}, false
+	}
+	f.c.lastCall++
+	call := Call{ID: f.c.lastCall, Pool: f.lane.Pool, Lane: f.lane, Upstream: upstream, Parts: parts, spare: left}
+	f.c, call = f.c.withCall(call)
+
+	return call, true
+}
+
+// smallCall is the part of a full call below which a call is small: its fixed cost
+// is then well above that of its parts.
+const smallCall = 0.5
+
+// waste says whether a call is small only for want of room that comes free soon.
+//
+// Each call has a fixed cost of several times that of a part. Where room for
+// results binds, a call of three parts takes the slot for 0.16 s while the room for
+// twenty comes free: pools whose calls came out full and tiny by turns made 30 of
+// 42 parts a call under load.
+func (f *filling) waste(upstream string, parts, crowded int) bool {
+	small := int(smallCall * float64(f.batching.BatchSize))
+	if parts >= small || parts+crowded < small {
+		return false
+	}
+	r, _ := f.c.rooms.Get(upstream)
 
-	return call
+	return slices.ContainsFunc(r.held, func(h held) bool { return !h.until.IsZero() && f.now.Before(h.until) })
 }
 
 // suits says whether the job's parts may run at the seat by now.
--- a/internal/chutebatch/room.go
+++ b/internal/chutebatch/room.go
@@ -82,12 +82,14 @@
 // withoutRoom takes in that an upstream had no room for parts that should have fitted.
 //
 // What an earlier collector had made lies there until its time is over, or until
-// its leases end. A collector that kept asking would spend every call on parts
-// without room, each at the full price of a call.
-func (c Collector) withoutRoom(call Call, now time.Time) Collector {
+// its leases end, and results may be larger than announced. A collector that kept
+// asking would spend every call on parts without room, each at the full price of a
+// call. What counts is the room believed in when the call went out: results freed
+// while it ran have made room since.
+func (c Collector) withoutRoom(call Call, missing int64, now time.Time) Collector {
 	batching := c.pools[call.Pool]
 	own, _ := c.rooms.Get(call.Upstream)
-	unknown := batching.Room - own.at(now).bytes
+	unknown := min(c.foreign(call.Upstream, now)+call.spare+missing, batching.Room-own.at(now).bytes)
 	if unknown <= 0 || batching.ResultTTL <= 0 {
 		return c
 	}
