Log zones that are cut off, and how long a caller that comes back has waited

Cause: the two new beliefs (a zone is cut off; a caller has come back) decided requests without a line in the log. Change: one line when a zone is taken for cut off, with the silent parties, and one when it is heard from again; WaitedMs in admitted lines. The zone's part of chuterelay stands in zones.go as a whole. Measured: go test ./internal/chuterelay ./internal/chutegate, green; the lines are asserted in TestZoneCutOff. No effect on decisions.

--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -32,6 +32,8 @@
 	case chuterelay.Note:
 		n.meter.Note(e)
 		n.logNote(e)
+	case chuterelay.NoteZone:
+		n.log.Warn().Str("At", e.Zone).Bool("CutOff", e.CutOff).Strs("Silent", e.Silent).Msg("zone")
 	default:
 		n.performParts(effect)
 	}
@@ -234,6 +236,9 @@
 	if e.Attempt > 0 {
 		line = line.Int("Attempt", e.Attempt)
 	}
+	if e.Waited > 0 {
+		line = line.Int64("WaitedMs", e.Waited.Milliseconds())
+	}
 	if e.Wait > 0 {
 		line = line.Int64("WaitMs", e.Wait.Milliseconds())
 	}
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -32,7 +32,7 @@
 		return
 	}
 	st.put(r)
-	st.note(StepAdmitted, r, func(n *Note) { n.Zone = r.zone })
+	st.note(StepAdmitted, r, func(n *Note) { n.Zone, n.Waited = r.zone, waited })
 	st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
 	st.advance(r)
 }
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -41,7 +41,7 @@
 		st.note(StepBegan, r, func(n *Note) { n.Upstream = r.current.upstream.ID })
 	}
 	r.begun = true
-	st.zones = st.zones.withHeard(r.current.upstream.Zone)
+	st.noteHeard(r.current.upstream.Zone)
 	st.fleet = st.fleet.WithRead(r.current.upstream.ID, r.current.tokens).WithSuccess(r.current.upstream.ID, st.now)
 	r.current.tokens = 0
 	for _, i := range r.Pipeline.Leaves() {
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -110,6 +110,14 @@
 	At       time.Time
 }
 
+// NoteZone tells that another zone is taken for cut off, or was heard from again.
+type NoteZone struct {
+	Zone   string
+	CutOff bool
+	// Silent are the parties that proved it.
+	Silent []string
+}
+
 // TickAt asks for a Ticked event.
 type TickAt struct {
 	At time.Time
@@ -138,5 +146,6 @@
 func (RunCall) relayEffect()     {}
 func (FreeResults) relayEffect() {}
 func (Probe) relayEffect()       {}
+func (NoteZone) relayEffect()    {}
 func (TickAt) relayEffect()      {}
 func (Charge) relayEffect()      {}
--- a/internal/chuterelay/note.go
+++ b/internal/chuterelay/note.go
@@ -37,6 +37,8 @@
 	// Age is the time since the request arrived, Left the time until its deadline.
 	Age  time.Duration
 	Left time.Duration
+	// Waited is how long the caller is believed to have waited before this sending.
+	Waited time.Duration
 	// Wait is the expected wait that counted in the decision.
 	Wait   time.Duration
 	Reason string
--- a/internal/chuterelay/probe.go
+++ b/internal/chuterelay/probe.go
@@ -23,16 +23,6 @@
 	}
 }
 
-// noteZone takes in what the end of a call says of the upstream's zone.
-func (st *step) noteZone(u chutefleet.Upstream, silent, answered bool) {
-	switch {
-	case silent:
-		st.zones = st.zones.withSilent(u.Zone, u.ID, st.now)
-	case answered:
-		st.zones = st.zones.withHeard(u.Zone)
-	}
-}
-
 // failedBy notes a failure that counts against an upstream.
 func (st *step) failedBy(id string, kind chutefleet.FailureKind) {
 	if kind == chutefleet.FailureSilent {
@@ -50,7 +40,7 @@
 	switch {
 	case !listed || u.State != chutefleet.StateReady:
 	case e.Alive:
-		st.zones = st.zones.withHeard(u.Zone)
+		st.noteHeard(u.Zone)
 		st.fleet = st.fleet.WithSuccess(e.Upstream, st.now)
 		st.fillAll()
 	default:
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -124,7 +124,7 @@
 	if !ok || r.stages[a.stage].ask != e.Ask {
 		return
 	}
-	st.zones = st.zones.withHeard(a.peer.Zone)
+	st.noteHeard(a.peer.Zone)
 	st.noteWait(a.queue, e.Wait)
 	s := r.stages[a.stage]
 	s.done = true
@@ -230,7 +230,7 @@
 		st.peers = st.peers.withSilent(a.peer.Name, st.now)
 	}
 	if e.PeerSilent {
-		st.zones = st.zones.withSilent(a.peer.Zone, a.peer.Name, st.now)
+		st.noteSilent(a.peer.Zone, a.peer.Name)
 	}
 	r, ok := st.requests.Get(a.handle)
 	if !ok || r.stages[a.stage].ask != e.Ask {
--- a/internal/chuterelay/zones.go
+++ b/internal/chuterelay/zones.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/benbjohnson/immutable"
+
+	"azurechute.example/azurechute/internal/chutefleet"
 )
 
 const (
@@ -94,6 +96,41 @@
 	return cut
 }
 
+// parties lists the silent parties of a zone, sorted.
+func (z zones) parties(zone string) []string {
+	known, _ := z.silent.Get(zone)
+
+	return slices.Sorted(maps.Keys(known))
+}
+
+// noteSilent takes in that nothing came back from a node or upstream of a zone.
+func (st *step) noteSilent(zone, party string) {
+	was := st.zones.cutOff(zone, st.now)
+	st.zones = st.zones.withSilent(zone, party, st.now)
+	if !was && st.zones.cutOff(zone, st.now) {
+		st.do(NoteZone{Zone: zone, CutOff: true, Silent: st.zones.parties(zone)})
+	}
+}
+
+// noteHeard takes in a sign of life from a zone.
+func (st *step) noteHeard(zone string) {
+	was := st.zones.cutOff(zone, st.now)
+	st.zones = st.zones.withHeard(zone)
+	if was {
+		st.do(NoteZone{Zone: zone})
+	}
+}
+
+// noteZone takes in what the end of a call says of the upstream's zone.
+func (st *step) noteZone(u chutefleet.Upstream, silent, answered bool) {
+	switch {
+	case silent:
+		st.noteSilent(u.Zone, u.ID)
+	case answered:
+		st.noteHeard(u.Zone)
+	}
+}
+
 // reachable returns the zone, or the own one in place of one that is cut off.
 func (z zones) reachable(zone string, now time.Time) string {
 	if z.cutOff(zone, now) {
--- a/internal/chuterelay/zones_test.go
+++ b/internal/chuterelay/zones_test.go
@@ -72,6 +72,7 @@
 			n.Assert(n.state.zones.cutOff("z2", n.now), qt.IsTrue)
 		}
 		n.on(ProbeEnded{Upstream: lost[0], Alive: true})
+		n.Assert(only[NoteZone](n), qt.DeepEquals, NoteZone{Zone: "z2"})
 		n.Assert(n.state.zones.cutOff("z2", n.now), qt.IsFalse)
 	})
 
@@ -128,6 +129,9 @@
 		take[Send](n)
 		lost = append(lost, s.Upstream.ID)
 	}
+	told := only[NoteZone](n)
+	n.Assert(told.CutOff, qt.IsTrue)
+	n.Assert(told.Silent, qt.HasLen, zoneProofs)
 	n.effects = nil
 	n.pass(time.Millisecond)
 
