Look at the upstreams once more when the list has settled

Cause: after the store's return upstreams that are missing from the list are kept for 2.2 s. One that left in that time was kept on: the next look at the list needed a change in it, and none came. It got requests until it ended. Ruled out: a slow read (the removal was read 0.69 s after it was accepted). Change: a watch looks at its rows while the list settles and once after that, whoever it reads from; the followers had this already, the readers not. Tests: TestSettling; TestLeavingUpstreams "one that is removed just after the store's return", which runs into its timeout on the code before.

Also: parts that found no room wait in place of failing their jobs. Test: TestRoom, \"a part waits for room\".

--- a/internal/chutebatch/collector_test.go
+++ b/internal/chutebatch/collector_test.go
@@ -187,7 +187,8 @@
 		c := qt.New(t)
 		col, calls := pool(50).WithJob(newJob(1, 1)).Fill(lane, seats(1), start)
 		col, ended := col.WithCallEnded(calls[0].ID, CallAnswered, []PartEnd{{Failure: PartNoRoom}}, "z", 100, start)
-		c.Assert(ended.Requeued, qt.Equals, 1)
+		c.Assert(ended.Failed, qt.HasLen, 0)
+		c.Assert(col.Waiting(lane), qt.Equals, 1)
 		_, calls = col.Fill(lane, seats(1), start)
 		c.Assert(calls, qt.HasLen, 0)
 		_, calls = col.Fill(lane, seats(1), start.Add(2*time.Second))
@@ -207,6 +208,27 @@
 		c.Assert(col.left("p", "u0", start), qt.Equals, int64(80-30-10))
 	})
 
+	t.Run("a part waits for room as long as it is of use, without repeats to spend", func(t *testing.T) {
+		// All nodes were killed, and what they had made fills the room for seconds. The
+		// callers have time, and nobody has yet earned repeats.
+		c := qt.New(t)
+		col := pool(50).WithJob(newJob(1, 1))
+		now, refusals := start, 0
+		for ; now.Before(start.Add(3 * time.Second)); now = now.Add(20 * time.Millisecond) {
+			var calls []Call
+			col, calls = col.Fill(lane, seats(1), now)
+			for _, call := range calls {
+				refusals++
+				var ended Ended
+				col, ended = col.WithCallEnded(call.ID, CallAnswered, []PartEnd{{Failure: PartNoRoom}}, "z", 0, now)
+				c.Assert(ended.Failed, qt.HasLen, 0)
+			}
+		}
+		c.Assert(refusals < 10, qt.IsTrue, qt.Commentf("%d refusals", refusals))
+		_, calls := col.Fill(lane, seats(1), start.Add(4*time.Second))
+		c.Assert(calls, qt.HasLen, 1)
+	})
+
 	t.Run("refusals one after the other do not forget what the first one taught", func(t *testing.T) {
 		// After a kill the upstream is full for seconds. Each refusal leaves a little
 		// less unknown; learnt from alone, the last one says that there is room.
--- a/internal/chutebatch/end.go
+++ b/internal/chutebatch/end.go
@@ -34,7 +34,8 @@
 	Failed []FailedJob
 	// Frees are results of jobs that nobody waits for any more.
 	Frees []Free
-	// Requeued counts the parts that wait again.
+	// Requeued counts the parts that wait again after an upstream may have worked on
+	// them, or refused them, which the pool's repeats are spent on.
 	Requeued int
 }
 
@@ -170,7 +171,9 @@
 	switch end.Failure {
 	case "":
 		e.made(p, end.Ref)
-	case PartNoRoom, PartErrored:
+	case PartNoRoom:
+		e.wait(p)
+	case PartErrored:
 		e.again(p, end.Failure, refused)
 	default:
 		e.fail(p, end.Failure)
@@ -196,6 +199,20 @@
 	}
 }
 
+// wait queues a part once more that its upstream had no room for.
+//
+// After all nodes were killed the room is full of what nobody frees, for seconds.
+// Counted as failures, such parts used up their jobs' tries within milliseconds, and
+// requests with seconds left were refused. How often they are sent is bounded by the
+// room that is believed to come free.
+func (e *ending) wait(p Part) {
+	e.c = e.c.withoutReserved(e.call.Upstream, p)
+	if j, ok := e.c.jobs.Get(p.Job); ok {
+		j.pending = append(slices.Clip(j.pending), p.Index)
+		e.c = e.c.withJob(j)
+	}
+}
+
 // again queues a part once more; a refused call costs no try.
 func (e *ending) again(p Part, reason PartFailure, refused bool) {
 	e.c = e.c.withoutReserved(e.call.Upstream, p)
--- a/internal/chutegate/follow.go
+++ b/internal/chutegate/follow.go
@@ -85,15 +85,12 @@
 		}
 	}
 	end := followOther
-	held := false
 	more := func(current bool) bool {
 		now := n.Now()
 		if current {
 			w.reached(true, now)
 		}
-		// What was kept while the list settled has to be looked at once more after it.
-		if settling := w.settling(now); settling || held {
-			held = settling
+		if w.unsettled(now) {
 			changed()
 		}
 		*stale = stale.with(current, now)
--- a/internal/chutegate/follow_test.go
+++ b/internal/chutegate/follow_test.go
@@ -7,6 +7,22 @@
 	qt "github.com/frankban/quicktest"
 )
 
+func TestSettling(t *testing.T) {
+	t.Run("rows are looked at once more when the list has settled", func(t *testing.T) {
+		// The store was away and is back. An upstream leaves a second later, and is
+		// kept for its entry could have run out. No row changes after that.
+		c := qt.New(t)
+		now := time.Unix(1000, 0)
+		w := newWatch("t")
+		w.reached(false, now)
+		c.Assert(w.unsettled(now), qt.IsTrue)
+		w.reached(true, now)
+		c.Assert(w.unsettled(now.Add(settle-1)), qt.IsTrue)
+		c.Assert(w.unsettled(now.Add(settle)), qt.IsTrue)
+		c.Assert(w.unsettled(now.Add(settle)), qt.IsFalse)
+	})
+}
+
 func TestStaleness(t *testing.T) {
 	start := time.Unix(1000, 0)
 
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		news = n.askPeers(ctx, w)
 	}
-	if news || w.settling(n.Now()) {
+	if w.unsettled(n.Now()) || news {
 		changed()
 	}
 
--- a/internal/chutegate/watch.go
+++ b/internal/chutegate/watch.go
@@ -28,6 +28,9 @@
 	changed chan struct{}
 	// returnedAt is when the store answered again after it had been away.
 	returnedAt time.Time
+	// held says that rows may have been kept, when they were last looked at, that
+	// were missing from the list.
+	held bool
 }
 
 func newWatch(table string) *watch {
@@ -139,6 +142,21 @@
 	return rows, version, w.synced && !w.away && !w.following, w.changed
 }
 
+// unsettled says whether the rows have to be looked at although none has changed:
+// while the list settles, and once more after that.
+//
+// An upstream that was removed while the list settled is kept so long. If nothing
+// changed after that, nobody looked again, and it went on getting calls.
+func (w *watch) unsettled(now time.Time) bool {
+	settling := w.settling(now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	again := settling || w.held
+	w.held = settling
+
+	return again
+}
+
 // settling says whether rows that are missing may yet come back.
 func (w *watch) settling(now time.Time) bool {
 	w.mu.Lock()
