--- a/cmd/azurechute/main.go
+++ b/cmd/azurechute/main.go
@@ -23,6 +23,12 @@
 }
 
 func run() int {
+	// Asked to read its settings again while it starts, a process would end by the
+	// signal's default action; so this comes before all else.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 
@@ -34,7 +40,7 @@
 
 	app := chutecli.New(version())
 	app.Serve = serve
-	app.Relay = relay
+	app.Relay = func(ctx context.Context, path string) error { return relay(ctx, path, reload) }
 	app.ReadLedger = chuteplatform.ReadLedger
 
 	return app.Run(ctx, os.Args[1:])
@@ -56,13 +62,13 @@
 }
 
 // relay runs a node on the platform with the settings in a file.
-func relay(ctx context.Context, path string) error {
+func relay(ctx context.Context, path string, reload <-chan os.Signal) error {
 	log := chutelog.New(os.Stdout, chutelog.Settings{
 		Rate: chutelog.DefaultRate, Burst: chutelog.DefaultBurst, Level: zerolog.InfoLevel,
 	}, clockwork.NewRealClock())
 	defer func() { _ = log.Close() }()
 
-	return chuteplatform.Serve(ctx, path, log.Logger)
+	return chuteplatform.Serve(ctx, path, reload, log.Logger)
 }
 
 // version returns the module's version, or the commit that a build from a checkout was made of.
