Log the end of requests that got the upstream's own failure

Change: a line "answered with failure" with the reason why there was no other try; `explain` takes it as an end. Tests: TestUpstreamsFailure.

--- a/internal/chutecli/explain.go
+++ b/internal/chutecli/explain.go
@@ -148,7 +148,7 @@
 		end += ": " + last.Reason
 	}
 	switch last.Step {
-	case "answered", "refused", "cancelled":
+	case "answered", "answered with failure", "refused", "cancelled":
 	default:
 		end = fmt.Sprintf("no end is logged; the last step is %q after %d ms, so the node %s may have ended or been cut off", last.Step, last.AgeMs, last.Node)
 	}
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -167,6 +167,7 @@
 // conclude passes an upstream's own failure on, if there is one, or else refuses.
 func (st *step) conclude(r request, refusal Refusal) {
 	if r.answer != 0 && !r.begun {
+		st.note(StepFailed, r, func(n *Note) { n.Reason = refusal.Reason })
 		st.do(Deliver{Handle: r.Handle, Attempt: r.answer})
 		st.finish(r)
 
--- a/internal/chuterelay/attempt_test.go
+++ b/internal/chuterelay/attempt_test.go
@@ -113,6 +113,21 @@
 	})
 }
 
+func TestUpstreamsFailure(t *testing.T) {
+	// Both upstreams answer 500. The caller gets the second answer, and the log says
+	// so: without the line the request's last trace would be a failed call, as if the
+	// node had ended.
+	n := newNode(t)
+	n.ends(n.sent(plain(1, chuteroute.Repeatable)), EndErrored)
+	second := only[Send](n)
+	n.ends(second, EndErrored)
+	n.Assert(only[Deliver](n).Attempt, qt.Equals, second.Attempt)
+	notes := take[Note](n)
+	last := notes[len(notes)-1]
+	n.Assert(last.Step, qt.Equals, StepFailed)
+	n.Assert(last.Reason, qt.Contains, "all attempts failed")
+}
+
 func TestStreams(t *testing.T) {
 	t.Run("a broken stream goes on at another upstream with fresh inputs", func(t *testing.T) {
 		// Half of a diagnosis is out when its engine dies. The stages' results were
--- a/internal/chuterelay/note.go
+++ b/internal/chuterelay/note.go
@@ -16,6 +16,8 @@
 	StepBegan     Step = "began"
 	StepCallEnded Step = "call failed"
 	StepAnswered  Step = "answered"
+	// StepFailed: the caller got the upstream's own word that it failed.
+	StepFailed    Step = "answered with failure"
 	StepCancelled Step = "cancelled"
 )
 
