Order stages' jobs of one priority by their pipeline's

A workspace's priority replaces the pipeline's, and within it jobs went by when they have to start: checks with a long aim that had waited went ahead of digests, which were turned away on arrival (73 at the first stage, against 2 checks). Ruled out: callers that come back (of the digests' 147 refusals at the first stage half were first sendings). Change: jobs and waits go by the priority and then by the pipeline's. Tests: TestRank.

--- a/internal/chuterelay/admit.go
+++ b/internal/chuterelay/admit.go
@@ -45,7 +45,7 @@
 func (st *step) queueOf(r request, stage int) queueKey {
 	job := chutebatch.Job{Pool: r.Pipeline.Stages[stage].Pool, Zone: st.zones.reachable(r.zone, st.now)}
 
-	return queueKey{lane: chutebatch.Lane{Pool: job.Pool, Shard: st.shard(job)}, priority: r.priority()}
+	return queueKey{lane: chutebatch.Lane{Pool: job.Pool, Shard: st.shard(job)}, priority: r.rank()}
 }
 
 // noteWait takes a collector's word on its queue.
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -72,6 +72,19 @@
 	return r.Pipeline.Priority
 }
 
+// rankSpan is the number of pipelines' priorities that one workspace's priority spans.
+const rankSpan = 10
+
+// rank orders the stages' jobs: by priority, and those of one priority by their pipeline's.
+//
+// All of a workspace's requests have its priority. Ordered by their aims alone within
+// it, requests with a long aim that have waited for a while go ahead of urgent ones
+// with a short one, which are turned away: under load the most urgent pipeline had
+// 57% of its worth where a less urgent one had 80%.
+func (r request) rank() int {
+	return r.priority()*rankSpan + min(max(0, r.Pipeline.Priority), rankSpan-1)
+}
+
 // parts is the number of parts of a stage.
 func (r request) parts(stage int) int {
 	if stage >= len(r.Parts) {
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -27,7 +27,7 @@
 	rest, then := st.restOf(r, i)
 	job := chutebatch.Job{
 		Request: r.ID, Pool: stage.Pool, Stage: i, Parts: r.parts(i),
-		ResultBytes: stage.ResultBytes, Priority: r.priority(), AimAt: r.aimAt, Deadline: r.Deadline,
+		ResultBytes: stage.ResultBytes, Priority: r.rank(), AimAt: r.aimAt, Deadline: r.Deadline,
 		Rest: rest, Then: then, Zone: r.zone, Since: st.now,
 	}
 	if len(stage.After) == 0 {
@@ -44,7 +44,7 @@
 	job.Shard = st.shard(job)
 	peer := st.peers.collector(job.Lane(), st.zones.allCutOff(st.now), st.now)
 	a := ask{
-		handle: r.Handle, stage: i, peer: peer, queue: queueKey{lane: job.Lane(), priority: r.priority()},
+		handle: r.Handle, stage: i, peer: peer, queue: queueKey{lane: job.Lane(), priority: r.rank()},
 	}
 	s := r.stages[i]
 	s.ask = id
--- a/internal/chuterelay/stages_test.go
+++ b/internal/chuterelay/stages_test.go
@@ -256,7 +256,7 @@
 		// urgent requests would be refused for the others, and others let in in vain.
 		n := newNode(t)
 		less := partQueue
-		less.priority = 1
+		less.priority = rankSpan + 1
 		n.state.waits = n.state.waits.Set(less, heardWait{wait: 3 * time.Second, at: n.now})
 		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
 		expectNo[Refuse](n)
@@ -307,6 +307,21 @@
 	})
 }
 
+func TestRank(t *testing.T) {
+	// One workspace sends urgent requests with a short aim and others with a long one.
+	// Its priority holds for both; among them the pipeline's decides, so that older
+	// ones with a long aim don't push the urgent ones beyond theirs.
+	c := qt.New(t)
+	workspace := chuteroute.Workspace{HasPriority: true, Priority: 1}
+	rank := func(w chuteroute.Workspace, pipeline int) int {
+		return request{Submission: Submission{Workspace: w, Pipeline: chuteroute.Pipeline{Priority: pipeline}}}.rank()
+	}
+	c.Assert(rank(workspace, 0) < rank(workspace, 1), qt.IsTrue)
+	c.Assert(rank(workspace, 2) < rank(chuteroute.Workspace{}, 2), qt.IsTrue)
+	c.Assert(rank(chuteroute.Workspace{}, 0) < rank(workspace, 0), qt.IsTrue)
+	c.Assert(rank(workspace, 99) < rank(chuteroute.Workspace{HasPriority: true, Priority: 2}, 0), qt.IsTrue)
+}
+
 func TestCollectorChoice(t *testing.T) {
 	lane := chutebatch.Lane{Pool: partPool, Shard: "z2"}
 
