Don't wait for the store before taking no more requests at the end

Its word to the store that its own row may go was taken and never answered, and the node waited for that for its whole grace time before it stopped taking requests in; the last one was cut off at 19.10 s. Ruled out: a request that waits for its stages until the end (the one lost was at its engine), a caller's connection that was accepted in time. Change: the row is removed beside the shutdown, bounded by 2 s.

Also: a slot that is kept free for room is so for 0.15 s at most, so that parts that need little room do not wait where the room stays taken (TestRoom).

--- a/internal/chutebatch/collector.go
+++ b/internal/chutebatch/collector.go
@@ -115,8 +115,10 @@
 	pauses *immutable.Map[string, time.Time]
 	// strangers maps an upstream to room that others take there.
 	strangers *immutable.Map[string, stranger]
-	pools     map[string]chuteroute.Batching
-	lastCall  uint64
+	// heldBack maps an upstream whose slot is kept free for room to the time since when.
+	heldBack *immutable.Map[string, time.Time]
+	pools    map[string]chuteroute.Batching
+	lastCall uint64
 }
 
 // New returns a collector without work.
@@ -128,6 +130,7 @@
 		rooms:     immutable.NewMap[string, room](nil),
 		pauses:    immutable.NewMap[string, time.Time](nil),
 		strangers: immutable.NewMap[string, stranger](nil),
+		heldBack:  immutable.NewMap[string, time.Time](nil),
 	}
 }
 
--- a/internal/chutebatch/collector_test.go
+++ b/internal/chutebatch/collector_test.go
@@ -175,8 +175,26 @@
 		_, calls = freed.Fill(lane, seats(1), start)
 		c.Assert(calls, qt.HasLen, 1)
 		c.Assert(calls[0].Parts, qt.HasLen, 8)
-		// With fewer parts waiting there is nothing to gain.
-		_, calls = col.Fill(lane, seats(1), start.Add(4*time.Second))
+	})
+
+	t.Run("it does not wait for long where the room stays taken", func(t *testing.T) {
+		c := qt.New(t)
+		col, calls := pool(80).WithJob(newJob(1, 7)).Fill(lane, seats(1), start)
+		col, _ = answered(col, calls[0], start)
+		col, calls = col.WithJob(newJob(2, 8)).Fill(lane, seats(1), start)
+		c.Assert(calls, qt.HasLen, 0)
+		_, calls = col.Fill(lane, seats(1), start.Add(longestHold-1))
+		c.Assert(calls, qt.HasLen, 0)
+		_, calls = col.Fill(lane, seats(1), start.Add(longestHold))
+		c.Assert(calls, qt.HasLen, 1)
+		c.Assert(calls[0].Parts, qt.HasLen, 1)
+	})
+
+	t.Run("with few parts waiting there is nothing to wait for", func(t *testing.T) {
+		c := qt.New(t)
+		col, calls := pool(80).WithJob(newJob(1, 7)).Fill(lane, seats(1), start)
+		col, _ = answered(col, calls[0], start)
+		_, calls = col.WithJob(newJob(2, 2)).Fill(lane, seats(1), start)
 		c.Assert(calls, qt.HasLen, 1)
 	})
 
--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -175,24 +175,47 @@
 	return call, true
 }
 
-// smallCall is the part of a full call below which a call is small: its fixed cost
-// is then well above that of its parts.
-const smallCall = 0.5
+const (
+	// smallCall is the part of a full call below which a call is small: its fixed cost
+	// is then well above that of its parts.
+	smallCall = 0.5
+	// longestHold bounds how long a slot is kept free for room: the time that the small
+	// call would have taken, after which nothing is gained.
+	longestHold = 150 * time.Millisecond
+)
 
 // waste says whether a call is small only for want of room that comes free soon.
 //
 // Each call has a fixed cost of several times that of a part. Where room for
 // results binds, a call of three parts takes the slot for 0.16 s while the room for
 // twenty comes free: pools whose calls came out full and tiny by turns made 30 of
-// 42 parts a call under load.
+// 42 parts a call under load. Where the room stays taken, small calls go on after a
+// while, so that parts that need little room do not wait for it.
 func (f *filling) waste(upstream string, parts, crowded int) bool {
 	small := int(smallCall * float64(f.batching.BatchSize))
-	if parts >= small || parts+crowded < small {
+	if parts >= small || parts+crowded < small || !f.c.releases(upstream, f.now) {
+		f.c.heldBack = f.c.heldBack.Delete(upstream)
+
 		return false
 	}
-	r, _ := f.c.rooms.Get(upstream)
+	since, held := f.c.heldBack.Get(upstream)
+	switch {
+	case !held:
+		f.c.heldBack = f.c.heldBack.Set(upstream, f.now)
+	case f.now.Sub(since) >= longestHold:
+		f.c.heldBack = f.c.heldBack.Delete(upstream)
+
+		return false
+	}
+
+	return true
+}
+
+// releases says whether results at an upstream are known that will be freed.
+func (c Collector) releases(upstream string, now time.Time) bool {
+	r, _ := c.rooms.Get(upstream)
 
-	return slices.ContainsFunc(r.held, func(h held) bool { return !h.until.IsZero() && f.now.Before(h.until) })
+	return slices.ContainsFunc(r.held, func(h held) bool { return !h.until.IsZero() && now.Before(h.until) })
 }
 
 // suits says whether the job's parts may run at the seat by now.
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -133,16 +133,33 @@
 	n.peers.Close()
 }
 
+// removeTimeout bounds the removal of the own row; peers find out by asking otherwise.
+const removeTimeout = 2 * time.Second
+
 // Drain makes the node unready and hands its duties over; requests in flight go on.
-func (n *Node) Drain(ctx context.Context) {
+// The channel it returns is closed when the own row is removed, or not to be waited for.
+//
+// The store may take the call and never answer. A node that waited for it went on
+// taking requests in until the end of its grace time, and cut the last ones off.
+func (n *Node) Drain() <-chan struct{} {
+	removed := make(chan struct{})
 	if n.draining.Swap(true) {
-		return
+		close(removed)
+
+		return removed
 	}
 	n.log.Info().Msg("draining")
 	n.send(chuterelay.DrainStarted{})
-	if err := n.store.Remove(ctx, n.settings.Tables.Peers, n.settings.Self.Name); err != nil {
-		n.log.Warn().Err(err).Msg("the own row could not be removed; peers find out by asking")
-	}
+	n.spawn(func(ctx context.Context) {
+		defer close(removed)
+		ctx, cancel := context.WithTimeout(ctx, removeTimeout)
+		defer cancel()
+		if err := n.store.Remove(ctx, n.settings.Tables.Peers, n.settings.Self.Name); err != nil {
+			n.log.Warn().Err(err).Msg("the own row could not be removed; peers find out by asking")
+		}
+	})
+
+	return removed
 }
 
 // RefuseUnsent refuses all requests that no upstream has got yet.
