Keep the waits of callers that come back from turning others away

A collector works out how long a job waits once in 50 ms a rank, and nodes keep that word for a second. Jobs of callers that come back wait for all that can still be on time; their word, some hundred ms longer, was taken for that of new ones, which were then refused on arrival. Change: the wait of a late job is neither kept nor used for others, and a node takes no word on queues from requests whose callers have come back.

--- a/internal/chutebatch/admit.go
+++ b/internal/chutebatch/admit.go
@@ -27,6 +27,11 @@
 	return !now.Add(wait + full + j.Rest).After(j.AimAt.Add(lateAllowance))
 }
 
+// Late says whether a job can't make its aim any more, even if it had its turn now.
+func (c Collector) Late(j Job, now time.Time) bool {
+	return j.place().startBy < lateAfter(c.pools[j.Pool], now)
+}
+
 // Wait is how long the parts that go ahead of a job's take.
 func (c Collector) Wait(j Job, seats []Seat, now time.Time) time.Duration {
 	batching, ok := c.pools[j.Pool]
--- a/internal/chuterelay/admit.go
+++ b/internal/chuterelay/admit.go
@@ -48,8 +48,12 @@
 	return queueKey{lane: chutebatch.Lane{Pool: job.Pool, Shard: st.shard(job)}, priority: r.rank()}
 }
 
-// noteWait takes a collector's word on its queue.
-func (st *step) noteWait(queue queueKey, wait time.Duration) {
+// noteWait takes a collector's word on its queue; what those wait that come back says
+// nothing to others, since they wait for all that can still be on time.
+func (st *step) noteWait(r request, queue queueKey, wait time.Duration) {
+	if r.waited > 0 {
+		return
+	}
 	st.waits = st.waits.Set(queue, heardWait{wait: wait, at: st.now})
 }
 
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -10,7 +10,9 @@
 func (st *step) arrive(e Arrived) {
 	waited := st.patiences.waited(e.Pipeline.Name, e.Wait)
 	st.patiences = st.patiences.with(e.Pipeline.Name, e.Wait)
-	r := request{Submission: e.Submission, arrivedAt: st.now, aimAt: st.now.Add(e.Pipeline.Aim - waited)}
+	r := request{
+		Submission: e.Submission, arrivedAt: st.now, aimAt: st.now.Add(e.Pipeline.Aim - waited), waited: waited,
+	}
 	r.stages = make([]stageState, len(e.Pipeline.Stages))
 	r.pool = e.Pipeline.Target(st.draw())
 	st.countFirst(r.pool, 1)
@@ -32,7 +34,7 @@
 		return
 	}
 	st.put(r)
-	st.note(StepAdmitted, r, func(n *Note) { n.Zone, n.Waited = r.zone, waited })
+	st.note(StepAdmitted, r, func(n *Note) { n.Zone, n.Waited = r.zone, r.waited })
 	st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
 	st.advance(r)
 }
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -307,17 +307,23 @@
 }
 
 // laneWait is how long a job of this kind would wait at the own collector now.
+//
+// What was worked out for one of its rank holds for a moment; but not for a late job,
+// which waits for all that are not, and whose wait would turn those away.
 func (st *step) laneWait(like chutebatch.Job) time.Duration {
 	lane := like.Lane()
-	key := queueKey{lane: lane, priority: like.Priority}
-	if heard, ok := st.ownWaits.Get(key); ok && st.now.Sub(heard.at) < waitFresh {
-		return heard.wait
-	}
 	// A new job of the kind has its whole time before it.
 	like.AimAt = st.now.Add(like.AimAt.Sub(like.Since))
 	like.ID = math.MaxUint64
+	late := st.collector.Late(like, st.now)
+	key := queueKey{lane: lane, priority: like.Priority}
+	if heard, ok := st.ownWaits.Get(key); ok && !late && st.now.Sub(heard.at) < waitFresh {
+		return heard.wait
+	}
 	wait := st.collector.Wait(like, st.seats(lane), st.now)
-	st.ownWaits = st.ownWaits.Set(key, heardWait{wait: wait, at: st.now})
+	if !late {
+		st.ownWaits = st.ownWaits.Set(key, heardWait{wait: wait, at: st.now})
+	}
 
 	return wait
 }
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -48,7 +48,9 @@
 	pool      string
 	arrivedAt time.Time
 	aimAt     time.Time
-	stages    []stageState
+	// waited is how long the caller is believed to have waited before this sending.
+	waited time.Duration
+	stages []stageState
 	// zone is where the call is expected to run.
 	zone string
 	// sends counts calls, runs those among them that may have run.
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -125,7 +125,7 @@
 		return
 	}
 	st.noteHeard(a.peer.Zone)
-	st.noteWait(a.queue, e.Wait)
+	st.noteWait(r, a.queue, e.Wait)
 	s := r.stages[a.stage]
 	s.done = true
 	s.results = e.Results
@@ -246,7 +246,7 @@
 		n.Pool, n.Stage, n.Peer, n.Reason = r.Pipeline.Stages[a.stage].Pool, a.stage, a.peer.Name, e.Reason
 	})
 	if !e.PeerLost {
-		st.noteWait(a.queue, e.Wait)
+		st.noteWait(r, a.queue, e.Wait)
 	}
 	st.asks = st.asks.Delete(e.Ask)
 	s := r.stages[a.stage]
