--- a/internal/chuterelay/admit.go
+++ b/internal/chuterelay/admit.go
@@ -1,6 +1,7 @@
 package chuterelay
 
 import (
+	"math"
 	"time"
 
 	"azurechute.example/azurechute/internal/chutebatch"
@@ -16,6 +17,9 @@
 	// overloadRetry is when a caller may come back after it was turned away for a
 	// queue: sooner it would meet the same queue and be turned away again.
 	overloadRetry = 2 * time.Second
+	// waitFresh is how long a worked out wait is told again: counting the queue for
+	// each of hundreds of results a second would cost more than it tells.
+	waitFresh = 50 * time.Millisecond
 )
 
 // heardWait is a collector's word on its queue.
@@ -105,3 +109,42 @@
 func overloaded(reason string) Refusal {
 	return Refusal{Kind: RefusedNotRun, Reason: reason, RetryAfter: overloadRetry}
 }
+
+// waitsAhead sums the waits of a job here and at the stages that follow, as far as
+// this node collects for them too.
+//
+// The queue of a request's second stage shows only there otherwise: by then the
+// first stage has run for it in vain, and its caller has waited for that.
+func (st *step) waitsAhead(job chutebatch.Job) time.Duration {
+	wait := st.collector.Wait(job, st.seats(job.Lane()), st.now)
+	for _, pool := range job.Then {
+		later := job
+		later.Pool = pool
+		later.Shard = st.shard(later)
+		wait += st.laneWait(later)
+	}
+
+	return wait
+}
+
+// laneWait is how long a job of this kind would wait at the own collector now.
+//
+// What was worked out for one of its rank holds for a moment; but not for a late job,
+// which waits for all that are not, and whose wait would turn those away.
+func (st *step) laneWait(like chutebatch.Job) time.Duration {
+	lane := like.Lane()
+	// A new job of the kind has its whole time before it.
+	like.AimAt = st.now.Add(like.AimAt.Sub(like.Since))
+	like.ID = math.MaxUint64
+	late := st.collector.Late(like, st.now)
+	key := queueKey{lane: lane, priority: like.Priority}
+	if heard, ok := st.ownWaits.Get(key); ok && !late && st.now.Sub(heard.at) < waitFresh {
+		return heard.wait
+	}
+	wait := st.collector.Wait(like, st.seats(lane), st.now)
+	if !late {
+		st.ownWaits = st.ownWaits.Set(key, heardWait{wait: wait, at: st.now})
+	}
+
+	return wait
+}
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -1,7 +1,6 @@
 package chuterelay
 
 import (
-	"math"
 	"time"
 
 	"azurechute.example/azurechute/internal/chutebatch"
@@ -24,9 +23,6 @@
 	slowPatience    = 1.5
 	assumedSlowness = 4
 	overdueTwice    = 2
-	// waitFresh is how long a worked out wait is told again: counting the queue for
-	// each of hundreds of results a second would cost more than it tells.
-	waitFresh = 50 * time.Millisecond
 	// slownessWeight is the weight of the newest call in an upstream's measured slowness.
 	slownessWeight = 0.4
 )
@@ -89,23 +85,6 @@
 	st.fill(job.Lane())
 }
 
-// waitsAhead sums the waits of a job here and at the stages that follow, as far as
-// this node collects for them too.
-//
-// The queue of a request's second stage shows only there otherwise: by then the
-// first stage has run for it in vain, and its caller has waited for that.
-func (st *step) waitsAhead(job chutebatch.Job) time.Duration {
-	wait := st.collector.Wait(job, st.seats(job.Lane()), st.now)
-	for _, pool := range job.Then {
-		later := job
-		later.Pool = pool
-		later.Shard = st.shard(later)
-		wait += st.laneWait(later)
-	}
-
-	return wait
-}
-
 // jobDropped ends a peer's lease on a job and its results.
 func (st *step) jobDropped(e JobDropped) {
 	if id, ok := st.tokens.Get(e.Token); ok {
@@ -306,28 +285,6 @@
 	st.do(GiveParts{Token: o.token, Results: results, Wait: wait})
 }
 
-// laneWait is how long a job of this kind would wait at the own collector now.
-//
-// What was worked out for one of its rank holds for a moment; but not for a late job,
-// which waits for all that are not, and whose wait would turn those away.
-func (st *step) laneWait(like chutebatch.Job) time.Duration {
-	lane := like.Lane()
-	// A new job of the kind has its whole time before it.
-	like.AimAt = st.now.Add(like.AimAt.Sub(like.Since))
-	like.ID = math.MaxUint64
-	late := st.collector.Late(like, st.now)
-	key := queueKey{lane: lane, priority: like.Priority}
-	if heard, ok := st.ownWaits.Get(key); ok && !late && st.now.Sub(heard.at) < waitFresh {
-		return heard.wait
-	}
-	wait := st.collector.Wait(like, st.seats(lane), st.now)
-	if !late {
-		st.ownWaits = st.ownWaits.Set(key, heardWait{wait: wait, at: st.now})
-	}
-
-	return wait
-}
-
 // refuseJob tells whoever asked that a job failed.
 func (st *step) refuseJob(failed chutebatch.FailedJob) {
 	wait := time.Duration(0)
