--- a/internal/chutecli/explain.go
+++ b/internal/chutecli/explain.go
@@ -31,21 +31,24 @@
 
 // logLine is one decision on a request as nodes log it.
 type logLine struct {
-	Request  string `json:",omitempty"`
-	Node     string
-	Step     string `json:"message"`
-	Pipeline string `json:",omitempty"`
-	Pool     string `json:",omitempty"`
-	Stage    *int   `json:",omitempty"`
-	Upstream string `json:",omitempty"`
-	Peer     string `json:",omitempty"`
-	At       string `json:",omitempty"`
-	Reason   string `json:",omitempty"`
-	Attempt  int    `json:",omitempty"`
-	WaitMs   int64  `json:",omitempty"`
-	AgeMs    int64
-	LeftMs   int64
-	Version  uint64 `json:",omitempty"`
+	Request   string `json:",omitempty"`
+	Node      string
+	Step      string `json:"message"`
+	Workspace string `json:",omitempty"`
+	Pipeline  string `json:",omitempty"`
+	Pool      string `json:",omitempty"`
+	Stage     *int   `json:",omitempty"`
+	Upstream  string `json:",omitempty"`
+	Peer      string `json:",omitempty"`
+	At        string `json:",omitempty"`
+	Reason    string `json:",omitempty"`
+	Attempt   int    `json:",omitempty"`
+	WaitMs    int64  `json:",omitempty"`
+	Parts     int    `json:",omitempty"`
+	AimMs     int64  `json:",omitempty"`
+	AgeMs     int64
+	LeftMs    int64
+	Version   uint64 `json:",omitempty"`
 }
 
 // explanation is the JSON result of the command.
--- a/internal/chutecli/summary.go
+++ b/internal/chutecli/summary.go
@@ -21,7 +21,8 @@
 // Help returns the command's detailed help.
 func (summaryCommand) Help() string {
 	return `Reads log lines of any number of nodes and prints how their requests ended and why,
-and how long each step took: where requests are lost, and where they spend their time.
+how long each step took, and what each workspace asked for and got: where requests are
+lost, where they spend their time, which workspace is loud, and who suffers.
 
 Examples:
   azurechute summary entry-*.log
@@ -52,6 +53,8 @@
 	Requests int
 	Ends     []endCount
 	Steps    []stepTime
+	// Workspaces is sorted by requests, the most first.
+	Workspaces []workspaceUse
 }
 
 // Run prints the ends and step times of all requests in the logs.
@@ -131,6 +134,7 @@
 		step.Count, step.P50Ms, step.P99Ms = len(times), quantile(times, 50), quantile(times, 99)
 		result.Steps = append(result.Steps, step)
 	}
+	result.Workspaces = useOf(stories)
 	slices.SortFunc(result.Ends, func(a, b endCount) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Pipeline, b.Pipeline), cmp.Compare(a.End+a.Cause, b.End+b.Cause))
 	})
@@ -175,6 +179,9 @@
 	return steps
 }
 
+// shownWorkspaces is how many workspaces the text has; the JSON has all.
+const shownWorkspaces = 20
+
 func (s session) printSummary(r summary) {
 	s.line("%d requests", r.Requests)
 	s.line("")
@@ -191,4 +198,13 @@
 		})
 	}
 	s.columns(rows)
+	s.line("")
+	rows = [][]string{{"WORKSPACE", "REQUESTS", "ON TIME", "LATE", "REFUSED", "FAILED", "WAIT P50", "P99", "PARTS OF POOLS"}}
+	for _, u := range r.Workspaces[:min(len(r.Workspaces), shownWorkspaces)] {
+		rows = append(rows, u.row())
+	}
+	s.columns(rows)
+	if more := len(r.Workspaces) - shownWorkspaces; more > 0 {
+		s.line("and %d workspaces with fewer requests; --output json has them", more)
+	}
 }
--- a/internal/chutecli/summary_test.go
+++ b/internal/chutecli/summary_test.go
@@ -52,6 +52,35 @@
 		})
 	})
 
+	t.Run("each workspace has what it asked for and got", func(t *testing.T) {
+		// One workspace sends many times its usual. On-call sees who that is, and whose
+		// requests are late or refused for it.
+		c := qt.New(t)
+		const log = `{"Request":"a","Workspace":"loud","AimMs":500,"AgeMs":0,"message":"admitted"}
+{"Request":"a","Pool":"p","Stage":0,"Parts":3,"AgeMs":100,"message":"stage made"}
+{"Request":"a","AgeMs":400,"message":"began"}
+{"Request":"a","Workspace":"loud","AgeMs":900,"message":"answered"}
+{"Request":"b","Workspace":"loud","AgeMs":0,"message":"refused"}
+{"Request":"c","Workspace":"quiet","AimMs":500,"AgeMs":0,"message":"admitted"}
+{"Request":"c","Pool":"p","Stage":0,"Parts":1,"AgeMs":100,"message":"stage made"}
+{"Request":"c","Workspace":"quiet","AgeMs":700,"message":"answered"}
+{"Request":"d","Workspace":"quiet","AimMs":500,"AgeMs":0,"message":"admitted"}
+`
+		var result summary
+		c.Assert(json.Unmarshal([]byte(runSummary(c, log, "--output", "json")), &result), qt.IsNil)
+		c.Assert(result.Workspaces, qt.DeepEquals, []workspaceUse{
+			{
+				Workspace: "loud", Requests: 2, OnTime: 1, Refused: 1, WaitP50Ms: 400, WaitP99Ms: 400,
+				Pools: map[string]float64{"p": 0.75},
+			},
+			{
+				Workspace: "quiet", Requests: 2, Late: 1, Failed: 1, WaitP50Ms: 700, WaitP99Ms: 700,
+				Pools: map[string]float64{"p": 0.25},
+			},
+		})
+		c.Assert(runSummary(c, log), qt.Contains, "WORKSPACE")
+	})
+
 	t.Run("the text has both tables", func(t *testing.T) {
 		c := qt.New(t)
 		c.Assert(runSummary(c, summaryLog), qt.Matches, `(?s)3 requests.*COUNT +PIPELINE.*refused.*STEP.*stage 0 in parts +1 +300 ms.*`)
--- /dev/null
+++ b/internal/chutefeed/change.go
@@ -0,0 +1,122 @@
+package chutefeed
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Change is what a holder of a table lacks.
+type Change struct {
+	// Version is that of the table after the change.
+	Version uint64
+	// Whole says that the table then holds Rows and nothing else.
+	Whole bool
+	// Groups lists groups of GroupCount that hold those of Rows and nothing else.
+	Groups     []uint32
+	GroupCount int
+	Rows       []Row
+	// Gone lists keys that are deleted.
+	Gone []string
+}
+
+// Empty says whether the change brings nothing but a version.
+func (c Change) Empty() bool {
+	return !c.Whole && len(c.Groups) == 0 && len(c.Rows) == 0 && len(c.Gone) == 0
+}
+
+const (
+	// rowsAGroup is the number of rows that share a digest: with 16, what a node that
+	// changes whom it follows sends is one part in thirty of a table of 150 bytes a
+	// row, and each row that differs brings 15 others along.
+	rowsAGroup = 16
+	// MaxGroups bounds the digests of one table; beyond, groups are larger. 256 take 2 KB.
+	MaxGroups = 256
+	// wholeAbove is the part of all groups above which the whole table is sent: it is
+	// packed, which makes it a third as long.
+	wholeAbove = 3
+)
+
+// Digests returns one digest for each group of rows; none if the table was never read.
+func (t Table) Digests() []uint64 {
+	if t.version == 0 {
+		return nil
+	}
+	count := min(MaxGroups, 1+len(t.rows)/rowsAGroup)
+
+	return t.digests(count)
+}
+
+func (t Table) digests(count int) []uint64 {
+	digests := make([]uint64, count)
+	for _, row := range t.rows {
+		digests[groupOf(row.Key, count)] += digest(row)
+	}
+
+	return digests
+}
+
+// digest hashes what a row means.
+func digest(r Row) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.Key)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(r.Value)
+
+	return h.Sum64()
+}
+
+func groupOf(key string, count int) uint32 {
+	return uint32(xxhash.Sum64String(key) % uint64(max(1, count))) //nolint:gosec // below MaxGroups
+}
+
+// Missing returns what the holder of a table with the digests lacks of this one.
+func (t Table) Missing(digests []uint64) Change {
+	whole := Change{Version: t.version, Whole: true, Rows: t.rows}
+	if len(digests) == 0 || len(digests) > MaxGroups {
+		return whole
+	}
+	c := Change{Version: t.version, GroupCount: len(digests)}
+	for i, own := range t.digests(len(digests)) {
+		if own != digests[i] {
+			c.Groups = append(c.Groups, uint32(i)) //nolint:gosec // below MaxGroups
+		}
+	}
+	if wholeAbove*len(c.Groups) > len(digests) {
+		return whole
+	}
+	if len(c.Groups) == 0 {
+		return c
+	}
+	for _, row := range t.rows {
+		if slices.Contains(c.Groups, groupOf(row.Key, len(digests))) {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+
+	return c
+}
+
+// Since returns what changed from an earlier state to this one.
+func (t Table) Since(old Table) Change {
+	c := Change{Version: t.version}
+	before := old.rows
+	for _, row := range t.rows {
+		for len(before) > 0 && before[0].Key < row.Key {
+			c.Gone, before = append(c.Gone, before[0].Key), before[1:]
+		}
+		if len(before) > 0 && before[0].Key == row.Key {
+			same := sameRow(before[0], row)
+			before = before[1:]
+			if same {
+				continue
+			}
+		}
+		c.Rows = append(c.Rows, row)
+	}
+	for _, row := range before {
+		c.Gone = append(c.Gone, row.Key)
+	}
+
+	return c
+}
--- /dev/null
+++ b/internal/chutefeed/table.go
@@ -0,0 +1,101 @@
+package chutefeed
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+)
+
+// Row is one row; equal values mean the same to whoever decides by them.
+type Row struct {
+	Key   string
+	Value []byte
+	// Version is the store's version at which the row was written.
+	Version uint64
+}
+
+// Table is an immutable state of a table; the zero value is one that was never read.
+type Table struct {
+	// rows are sorted by key.
+	rows    []Row
+	version uint64
+}
+
+// NewTable returns a table of rows in any order, as of a version of the store.
+func NewTable(rows []Row, version uint64) Table {
+	sorted := slices.Clone(rows)
+	slices.SortFunc(sorted, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+
+	return Table{rows: sorted, version: version}
+}
+
+// Version returns the version of the store as of which the table is true; 0 if it was never read.
+func (t Table) Version() uint64 {
+	return t.version
+}
+
+// Rows returns all rows by key; the caller must not change them.
+func (t Table) Rows() []Row {
+	return t.rows
+}
+
+// Len returns the number of rows.
+func (t Table) Len() int {
+	return len(t.rows)
+}
+
+// Get returns a row, and false if there is none with the key.
+func (t Table) Get(key string) (Row, bool) {
+	i, ok := slices.BinarySearchFunc(t.rows, key, func(r Row, k string) int { return cmp.Compare(r.Key, k) })
+	if !ok {
+		return Row{}, false
+	}
+
+	return t.rows[i], true
+}
+
+// WithVersion returns the table as of a later version; an earlier one changes nothing.
+func (t Table) WithVersion(version uint64) Table {
+	t.version = max(t.version, version)
+
+	return t
+}
+
+// With returns the table with a change taken in.
+func (t Table) With(c Change) Table {
+	version := max(t.version, c.Version)
+	if c.Whole {
+		return NewTable(c.Rows, version)
+	}
+	news := NewTable(c.Rows, 0).rows
+	gone := slices.Clone(c.Gone)
+	slices.Sort(gone)
+	drop := func(key string) bool {
+		_, isGone := slices.BinarySearch(gone, key)
+
+		return isGone || slices.Contains(c.Groups, groupOf(key, c.GroupCount))
+	}
+	merged := make([]Row, 0, len(t.rows)+len(news))
+	for _, old := range t.rows {
+		for len(news) > 0 && news[0].Key < old.Key {
+			merged, news = append(merged, news[0]), news[1:]
+		}
+		switch {
+		case len(news) > 0 && news[0].Key == old.Key:
+			merged, news = append(merged, news[0]), news[1:]
+		case !drop(old.Key):
+			merged = append(merged, old)
+		}
+	}
+
+	return Table{rows: append(merged, news...), version: version}
+}
+
+// Same says whether two tables hold rows that mean the same, whatever their versions.
+func (t Table) Same(other Table) bool {
+	return slices.EqualFunc(t.rows, other.rows, sameRow)
+}
+
+func sameRow(a, b Row) bool {
+	return a.Key == b.Key && bytes.Equal(a.Value, b.Value)
+}
--- a/internal/chutegate/follow.go
+++ b/internal/chutegate/follow.go
@@ -4,20 +4,27 @@
 	"context"
 	"time"
 
-	"azurechute.example/azurechute/internal/chuteshare"
+	"azurechute.example/azurechute/internal/chutefeed"
 )
 
 const (
-	// stalePatience is how long a follower waits for a node that has lost the store
-	// before it asks the store itself. It doubles with each question that fails up
-	// to longestStale: while the store is away from all nodes, hundreds of them
-	// asking add nothing, and after its return a change has seconds to be in force.
+	// stalePatience is how long the first node of a zone waits for the one that it
+	// follows, when that has lost the store, before it asks the store itself. It doubles
+	// with each question that fails up to longestStale: while the store is away from all
+	// nodes, hundreds of them asking add nothing, and after its return a change has
+	// seconds to be in force.
 	stalePatience = 700 * time.Millisecond
 	longestStale  = 3 * time.Second
+	// zonePatience is the same for all others: their zone's first node has asked by then,
+	// and what it learns reaches them as soon as it would in an answer of their own.
+	zonePatience = 2 * stalePatience
 	// directSpell is how long a node reads the store itself after the ones that it
-	// followed were lost.
+	// followed were lost, and cutOffSpell the same for the first node of a zone that has
+	// lost another zone's: the zone may be cut off, which lasts seconds, and each try to
+	// follow again leaves it out of date for another second.
 	directSpell = 3 * time.Second
-	// lostInRow is the number of readers that a node loses one after the other
+	cutOffSpell = 8 * time.Second
+	// lostInRow is the number of nodes of its zone that a node loses one after the other
 	// before it takes the fault to be its own and reads the store itself: one more
 	// costs it up to half a second.
 	lostInRow = 2
@@ -29,6 +36,8 @@
 const (
 	// followNobody: this node reads the store, there is nobody to follow.
 	followNobody followEnd = "Nobody"
+	// followCutOff: the node of another zone that was followed is gone or silent.
+	followCutOff followEnd = "CutOff"
 	// followOther: another node is to be followed by now.
 	followOther followEnd = "Other"
 	// followLost: the node that was followed is gone or silent.
@@ -42,12 +51,14 @@
 type staleness struct {
 	since time.Time
 	tries int
+	// patience is the wait before the first question; stalePatience if it is 0.
+	patience time.Duration
 }
 
 // with takes in one word of the node that is followed.
 func (s staleness) with(current bool, now time.Time) staleness {
 	if current {
-		return staleness{}
+		return staleness{patience: s.patience}
 	}
 	if s.since.IsZero() {
 		s.since = now
@@ -58,29 +69,28 @@
 
 // due says whether this node is to ask the store itself.
 func (s staleness) due(now time.Time) bool {
-	patience := min(longestStale, stalePatience<<min(s.tries, 8))
+	patience := min(longestStale, max(s.patience, stalePatience)<<min(s.tries, 8))
 
 	return !s.since.IsZero() && now.Sub(s.since) >= patience
 }
 
 // failed counts a question that the store did not answer and starts the wait anew.
 func (s staleness) failed(now time.Time) staleness {
-	return staleness{since: now, tries: s.tries + 1}
+	return staleness{since: now, tries: s.tries + 1, patience: s.patience}
 }
 
-// follow takes a table from the zone's reader until that fails.
+// follow takes a table from the node's source until that fails.
 func (n *Node) follow(ctx context.Context, w *watch, stale *staleness, changed func()) followEnd {
-	if _, synced := w.after(); !synced {
-		return followNobody
-	}
-	reader, ok := n.reader()
+	source, ok := n.source()
 	if !ok {
 		return followNobody
 	}
-	w.setFollowing(true)
-	defer w.setFollowing(false)
-	take := func(rows []chuteshare.Row, version uint64) {
-		if w.replace(pageOf(rows, version)) {
+	stale.patience = stalePatience
+	if source.Zone == n.settings.Self.Zone {
+		stale.patience = zonePatience
+	}
+	take := func(c chutefeed.Change) {
+		if w.take(c) {
 			changed()
 		}
 	}
@@ -90,6 +100,7 @@
 		if current {
 			w.reached(true, now)
 		}
+		w.setCurrent(current)
 		if w.unsettled(now) {
 			changed()
 		}
@@ -99,16 +110,20 @@
 
 			return false
 		}
-		chosen, ok := n.reader()
+		chosen, ok := n.source()
 
-		return ok && chosen.Name == reader.Name
+		return ok && chosen.Name == source.Name
 	}
-	err := n.peers.Follow(ctx, reader.Address, w.table, take, more)
+	err := n.peers.FollowTable(ctx, source.Address, w.name, w.snapshot(), take, more)
 	if err == nil || ctx.Err() != nil {
 		return end
 	}
-	n.lost.add(reader.Name, n.Now())
-	n.log.Info().Str("Table", w.table).Str("Peer", reader.Name).AnErr("Cause", err).Msg("the zone's reader is lost")
+	w.setCurrent(false)
+	n.lost.add(source.Name, n.Now())
+	n.log.Info().Str("Table", w.name).Str("Peer", source.Name).AnErr("Cause", err).Msg("the node that was followed is lost")
+	if source.Zone != n.settings.Self.Zone {
+		return followCutOff
+	}
 
 	return followLost
 }
@@ -116,7 +131,7 @@
 // readInPlace asks the store because the node that is followed has lost it. If the
 // store answers, the fault is the reader's, and another one is followed from now on.
 func (n *Node) readInPlace(ctx context.Context, w *watch, stale *staleness, changed func()) {
-	reader, ok := n.reader()
+	source, ok := n.source()
 	if n.storeFailing() {
 		// One table's question tells for all of them.
 		w.reached(false, n.Now())
@@ -124,15 +139,15 @@
 
 		return
 	}
-	if err := n.readOnce(ctx, w, 0, changed); err != nil {
+	if err := n.readOnce(ctx, w, 0, callInPlace, changed); err != nil {
 		*stale = stale.failed(n.Now())
 
 		return
 	}
 	*stale = staleness{}
 	if ok {
-		n.lost.add(reader.Name, n.Now())
-		n.log.Info().Str("Table", w.table).Str("Peer", reader.Name).Msg("the zone's reader has lost the store, others reach it")
+		n.lost.add(source.Name, n.Now())
+		n.log.Info().Str("Table", w.name).Str("Peer", source.Name).Msg("the node that is followed has lost the store, others reach it")
 	}
 }
 
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -47,7 +47,14 @@
 	queries  chan func(chutecore.State)
 	config   atomic.Pointer[chuteroute.Config]
 	nodes    atomic.Pointer[[]chuterelay.Peer]
-	lost     lostReaders
+	// nodesKnown is closed when the list of nodes was read once.
+	nodesKnown  chan struct{}
+	nodesListed sync.Once
+	// equipped is closed when configuration and upstreams are both known.
+	equipped     chan struct{}
+	equippedOnce sync.Once
+	lost         lostNodes
+	chosen       atomic.Pointer[sourceChoice]
 	// storeFailedAt is when the store last failed this node; nil if it never did.
 	storeFailedAt atomic.Pointer[time.Time]
 	// listed says that the list of upstreams was read once.
@@ -56,6 +63,7 @@
 	handles  atomic.Uint64
 	// unreadable counts the entries of upstreams that have become unreadable.
 	unreadable atomic.Int64
+	storeCalls storeCalls
 	watches    map[string]*watch
 
 	running    context.Context
@@ -90,7 +98,9 @@
 		messages: make(chan message, backlog), queries: make(chan func(chutecore.State)),
 		running: running, stop: stop,
 		entries: map[uint64]*entry{}, asks: map[uint64]context.CancelFunc{},
-		jobs: map[uint64]chan<- chuteshare.Update{}, watches: map[string]*watch{},
+		jobs: map[uint64]chan<- chuteshare.Update{}, watches: map[string]*watch{}, nodesKnown: make(chan struct{}),
+		equipped:   make(chan struct{}),
+		storeCalls: newStoreCalls(),
 	}
 	identity := chutecore.Identity{
 		Node: settings.Self.Name, Zone: settings.Self.Zone, PeerAddress: settings.Self.Address,
@@ -104,6 +114,7 @@
 	for _, table := range []string{settings.Tables.Config, settings.Tables.Upstreams, settings.Tables.Peers} {
 		n.watches[table] = newWatch(table)
 	}
+	n.watches[settings.Tables.Upstreams].essence = decode.UpstreamEssence
 
 	return n
 }
@@ -156,6 +167,7 @@
 		defer close(removed)
 		ctx, cancel := context.WithTimeout(ctx, removeTimeout)
 		defer cancel()
+		n.storeCalls.add(callRegister)
 		if err := n.store.Remove(ctx, n.settings.Tables.Peers, n.settings.Self.Name); err != nil {
 			n.log.Warn().Err(err).Msg("the own row could not be removed; peers find out by asking")
 		}
@@ -176,7 +188,19 @@
 
 // Ready says whether the node can serve new callers.
 func (n *Node) Ready() bool {
-	return n.config.Load() != nil && n.listed.Load() && !n.draining.Load()
+	return n.knowsAll() && !n.draining.Load()
+}
+
+// knowsAll says whether the node knows what it needs to serve anybody.
+func (n *Node) knowsAll() bool {
+	return n.config.Load() != nil && n.listed.Load()
+}
+
+// noteKnown lets requests go on that wait for the node to know what it needs.
+func (n *Node) noteKnown() {
+	if n.knowsAll() {
+		n.equippedOnce.Do(func() { close(n.equipped) })
+	}
 }
 
 // Config returns the configuration in force, or false if there is none yet.
--- a/internal/chutegate/ledger.go
+++ b/internal/chutegate/ledger.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"azurechute.example/azurechute/internal/chutecore"
 	"azurechute.example/azurechute/internal/chuteledger"
 )
@@ -17,9 +20,27 @@
 	flushTimeout = time.Second
 )
 
-// flushLedger writes the cost counters from time to time.
+// ledgerParts is the number of parts that the rows of cost counters are spread over. A
+// part does its transactions one after another, some 200 a second. Each part of a
+// thousand nodes' rows has one in three hundred milliseconds.
+const ledgerParts = 16
+
+// ledgerPart returns the part of the table that a node writes its rows to.
+func ledgerPart(node string) string {
+	return strconv.FormatUint(xxhash.Sum64String(node)%ledgerParts, 10)
+}
+
+// firstFlush returns when a node first writes its counters; the seed differs for each start.
+func firstFlush(seed uint64) time.Duration {
+	return time.Duration(seed % uint64(flushEvery)) //nolint:gosec // below flushEvery
+}
+
+// flushLedger writes the cost counters from time to time, each node at a time of its own.
+//
+// Nodes that start together would write together: of hundreds the store turns many away
+// with 429, and their counters are lost if they are killed before the next time.
 func (n *Node) flushLedger(ctx context.Context) {
-	for n.pause(ctx, flushEvery) {
+	for pause := firstFlush(n.settings.Seed); n.pause(ctx, pause); pause = flushEvery {
 		n.sendLedger(chutecore.LedgerDue{Stamp: n.stamp()})
 	}
 }
@@ -52,7 +73,8 @@
 		byKey[row.Key] = row
 		writes = append(writes, Row{Key: row.Key, Value: row.Body, Version: row.Version})
 	}
-	version, present, err := n.store.Replace(ctx, n.settings.Tables.Ledger, writes)
+	n.storeCalls.add(callCounters)
+	version, present, err := n.store.Replace(ctx, n.settings.Tables.Ledger, ledgerPart(n.settings.Self.Name), writes)
 	if err != nil {
 		n.log.Warn().Err(err).Int("Rows", len(rows)).Msg("cost counters not confirmed; they are written again")
 
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -1,11 +1,15 @@
 package chutegate
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
 )
@@ -31,9 +35,7 @@
 
 // adopt puts a newer configuration in force; one that can't be read leaves the old one there.
 func (n *Node) adopt(w *watch) {
-	w.mu.Lock()
-	row, ok := w.rows[n.settings.Tables.ConfigKey]
-	w.mu.Unlock()
+	row, ok := w.snapshot().Get(n.settings.Tables.ConfigKey)
 	if !ok {
 		return
 	}
@@ -50,7 +52,7 @@
 	cfg = cfg.WithIndex()
 	n.config.Store(&cfg)
 	n.send(chuterelay.ConfigAdopted{Config: cfg})
-	w.announce()
+	n.noteKnown()
 	n.log.Info().Uint64("Version", cfg.Version).Int("Pipelines", len(cfg.Pipelines)).
 		Int("Keys", len(cfg.Workspaces)).Msg("configuration in force")
 }
@@ -60,9 +62,9 @@
 	w := n.watches[n.settings.Tables.Upstreams]
 	var last []chutefleet.Upstream
 	lastHold := false
-	unreadable := map[string]bool{}
+	entries := map[string]entryRead{}
 	n.keep(ctx, w, noWait, upstreamsEvery, func() {
-		list, ok := n.upstreamsOf(w, unreadable)
+		list, ok := n.upstreamsOf(w.snapshot(), entries)
 		hold := w.settling(n.Now())
 		if !ok || slices.Equal(list, last) && hold == lastHold && n.listed.Load() {
 			return
@@ -70,74 +72,68 @@
 		n.logMoves(last, list)
 		last, lastHold = list, hold
 		n.send(chuterelay.UpstreamsListed{Upstreams: list, Hold: hold})
-		w.announce()
 		n.listed.Store(true)
+		n.noteKnown()
 	})
 }
 
-// upstreamsOf decodes the list; false means that it was never read. Entries that can't
-// be read are logged when they become so, which unreadable remembers.
+// entryRead is an upstream's entry as it was last read.
+type entryRead struct {
+	value    []byte
+	upstream chutefleet.Upstream
+}
+
+// upstreamsOf decodes the list; false means that it was never read. What entries hold
+// that did not change is taken from the last time: of thousands few change at once.
 //
-// Heartbeats change the list many times a second; a line each time for an entry that
-// somebody else has left there would fill the log.
-func (n *Node) upstreamsOf(w *watch, unreadable map[string]bool) ([]chutefleet.Upstream, bool) {
-	rows, version := w.snapshot()
-	if version == 0 {
+// Entries that can't be read are logged when they become so. A line each time for an
+// entry that somebody else has left there would fill the log.
+func (n *Node) upstreamsOf(table chutefeed.Table, entries map[string]entryRead) ([]chutefleet.Upstream, bool) {
+	if table.Version() == 0 {
 		return nil, false
 	}
-	list := make([]chutefleet.Upstream, 0, len(rows))
-	for _, row := range rows {
-		u, err := n.decode.Upstream(row.Key, row.Value)
-		if err != nil {
-			u = chutefleet.Upstream{Name: row.Key, State: chutefleet.StateUnreadable}
-			if !unreadable[row.Key] {
-				n.unreadable.Add(1)
-				n.log.Error().Err(err).Str("Key", row.Key).Msg("an upstream's entry can't be read; it gets no calls")
-			}
+	list := make([]chutefleet.Upstream, 0, table.Len())
+	for _, row := range table.Rows() {
+		read, known := entries[row.Key]
+		if !known || !bytes.Equal(read.value, row.Value) {
+			read = n.readEntry(row, read.upstream.State)
+			entries[row.Key] = read
 		}
-		list = append(list, u)
+		list = append(list, read.upstream)
 	}
-	clear(unreadable)
-	for _, u := range list {
-		if u.State == chutefleet.StateUnreadable {
-			unreadable[u.Name] = true
-		}
+	if len(entries) > len(list) {
+		maps.DeleteFunc(entries, func(key string, _ entryRead) bool {
+			_, listed := table.Get(key)
+
+			return !listed
+		})
 	}
 
 	return list, true
 }
 
-// logMoves writes a line for each upstream that joined, is leaving or is gone.
-func (n *Node) logMoves(before, after []chutefleet.Upstream) {
-	was := map[string]chutefleet.Upstream{}
-	for _, u := range before {
-		was[u.Name] = u
-	}
-	for _, u := range after {
-		old, known := was[u.Name]
-		delete(was, u.Name)
-		if known && old.State == u.State && old.ID == u.ID {
-			continue
-		}
-		line := n.log.Info().Str("Upstream", u.ID).Str("Pool", u.Pool).Str("Peer", u.Address).Str("State", string(u.State))
-		if known && old.ID != u.ID {
-			line = line.Str("Before", old.ID)
+// readEntry decodes an upstream's entry; before is the state as which it was last read.
+func (n *Node) readEntry(row chutefeed.Row, before chutefleet.State) entryRead {
+	u, err := n.decode.Upstream(row.Key, row.Value)
+	if err != nil {
+		u = chutefleet.Upstream{Name: row.Key, State: chutefleet.StateUnreadable}
+		if before != chutefleet.StateUnreadable {
+			n.unreadable.Add(1)
+			n.log.Error().Err(err).Str("Key", row.Key).Msg("an upstream's entry can't be read; it gets no calls")
 		}
-		line.Msg("upstream listed")
-	}
-	for name := range was {
-		n.log.Info().Str("Upstream", name).Msg("upstream not listed any more")
 	}
+
+	return entryRead{value: row.Value, upstream: u}
 }
 
 // watchPeers keeps the list of nodes up to date.
 func (n *Node) watchPeers(ctx context.Context) {
 	w := n.watches[n.settings.Tables.Peers]
-	n.keep(ctx, w, func() time.Duration { return peersWait }, 0, func() {
+	n.keep(ctx, w, func() time.Duration { return peersWait }, peersEvery, func() {
 		peers := n.decodePeers(w)
 		n.nodes.Store(&peers)
+		n.nodesListed.Do(func() { close(n.nodesKnown) })
 		n.send(chuterelay.PeersListed{Peers: peers})
-		w.announce()
 	})
 }
 
@@ -152,9 +148,9 @@
 
 // decodePeers decodes the list of nodes.
 func (n *Node) decodePeers(w *watch) []chuterelay.Peer {
-	rows, _ := w.snapshot()
-	peers := make([]chuterelay.Peer, 0, len(rows))
-	for _, row := range rows {
+	table := w.snapshot()
+	peers := make([]chuterelay.Peer, 0, table.Len())
+	for _, row := range table.Rows() {
 		var peer chuterelay.Peer
 		if err := json.Unmarshal(row.Value, &peer); err != nil {
 			n.log.Error().Err(err).Str("Key", row.Key).Msg("a node's row can't be read; it is left out")
@@ -167,6 +163,18 @@
 	return peers
 }
 
+// registerPause is the mean pause after the first write of the own row that failed; it
+// doubles with each further one, to 8 s.
+const registerPause = 500 * time.Millisecond
+
+// jittered returns a random time with the given mean.
+//
+// Nodes that start together fail together where the store does fewer writes a second
+// than there are nodes, and would come back together.
+func jittered(mean time.Duration) time.Duration {
+	return time.Duration(2 * rand.Float64() * float64(mean)) //nolint:gosec // spreads calls, no secret
+}
+
 // register writes the own row, by which other nodes find this one.
 func (n *Node) register(ctx context.Context) {
 	value, err := json.Marshal(n.settings.Self)
@@ -175,15 +183,16 @@
 
 		return
 	}
-	for ctx.Err() == nil && !n.draining.Load() {
+	for failed := 0; ctx.Err() == nil && !n.draining.Load(); failed++ {
 		write, cancel := context.WithTimeout(ctx, readTimeout)
+		n.storeCalls.add(callRegister)
 		err := n.store.Put(write, n.settings.Tables.Peers, n.settings.Self.Name, value)
 		cancel()
 		if err == nil {
 			return
 		}
 		n.log.Warn().Err(err).Msg("the own row is not written yet")
-		if !n.pause(ctx, 2*retryPause) {
+		if !n.pause(ctx, jittered(registerPause<<min(failed, 4))) {
 			return
 		}
 	}
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -18,6 +18,7 @@
 		return float64(cfg.Version)
 	})
 	n.meter.Gauge("unreadable_entries_total", func() float64 { return float64(n.unreadable.Load()) })
+	n.storeCalls.addGauges(n.meter.Gauge)
 	n.meter.Gauge("nodes_listed", func() float64 { return float64(len(n.listedPeers())) })
 	n.meter.Gauge("events_waiting", func() float64 { return float64(len(n.messages)) })
 	n.meter.Gauge("requests_in_flight", func() float64 {
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -222,14 +222,31 @@
 	n.sendWith(chuterelay.JobAsked{Token: token, Job: job}, func() { n.jobs[token] = updates })
 }
 
+// workspaceOf returns whose request a line is about. Only the first line and the last one
+// say it: the others are most of the log, and their request's id leads to these two.
+func workspaceOf(e chuterelay.Note) string {
+	switch e.Step {
+	case chuterelay.StepAdmitted, chuterelay.StepRefused, chuterelay.StepAnswered, chuterelay.StepFailed, chuterelay.StepCancelled:
+		return e.Workspace
+	default:
+		return ""
+	}
+}
+
 // logNote writes one decision on a request.
 func (n *Node) logNote(e chuterelay.Note) {
 	line := n.log.Info().Str("Request", e.Request).Str("Pipeline", e.Pipeline).Str("Pool", e.Pool)
 	if e.Stage >= 0 {
 		line = line.Int("Stage", e.Stage)
 	}
+	if e.Parts > 0 {
+		line = line.Int("Parts", e.Parts)
+	}
+	if e.Aim != 0 {
+		line = line.Int64("AimMs", e.Aim.Milliseconds())
+	}
 	for _, field := range []struct{ name, value string }{
-		{"Upstream", e.Upstream}, {"Peer", e.Peer}, {"At", e.Zone}, {"Reason", e.Reason},
+		{"Workspace", workspaceOf(e)}, {"Upstream", e.Upstream}, {"Peer", e.Peer}, {"At", e.Zone}, {"Reason", e.Reason},
 	} {
 		if field.value != "" {
 			line = line.Str(field.name, field.value)
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -16,7 +16,15 @@
 	// in force within 2 s of being in touch with the store again.
 	configWait = 1500 * time.Millisecond
 	peersWait  = 3 * time.Second
-	waitMargin = 500 * time.Millisecond
+	// peersEvery is the least time between two reads of the list of nodes. When all
+	// nodes restart in turn it changes many times a second; whoever asks a node that is
+	// gone finds out by asking.
+	peersEvery = time.Second
+	// nodesPatience is how long a node that starts waits for the list of nodes before
+	// it reads the other tables from the store: another node has them already, and a
+	// zone that starts at once would have the store send them to each.
+	nodesPatience = 500 * time.Millisecond
+	waitMargin    = 500 * time.Millisecond
 	// followedWait is configWait for a node that others follow: their 2 s run while
 	// it has not noticed yet that it is cut off.
 	followedWait = 700 * time.Millisecond
@@ -35,12 +43,19 @@
 )
 
 // read brings the watch up to date once, and says whether its rows may have changed.
-func (n *Node) read(ctx context.Context, w *watch, wait time.Duration) (bool, error) {
+func (n *Node) read(ctx context.Context, w *watch, wait time.Duration, why callReason) (bool, error) {
 	after, synced := w.after()
+	if !synced {
+		why = callStart
+		if after > 0 {
+			why = callGap
+		}
+	}
+	n.storeCalls.add(why)
 	if !synced {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		page, err := n.store.All(ctx, w.table)
+		page, err := n.store.All(ctx, w.name)
 		if err != nil {
 			return false, err
 		}
@@ -53,9 +68,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	page, err := n.store.Changes(ctx, w.table, after, wait)
+	page, err := n.store.Changes(ctx, w.name, after, wait)
 	if errors.Is(err, ErrCompacted) {
-		n.log.Info().Str("Table", w.table).Uint64("After", after).Msg("history is gone, reading everything")
+		n.log.Info().Str("Table", w.name).Uint64("After", after).Msg("history is gone, reading everything")
 		w.lost()
 
 		return false, nil
@@ -70,6 +85,9 @@
 // keep keeps one table up to date until the node stops, and calls changed after
 // each read that may have changed it.
 func (n *Node) keep(ctx context.Context, w *watch, wait func() time.Duration, every time.Duration, changed func()) {
+	if w != n.watches[n.settings.Tables.Peers] {
+		n.awaitNodes(ctx)
+	}
 	var direct time.Time
 	var stale staleness
 	failed, lost := 0, 0
@@ -90,12 +108,18 @@
 					continue
 				}
 				direct = n.Now().Add(directSpell)
+			case followCutOff:
+				direct = n.Now().Add(cutOffSpell)
 			case followNobody:
 			}
 			lost = 0
 		}
 		began := n.Now()
-		err := n.readOnce(ctx, w, waitAfter(failed, wait()), changed)
+		why := callRead
+		if failed > 0 {
+			why = callRetry
+		}
+		err := n.readOnce(ctx, w, waitAfter(failed, wait()), why, changed)
 		pause := every - n.Now().Sub(began)
 		if err == nil {
 			failed = 0
@@ -109,6 +133,15 @@
 	}
 }
 
+// awaitNodes waits until the list of nodes is known, or its time is over.
+func (n *Node) awaitNodes(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-n.nodesKnown:
+	case <-n.clock.After(nodesPatience):
+	}
+}
+
 // waitAfter is how long a question for changes stays open after some that failed.
 //
 // The first one after a failure is to tell at once whether the store is back: until
@@ -123,8 +156,8 @@
 }
 
 // readOnce reads the store once, or a peer if the store does not answer.
-func (n *Node) readOnce(ctx context.Context, w *watch, wait time.Duration, changed func()) error {
-	news, err := n.read(ctx, w, wait)
+func (n *Node) readOnce(ctx context.Context, w *watch, wait time.Duration, why callReason, changed func()) error {
+	news, err := n.read(ctx, w, wait, why)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -132,8 +165,9 @@
 		now := n.Now()
 		n.storeFailedAt.Store(&now)
 	}
+	w.setCurrent(err == nil)
 	if w.reached(err == nil, n.Now()) {
-		n.log.Info().Str("Table", w.table).Bool("Reached", err == nil).AnErr("Cause", err).Msg("store")
+		n.log.Info().Str("Table", w.name).Bool("Reached", err == nil).AnErr("Cause", err).Msg("store")
 	}
 	if err != nil {
 		news = n.askPeers(ctx, w)
@@ -150,15 +184,14 @@
 // The store can turn some nodes away while it serves the others, and revoked keys
 // and leaving upstreams have to be known to all.
 func (n *Node) askPeers(ctx context.Context, w *watch) bool {
-	after, _ := w.after()
 	for _, peer := range n.somePeers() {
-		rows, version, ok, err := n.peers.Rows(ctx, peer.Address, w.table, after)
+		change, ok, err := n.peers.ReadTable(ctx, peer.Address, w.name, w.snapshot())
 		if err != nil || !ok {
 			continue
 		}
-		n.log.Info().Str("Table", w.table).Str("Peer", peer.Name).Uint64("Version", version).Msg("read from a peer")
+		n.log.Info().Str("Table", w.name).Str("Peer", peer.Name).Uint64("Version", change.Version).Msg("read from a peer")
 
-		return w.replace(pageOf(rows, version))
+		return w.take(change)
 	}
 
 	return false
--- a/internal/chutegate/seams.go
+++ b/internal/chutegate/seams.go
@@ -164,15 +164,19 @@
 	// Put and Remove change one row.
 	Put    func(ctx context.Context, table, key string, value []byte) error
 	Remove func(ctx context.Context, table, key string) error
-	// Replace writes rows, each on the condition that it has the given version (0:
-	// absent), all or none. It returns their new version, or else the rows as they are.
-	Replace func(ctx context.Context, table string, rows []Row) (version uint64, present []Row, err error)
+	// Replace writes rows of one part of a table, each on the condition that it has the
+	// given version (0: absent), all or none. It returns their new version, or else the
+	// rows as they are.
+	Replace func(ctx context.Context, table, part string, rows []Row) (version uint64, present []Row, err error)
 }
 
 // Decoders read the platform's rows; all fields must be set.
 type Decoders struct {
 	Config   func(value []byte) (chuteroute.Config, error)
 	Upstream func(key string, value []byte) (chutefleet.Upstream, error)
+	// UpstreamEssence returns an upstream's entry without what each heartbeat changes;
+	// one that can't be read is returned as it is.
+	UpstreamEssence func(value []byte) []byte
 }
 
 // Tables names the store's tables.
--- a/internal/chutegate/share.go
+++ b/internal/chutegate/share.go
@@ -9,24 +9,25 @@
 	"azurechute.example/azurechute/internal/chuteshare"
 )
 
-// followAbove is the number of nodes above which one node a zone reads the store for
-// the others. Each node that reads makes about three calls a second; with eight nodes
-// in four zones a reader each saves a third of the calls of a calm day, 1,039 to 709. Of
-// so few nodes as this each one reads: a lost reader would leave half of them out of
-// date until that shows.
+// followAbove is the number of nodes above which they follow each other in place of
+// reading the store. Each node that reads makes about three calls a second. Of so few
+// nodes as this each one reads: a lost reader would leave half of them out of date until
+// that shows.
 const followAbove = 3
 
-// lostReaders remembers nodes that were lost as readers.
-type lostReaders struct {
+// lostNodes remembers nodes that were lost as sources of the store's tables.
+type lostNodes struct {
 	mu    sync.Mutex
 	until map[string]time.Time
+	// changes counts what was added.
+	changes int
 }
 
-// lostFor is how long a lost reader is passed over: long enough for another to be
+// lostFor is how long a lost node is passed over: long enough for another to be
 // in use, and a row of a VM that is gone for good costs little.
 const lostFor = 10 * time.Second
 
-func (l *lostReaders) add(name string, now time.Time) {
+func (l *lostNodes) add(name string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -34,39 +35,66 @@
 		l.until = map[string]time.Time{}
 	}
 	l.until[name] = now.Add(lostFor)
+	l.changes++
 }
 
-func (l *lostReaders) has(name string, now time.Time) bool {
+// at returns the nodes that are lost by now, how long that is true, and the number of changes.
+func (l *lostNodes) at(now time.Time) (lost map[string]bool, until time.Time, changes int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return now.Before(l.until[name])
-}
+	lost = map[string]bool{}
+	for name, end := range l.until {
+		switch {
+		case !now.Before(end):
+			delete(l.until, name)
+		case until.IsZero() || end.Before(until):
+			until = end
+
+			fallthrough
+		default:
+			lost[name] = true
+		}
+	}
 
-func (w *watch) setFollowing(following bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	return lost, until, l.changes
+}
 
-	w.following = following
+// sourceChoice is the last answer of source and what it was made from. The question is
+// asked with each sign of life, several times a second, and an answer takes sorting
+// hundreds of nodes.
+type sourceChoice struct {
+	nodes    *[]chuterelay.Peer
+	lost     int
+	draining bool
+	// until is when a lost node counts again; zero if none is lost.
+	until  time.Time
+	source chuterelay.Peer
+	found  bool
 }
 
-// reader returns the node of the zone that reads the store for the others; false
-// if that is this one, or if there are too few nodes for it to be worth it.
-func (n *Node) reader() (chuterelay.Peer, bool) {
-	all := n.listedPeers()
-	if len(all) <= followAbove {
-		return chuterelay.Peer{}, false
-	}
+// source returns the node that this one takes the store's tables from; false if it
+// reads the store itself, or if there are too few nodes for it to be worth it.
+func (n *Node) source() (chuterelay.Peer, bool) {
 	now := n.Now()
-	own := slices.DeleteFunc(all, func(p chuterelay.Peer) bool {
-		// A node that is shutting down is on no list, and reads for nobody.
-		leaving := p.Name == n.settings.Self.Name && n.draining.Load()
-
-		return p.Zone != n.settings.Self.Zone || n.lost.has(p.Name, now) || leaving
-	})
-	reader, ok := chuterelay.Elect("reader", own)
+	nodes := n.nodes.Load()
+	lost, until, changes := n.lost.at(now)
+	draining := n.draining.Load()
+	if c := n.chosen.Load(); c != nil && c.nodes == nodes && c.lost == changes && c.draining == draining &&
+		(c.until.IsZero() || now.Before(c.until)) {
+		return c.source, c.found
+	}
+	c := &sourceChoice{nodes: nodes, lost: changes, draining: draining, until: until}
+	if all := n.listedPeers(); len(all) > followAbove {
+		live := slices.DeleteFunc(all, func(p chuterelay.Peer) bool {
+			// A node that is shutting down is on no list, and reads for nobody.
+			return lost[p.Name] || draining && p.Name == n.settings.Self.Name
+		})
+		c.source, c.found = chuterelay.Source(n.settings.Self, live)
+	}
+	n.chosen.Store(c)
 
-	return reader, ok && reader.Name != n.settings.Self.Name
+	return c.source, c.found
 }
 
 // Handlers answers other nodes.
@@ -78,49 +106,19 @@
 		OnDrop: func(token uint64) {
 			n.sendWith(chuterelay.JobDropped{Token: token}, func() { delete(n.jobs, token) })
 		},
-		OnRows:   n.shareRows,
-		OnFollow: n.shareFollowed,
-	}
-}
-
-// shareRows hands a table as read to another node.
-func (n *Node) shareRows(table string) ([]chuteshare.Row, uint64) {
-	w, ok := n.watches[table]
-	if !ok {
-		return nil, 0
+		OnTable: n.shareTable,
 	}
-	rows, version := w.snapshot()
-
-	return sharedRows(rows), version
 }
 
-// shareFollowed hands a table to a follower; one that is ending is up to date to the last.
-func (n *Node) shareFollowed(table string) chuteshare.Followed {
-	w, ok := n.watches[table]
+// shareTable hands a table as known to another node; one of no such name was never read.
+func (n *Node) shareTable(name string) chuteshare.Followed {
+	w, ok := n.watches[name]
 	if !ok {
 		return chuteshare.Followed{}
 	}
-	rows, version, current, changed := w.followed()
-
-	return chuteshare.Followed{
-		Rows: sharedRows(rows), Version: version, Current: current, Changed: changed,
-	}
-}
-
-func sharedRows(rows []Row) []chuteshare.Row {
-	out := make([]chuteshare.Row, 0, len(rows))
-	for _, row := range rows {
-		out = append(out, chuteshare.Row{Key: row.Key, Value: row.Value, Version: row.Version})
-	}
 
-	return out
-}
-
-func pageOf(rows []chuteshare.Row, version uint64) Page {
-	page := Page{Version: version}
-	for _, row := range rows {
-		page.Rows = append(page.Rows, Row{Key: row.Key, Value: row.Value, Version: row.Version})
-	}
+	followed := w.followed()
+	followed.Leaving = n.draining.Load()
 
-	return page
+	return followed
 }
--- a/internal/chutegate/watch.go
+++ b/internal/chutegate/watch.go
@@ -1,30 +1,33 @@
 package chutegate
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
+
+	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chuteshare"
 )
 
 // settle is how long after the store's return missing upstreams are kept: live
 // ones are back in the list about two seconds after it.
 const settle = 2200 * time.Millisecond
 
-// watch is a table of the store as this node has read it.
+// watch is a table of the store as this node knows it.
 type watch struct {
-	table string
+	name string
+	// essence returns what matters of a row's value; nil if all of it does.
+	essence func(value []byte) []byte
 
-	mu      sync.Mutex
-	rows    map[string]Row
-	version uint64
-	// synced says that rows is the whole table as of version.
+	mu    sync.Mutex
+	table chutefeed.Table
+	// synced says that table is whole.
 	synced bool
 	// away says that the last read failed.
 	away bool
-	// following says that the rows come from another node.
-	following bool
-	// changed is closed and replaced by each change that matters.
+	// current says that the last word on the store is good: the own read, or that of
+	// the node that is followed.
+	current bool
+	// changed is closed and replaced by each change of the rows or of current.
 	changed chan struct{}
 	// returnedAt is when the store answered again after it had been away.
 	returnedAt time.Time
@@ -33,22 +36,16 @@
 	held bool
 }
 
-func newWatch(table string) *watch {
-	return &watch{table: table, rows: map[string]Row{}, changed: make(chan struct{})}
+func newWatch(name string) *watch {
+	return &watch{name: name, changed: make(chan struct{})}
 }
 
-// snapshot returns the rows, sorted by key, and the version as of which they are true.
-func (w *watch) snapshot() ([]Row, uint64) {
+// snapshot returns the table as it is known.
+func (w *watch) snapshot() chutefeed.Table {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	keys := slices.Sorted(maps.Keys(w.rows))
-	rows := make([]Row, 0, len(keys))
-	for _, key := range keys {
-		rows = append(rows, w.rows[key])
-	}
-
-	return rows, w.version
+	return w.table
 }
 
 // replace takes a whole table in; one that is older than what is known is left out.
@@ -56,42 +53,79 @@
 // The store may answer with rows of some seconds ago. Taking them would bring
 // back an upstream that is leaving, or a configuration that was replaced.
 func (w *watch) replace(p Page) bool {
+	return w.take(chutefeed.Change{Version: p.Version, Whole: true, Rows: w.rowsOf(p)})
+}
+
+// merge takes changes in and says whether any of them matters.
+func (w *watch) merge(p Page) bool {
+	c := chutefeed.Change{Version: p.Version, Rows: w.rowsOf(p)}
+	for _, row := range p.Rows {
+		if row.Deleted {
+			c.Gone = append(c.Gone, row.Key)
+		}
+	}
+
+	return w.take(c)
+}
+
+// rowsOf returns the rows of a page with what matters of their values.
+//
+// Every upstream writes its row each second or so, to show that it lives. Taken as
+// changes, these would go on to all nodes, thousands a second.
+func (w *watch) rowsOf(p Page) []chutefeed.Row {
+	rows := make([]chutefeed.Row, 0, len(p.Rows))
+	for _, row := range p.Rows {
+		if row.Deleted {
+			continue
+		}
+		value := row.Value
+		if w.essence != nil {
+			value = w.essence(value)
+		}
+		rows = append(rows, chutefeed.Row{Key: row.Key, Value: value, Version: row.Version})
+	}
+
+	return rows
+}
+
+// take takes a change in, unless it is older than what is known, and says whether there
+// is something to look at: rows that changed, or the first state of the table.
+func (w *watch) take(c chutefeed.Change) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if p.Version < w.version {
+	if c.Version < w.table.Version() {
 		return false
 	}
-	w.rows = make(map[string]Row, len(p.Rows))
-	for _, row := range p.Rows {
-		w.rows[row.Key] = row
-	}
-	w.version = p.Version
+	first := !w.synced
 	w.synced = true
+	next := w.table.With(c)
+	if next.Same(w.table) {
+		w.table = w.table.WithVersion(c.Version)
+
+		return first
+	}
+	w.table = next
+	w.wake()
 
 	return true
 }
 
-// merge takes changes in and says whether there were any.
-func (w *watch) merge(p Page) bool {
+// wake tells followers to look again; the caller holds mu.
+func (w *watch) wake() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// setCurrent notes whether the last word on the store is good.
+func (w *watch) setCurrent(current bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	changed := false
-	for _, row := range p.Rows {
-		if row.Version <= w.rows[row.Key].Version {
-			continue
-		}
-		changed = true
-		if row.Deleted {
-			delete(w.rows, row.Key)
-		} else {
-			w.rows[row.Key] = row
-		}
+	if w.current != current {
+		w.current = current
+		w.wake()
 	}
-	w.version = max(w.version, p.Version)
-
-	return changed
 }
 
 // after returns the version to read on from, and false if everything has to be read.
@@ -99,7 +133,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	return w.version, w.synced
+	return w.table.Version(), w.synced
 }
 
 // lost makes the next read a whole one.
@@ -124,22 +158,12 @@
 	return news
 }
 
-// announce tells followers of a change that matters.
-func (w *watch) announce() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	close(w.changed)
-	w.changed = make(chan struct{})
-}
-
-// followed returns what a follower gets; a node that follows another is not followed itself.
-func (w *watch) followed() (rows []Row, version uint64, current bool, changed <-chan struct{}) {
-	rows, version = w.snapshot()
+// followed returns what followers get.
+func (w *watch) followed() chuteshare.Followed {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	return rows, version, w.synced && !w.away && !w.following, w.changed
+	return chuteshare.Followed{Table: w.table, Current: w.synced && w.current, Changed: w.changed}
 }
 
 // unsettled says whether the rows have to be looked at although none has changed:
--- /dev/null
+++ b/internal/chutegate/watch_test.go
@@ -0,0 +1,191 @@
+package chutegate
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuterelay"
+)
+
+// beatless drops what stands behind a bar, as heartbeats change it.
+func beatless(value []byte) []byte {
+	before, _, _ := bytes.Cut(value, []byte("|"))
+
+	return before
+}
+
+func newTestWatch() *watch {
+	w := newWatch("t")
+	w.essence = beatless
+
+	return w
+}
+
+func page(version uint64, rows ...Row) Page {
+	return Page{Version: version, Rows: rows}
+}
+
+func TestWatch(t *testing.T) {
+	t.Run("heartbeats are no changes for followers", func(t *testing.T) {
+		// Thousands of upstreams write their rows each second. Sent on, that is a
+		// thousand rows a second to every node.
+		c := qt.New(t)
+		w := newTestWatch()
+		c.Assert(w.replace(page(1, Row{Key: "u", Value: []byte("ready|1"), Version: 1})), qt.IsTrue)
+		before := w.followed()
+		c.Assert(w.merge(page(2, Row{Key: "u", Value: []byte("ready|2"), Version: 2})), qt.IsFalse)
+		c.Assert(w.followed().Changed, qt.Equals, before.Changed)
+		c.Assert(w.followed().Table.Version(), qt.Equals, uint64(2))
+		c.Assert(w.merge(page(3, Row{Key: "u", Value: []byte("leaving|3"), Version: 3})), qt.IsTrue)
+		<-before.Changed
+	})
+
+	t.Run("what is older than what is known is left out", func(t *testing.T) {
+		c := qt.New(t)
+		w := newTestWatch()
+		w.replace(page(5, Row{Key: "u", Value: []byte("leaving|1"), Version: 5}))
+		c.Assert(w.replace(page(4, Row{Key: "u", Value: []byte("ready|1"), Version: 3})), qt.IsFalse)
+		row, _ := w.snapshot().Get("u")
+		c.Assert(string(row.Value), qt.Equals, "leaving")
+	})
+
+	t.Run("a deleted row is gone", func(t *testing.T) {
+		c := qt.New(t)
+		w := newTestWatch()
+		w.replace(page(5, Row{Key: "u", Value: []byte("ready"), Version: 5}))
+		c.Assert(w.merge(page(6, Row{Key: "u", Version: 6, Deleted: true})), qt.IsTrue)
+		c.Assert(w.snapshot().Len(), qt.Equals, 0)
+	})
+
+	t.Run("followers hear at once that a node is out of date", func(t *testing.T) {
+		// The node that all follow has lost the store. Each word that it is current
+		// would keep its followers from asking for themselves.
+		c := qt.New(t)
+		w := newTestWatch()
+		w.replace(page(1))
+		w.setCurrent(true)
+		before := w.followed()
+		c.Assert(before.Current, qt.IsTrue)
+		w.setCurrent(false)
+		<-before.Changed
+		c.Assert(w.followed().Current, qt.IsFalse)
+	})
+
+	t.Run("a table whose history is gone is not handed on as current", func(t *testing.T) {
+		c := qt.New(t)
+		w := newTestWatch()
+		w.replace(page(1))
+		w.setCurrent(true)
+		w.lost()
+		c.Assert(w.followed().Current, qt.IsFalse)
+	})
+}
+
+// newTestNode returns a node that is not started, and what it logs.
+func newTestNode(decode Decoders) (*Node, *bytes.Buffer) {
+	var log bytes.Buffer
+	n := New(Settings{Self: chuterelay.Peer{Name: "n0", Zone: "z"}, Tables: Tables{Upstreams: "u", Config: "c", Peers: "p"}},
+		clockwork.NewFakeClock(), zerolog.New(&log), Store{}, decode, Upstreams{})
+
+	return n, &log
+}
+
+func upstreams(n int, state chutefleet.State) []chutefleet.Upstream {
+	all := make([]chutefleet.Upstream, 0, n)
+	for i := range n {
+		all = append(all, chutefleet.Upstream{ID: fmt.Sprint("u", i), Name: fmt.Sprint("u", i), Pool: "p", State: state})
+	}
+
+	return all
+}
+
+func TestLogMoves(t *testing.T) {
+	// A node that starts finds all upstreams at once, and a failure takes many along.
+	// One line each, of every node, drowns what on-call looks for.
+	lines := func(before, after []chutefleet.Upstream) []string {
+		n, log := newTestNode(Decoders{})
+		n.logMoves(before, after)
+
+		return strings.Split(strings.TrimSpace(log.String()), "\n")
+	}
+
+	t.Run("3,000 upstreams at a start are one line that counts them", func(t *testing.T) {
+		c := qt.New(t)
+		got := lines(nil, upstreams(3000, chutefleet.StateReady))
+		c.Assert(got, qt.HasLen, 1)
+		c.Assert(got[0], qt.Contains, `"Upstreams":3000,"Joined":3000`)
+	})
+
+	t.Run("1,500 that go at once are one line", func(t *testing.T) {
+		c := qt.New(t)
+		got := lines(upstreams(3000, chutefleet.StateReady), upstreams(1500, chutefleet.StateReady))
+		c.Assert(got, qt.HasLen, 1)
+		c.Assert(got[0], qt.Contains, `"Gone":1500`)
+	})
+
+	t.Run("one that leaves has its line", func(t *testing.T) {
+		c := qt.New(t)
+		after := upstreams(3000, chutefleet.StateReady)
+		after[7].State = chutefleet.StateLeaving
+		got := lines(upstreams(3000, chutefleet.StateReady), after)
+		c.Assert(got, qt.HasLen, 1)
+		c.Assert(got[0], qt.Contains, `"Upstream":"u7"`)
+	})
+}
+
+func TestUpstreamsOf(t *testing.T) {
+	t.Run("of a long list only what changed is decoded", func(t *testing.T) {
+		c := qt.New(t)
+		decoded := 0
+		n, _ := newTestNode(Decoders{Upstream: func(key string, _ []byte) (chutefleet.Upstream, error) {
+			decoded++
+
+			return chutefleet.Upstream{ID: key, Name: key}, nil
+		}})
+		rows := make([]chutefeed.Row, 0, 3000)
+		for i := range 3000 {
+			rows = append(rows, chutefeed.Row{Key: fmt.Sprint("u", i), Value: []byte("ready")})
+		}
+		table := chutefeed.NewTable(rows, 1)
+		entries := map[string]entryRead{}
+		n.upstreamsOf(table, entries)
+		decoded = 0
+		table = table.With(chutefeed.Change{Version: 2, Rows: []chutefeed.Row{{Key: "u3", Value: []byte("leaving")}}, Gone: []string{"u4"}})
+		list, ok := n.upstreamsOf(table, entries)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(list, qt.HasLen, 2999)
+		c.Assert(decoded, qt.Equals, 1)
+		c.Assert(entries, qt.HasLen, 2999)
+	})
+}
+
+func TestLedgerTimes(t *testing.T) {
+	t.Run("400 nodes write at times of their own, over all parts", func(t *testing.T) {
+		// Nodes that start together wrote together, into one part that does 200
+		// transactions a second: half of them were turned away with 429.
+		c := qt.New(t)
+		const nodes = 400
+		seconds := map[string]int{}
+		parts := map[string]int{}
+		for i := range nodes {
+			part := ledgerPart(fmt.Sprint("edge-", i))
+			parts[part]++
+			at := firstFlush(uint64(i) * 0x9e3779b97f4a7c15)
+			c.Assert(at < flushEvery, qt.IsTrue)
+			seconds[fmt.Sprint(part, at.Truncate(time.Second))]++
+		}
+		c.Assert(parts, qt.HasLen, ledgerParts)
+		for at, n := range seconds {
+			c.Assert(n <= 10, qt.IsTrue, qt.Commentf("%d writes of a part in one second: %s", n, at))
+		}
+	})
+}
--- a/internal/chutemeter/meter.go
+++ b/internal/chutemeter/meter.go
@@ -42,6 +42,8 @@
 	mu     sync.Mutex
 	counts map[series]int64
 	ages   map[series]*hdrhistogram.Histogram
+	// workspaces counts the ends of each workspace's requests.
+	workspaces map[string]map[chuterelay.Step]int64
 	// gauges are read when the figures are written.
 	gauges []gauge
 }
@@ -53,7 +55,10 @@
 
 // New returns a meter without counts.
 func New() *Meter {
-	return &Meter{counts: map[series]int64{}, ages: map[series]*hdrhistogram.Histogram{}}
+	return &Meter{
+		counts: map[series]int64{}, ages: map[series]*hdrhistogram.Histogram{},
+		workspaces: map[string]map[chuterelay.Step]int64{},
+	}
 }
 
 // Gauge adds a figure that is read when the figures are written.
@@ -70,6 +75,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
+	m.noteWorkspace(n)
 	if _, known := m.counts[s]; !known && len(m.counts) >= maxSeries {
 		s.pipeline, s.pool = other, other
 	}
@@ -110,6 +116,9 @@
 			}
 		}
 	}
+	if err := m.writeWorkspaces(w); err != nil {
+		return err
+	}
 	for _, g := range m.gauges {
 		if _, err := fmt.Fprintf(w, "azurechute_%s %g\n", g.name, g.read()); err != nil {
 			return err
--- a/internal/chutemeter/meter_test.go
+++ b/internal/chutemeter/meter_test.go
@@ -44,3 +44,24 @@
 		c.Assert(text(c, m), qt.Contains, `pipeline="(other)"`)
 	})
 }
+
+func TestWorkspaces(t *testing.T) {
+	t.Run("of 37,000 workspaces the loud one is shown by name, and nothing is lost", func(t *testing.T) {
+		c := qt.New(t)
+		m := New()
+		for i := range 37_000 {
+			m.Note(chuterelay.Note{Step: chuterelay.StepAdmitted, Workspace: fmt.Sprint("w", i)})
+			m.Note(chuterelay.Note{Step: chuterelay.StepAdmitted, Workspace: "loud"})
+		}
+		c.Assert(m.workspaces["loud"][chuterelay.StepAdmitted], qt.Equals, int64(37_000))
+		c.Assert(len(m.workspaces) <= maxWorkspaces+1, qt.IsTrue)
+		sum := int64(0)
+		for _, counts := range m.workspaces {
+			sum += total(counts)
+		}
+		c.Assert(sum, qt.Equals, int64(74_000))
+		var text strings.Builder
+		c.Assert(m.Write(&text), qt.IsNil)
+		c.Assert(text.String(), qt.Contains, `azurechute_workspace_requests_total{workspace="loud",step="admitted"} 37000`)
+	})
+}
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -38,7 +38,9 @@
 		return
 	}
 	st.put(r)
-	st.note(StepAdmitted, r, func(n *Note) { n.Zone, n.Waited = r.zone, r.waited })
+	st.note(StepAdmitted, r, func(n *Note) {
+		n.Zone, n.Waited, n.Aim = r.zone, r.waited, r.aimAt.Sub(st.now)
+	})
 	st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
 	st.advance(r)
 }
--- a/internal/chuterelay/note.go
+++ b/internal/chuterelay/note.go
@@ -25,11 +25,17 @@
 type Note struct {
 	Step    Step
 	Request string
+	// Workspace is whose request it is; empty if the pipeline takes no keys.
+	Workspace string
 	// Pipeline and Pool name what the request runs on.
 	Pipeline string
 	Pool     string
 	// Stage is the stage's index, or -1 for the relayed call.
 	Stage int
+	// Parts is the number of parts of a stage that is asked for or made.
+	Parts int
+	// Aim is the time from now on until the request should be answered, when it is admitted.
+	Aim time.Duration
 	// Attempt numbers the sends of the request from 1.
 	Attempt int
 	// Upstream is the incarnation, Peer its address or the node that was asked.
@@ -53,7 +59,7 @@
 // note tells of a decision on a request; fill sets what is particular to it.
 func (st *step) note(step Step, r request, fill func(n *Note)) {
 	n := Note{
-		Step: step, Request: r.ID, Pipeline: r.Pipeline.Name, Pool: r.pool, Stage: -1, Attempt: r.sends,
+		Step: step, Request: r.ID, Workspace: r.Workspace.Name, Pipeline: r.Pipeline.Name, Pool: r.pool, Stage: -1, Attempt: r.sends,
 		Age: st.now.Sub(r.arrivedAt), Left: r.Deadline.Sub(st.now), Version: st.config.Version,
 	}
 	if fill != nil {
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -15,8 +15,10 @@
 
 // Peer is a node of the system.
 type Peer struct {
-	Name    string
-	Zone    string
+	Name string
+	Zone string
+	// Region is empty for nodes of older software.
+	Region  string
 	Address string
 	// Incarnation changes with each start of the process.
 	Incarnation string
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -123,6 +123,7 @@
 	r = r.withStage(a.stage, s)
 	st.note(StepMade, r, func(n *Note) {
 		n.Pool, n.Stage, n.Peer, n.Wait = r.Pipeline.Stages[a.stage].Pool, a.stage, a.peer.Name, e.Wait
+		n.Parts = len(e.Results)
 		n.Zone = r.inputZone([]int{a.stage}, "")
 	})
 	st.do(Charge{
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -26,8 +26,6 @@
 	connectTimeout = 400 * time.Millisecond
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = time.Second
-	// rowsTimeout bounds a question for rows.
-	rowsTimeout = 500 * time.Millisecond
 	// maxReply bounds a reply; a configuration grows by hundreds of routes.
 	maxReply = 16 << 20
 )
@@ -165,69 +163,3 @@
 		}
 	}
 }
-
-// Rows asks a peer for a table of the platform's store; ok is false if the peer has nothing newer.
-func (c *Client) Rows(ctx context.Context, address, table string, after uint64) (rows []Row, version uint64, ok bool, err error) {
-	conn, err := c.connection(address)
-	if err != nil {
-		return nil, 0, false, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
-	defer cancel()
-
-	reply, err := chutesharepb.NewShareClient(conn).Rows(ctx, &chutesharepb.RowsRequest{Table: table, After: after})
-	if err != nil {
-		if ctx.Err() != nil {
-			// Silent: the next question shall not wait on the same connection.
-			c.forget(address, conn)
-		}
-		return nil, 0, false, oops.In("share").With("step", "rows", "peer", address).Wrap(err)
-	}
-	if reply.GetVersion() <= after {
-		return nil, reply.GetVersion(), false, nil
-	}
-
-	return decodeRows(reply.GetRows()), reply.GetVersion(), true, nil
-}
-
-// followSign is how long a followed node may go without a sign of life.
-const followSign = 3 * followEvery
-
-// Follow reads a table from a peer until the peer is gone or silent, or more returns
-// false; it calls take with each state that matters, and more after each word of
-// the peer with whether the peer is up to date with the store.
-func (c *Client) Follow(
-	ctx context.Context, address, table string, take func(rows []Row, version uint64), more func(current bool) bool,
-) error {
-	conn, err := c.connection(address)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-
-	watch := time.AfterFunc(followSign, func() { cancel(errSilent) })
-	defer watch.Stop()
-
-	stream, err := chutesharepb.NewShareClient(conn).Follow(ctx, &chutesharepb.FollowRequest{Table: table})
-	for err == nil {
-		var update *chutesharepb.FollowUpdate
-		if update, err = stream.Recv(); err != nil {
-			break
-		}
-		watch.Reset(followSign)
-		if update.GetChanged() {
-			take(decodeRows(update.GetRows()), update.GetVersion())
-		}
-		if !more(update.GetCurrent()) {
-			return nil
-		}
-	}
-	if errors.Is(context.Cause(ctx), errSilent) {
-		c.forget(address, conn)
-
-		return errSilent
-	}
-
-	return err
-}
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -1,7 +1,6 @@
 package chuteshare
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -11,16 +10,13 @@
 	"google.golang.org/grpc/status"
 
 	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
 )
 
 const (
 	// aliveEvery is how often a collector tells each waiting caller that it lives.
 	aliveEvery = 250 * time.Millisecond
-	// followEvery is how often a followed node says that it is up to date: what its
-	// followers know is at most three times this old, well under the 2 s in which
-	// they have to know of a change.
-	followEvery = 400 * time.Millisecond
 	// bufferBytes is small because messages are.
 	bufferBytes = 8 << 10
 	// vanishedAfter is how long a connection whose other end vanished is kept.
@@ -46,25 +42,24 @@
 	OnJob func(token uint64, job chutebatch.Job, updates chan<- Update)
 	// OnDrop ends a job's lease.
 	OnDrop func(token uint64)
-	// OnRows returns the rows of a table and the version up to which they were read.
-	OnRows func(table string) ([]Row, uint64)
-	// OnFollow returns a table as read, whether this node is up to date with the
-	// store, and a channel that is closed by the next change.
-	OnFollow func(table string) Followed
+	// OnTable returns a table of the store as this node knows it.
+	OnTable func(table string) Followed
 	// Now tells the time in which jobs are meant.
 	Now func() time.Time
 	// NewToken returns a number that was not given out before.
 	NewToken func() uint64
 }
 
-// Followed is a table as a node has read it.
+// Followed is a table as a node knows it.
 type Followed struct {
-	Rows    []Row
-	Version uint64
-	// Current says that the node is up to date with the store.
+	Table chutefeed.Table
+	// Current says that the node, and the one that it follows, are up to date with the store.
 	Current bool
-	// Changed is closed by the next change that matters.
+	// Changed is closed by the next change of the rows or of Current.
 	Changed <-chan struct{}
+	// Leaving says that the node is shutting down: it serves no followers any more. It
+	// may follow a node that follows it, and both would take old rows for current.
+	Leaving bool
 }
 
 // Server serves other nodes.
@@ -80,7 +75,7 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: vanishedAfter, Timeout: vanishedAfter}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 	)}
-	chutesharepb.RegisterShareServer(s.grpc, service{handlers: h})
+	chutesharepb.RegisterShareServer(s.grpc, service{handlers: h, packs: &packs{}})
 
 	return s
 }
@@ -99,6 +94,7 @@
 type service struct {
 	chutesharepb.UnimplementedShareServer
 	handlers Handlers
+	packs    *packs
 }
 
 // Make runs one job and keeps its results until the caller goes.
@@ -149,45 +145,3 @@
 		Kind: chutesharepb.MakeUpdate_KIND_MADE, Results: encodeResults(u.Results), WaitMs: u.Wait.Milliseconds(),
 	}
 }
-
-// Follow hands out a table until the caller goes.
-func (s service) Follow(m *chutesharepb.FollowRequest, stream grpc.ServerStreamingServer[chutesharepb.FollowUpdate]) error {
-	alive := time.NewTicker(followEvery)
-	defer alive.Stop()
-
-	followed := s.handlers.OnFollow(m.GetTable())
-	changed := true
-	for {
-		update := &chutesharepb.FollowUpdate{Current: followed.Current, Version: followed.Version}
-		if changed {
-			update.Changed = true
-			update.Rows = encodeRows(followed.Rows)
-		}
-		if err := stream.Send(update); err != nil {
-			return err
-		}
-		select {
-		case <-followed.Changed:
-			changed = true
-		case <-alive.C:
-			changed = false
-		case <-stream.Context().Done():
-			return nil
-		}
-		next := s.handlers.OnFollow(m.GetTable())
-		changed = changed || next.Changed != followed.Changed
-		followed = next
-	}
-}
-
-// Rows hands out a table as this node has read it.
-func (s service) Rows(_ context.Context, m *chutesharepb.RowsRequest) (*chutesharepb.RowsReply, error) {
-	rows, version := s.handlers.OnRows(m.GetTable())
-	reply := &chutesharepb.RowsReply{Version: version}
-	if version <= m.GetAfter() {
-		return reply, nil
-	}
-	reply.Rows = encodeRows(rows)
-
-	return reply, nil
-}
--- /dev/null
+++ b/internal/chuteshare/tables.go
@@ -0,0 +1,167 @@
+package chuteshare
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
+)
+
+const (
+	// followEvery is how often a followed node says that it is up to date. What its
+	// followers know is at most three times this old when they find out that it is
+	// gone, which leaves them a second of the 2 s in which they have to know of a change.
+	followEvery = 300 * time.Millisecond
+	// followSign is how long a followed node may go without a sign of life.
+	followSign = 3 * followEvery
+	// readTableTimeout bounds a question for a table.
+	readTableTimeout = 500 * time.Millisecond
+)
+
+// FollowTable hands out a table until the caller goes.
+func (s service) FollowTable(m *chutesharepb.FollowTableRequest, stream grpc.ServerStreamingServer[chutesharepb.FollowTableUpdate]) error {
+	alive := time.NewTicker(followEvery)
+	defer alive.Stop()
+
+	f := feeding{digests: m.GetKnown().GetDigests(), version: m.GetKnown().GetVersion()}
+	for {
+		followed := s.handlers.OnTable(m.GetTable())
+		if followed.Leaving {
+			return status.Error(codes.Unavailable, "this VM is shutting down")
+		}
+		update := &chutesharepb.FollowTableUpdate{Current: followed.Current}
+		if change, ok := f.next(followed.Table); ok {
+			var err error
+			if update.Change, err = s.packs.encode(m.GetTable(), change); err != nil {
+				return err
+			}
+		}
+		if err := stream.Send(update); err != nil {
+			return err
+		}
+		select {
+		case <-followed.Changed:
+		case <-alive.C:
+		case <-stream.Context().Done():
+			return nil
+		}
+	}
+}
+
+// feeding is what a follower is known to have.
+type feeding struct {
+	// digests and version are the follower's own word, used until it was sent something.
+	digests []uint64
+	version uint64
+	begun   bool
+	sent    chutefeed.Table
+}
+
+// next returns what the follower lacks, and false if that is nothing.
+//
+// A follower that knows more than this node has heard of keeps what it has: this node's
+// rows would bring back an upstream that is leaving.
+func (f *feeding) next(table chutefeed.Table) (chutefeed.Change, bool) {
+	if table.Version() == 0 || table.Version() < f.version || f.begun && table.Version() == f.version {
+		return chutefeed.Change{}, false
+	}
+	change := table.Since(f.sent)
+	if !f.begun {
+		change = table.Missing(f.digests)
+	}
+	f.begun, f.sent, f.version = true, table, table.Version()
+
+	return change, true
+}
+
+// ReadTable hands out what a caller lacks of a table as this node knows it.
+func (s service) ReadTable(_ context.Context, m *chutesharepb.ReadTableRequest) (*chutesharepb.ReadTableReply, error) {
+	table := s.handlers.OnTable(m.GetTable()).Table
+	if table.Version() <= m.GetKnown().GetVersion() {
+		return &chutesharepb.ReadTableReply{}, nil
+	}
+	change, err := s.packs.encode(m.GetTable(), table.Missing(m.GetKnown().GetDigests()))
+
+	return &chutesharepb.ReadTableReply{Change: change}, err
+}
+
+// ReadTable asks a peer for what is missing of a table; ok is false if the peer has nothing newer.
+func (c *Client) ReadTable(ctx context.Context, address, table string, known chutefeed.Table) (change chutefeed.Change, ok bool, err error) {
+	conn, err := c.connection(address)
+	if err != nil {
+		return chutefeed.Change{}, false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTableTimeout)
+	defer cancel()
+
+	fault := oops.In("share").With("step", "read table", "peer", address)
+	reply, err := chutesharepb.NewShareClient(conn).ReadTable(ctx, &chutesharepb.ReadTableRequest{Table: table, Known: encodeKnown(known)})
+	if err != nil {
+		if ctx.Err() != nil {
+			// Silent: the next question shall not wait on the same connection.
+			c.forget(address, conn)
+		}
+
+		return chutefeed.Change{}, false, fault.Wrap(err)
+	}
+	if reply.GetChange() == nil {
+		return chutefeed.Change{}, false, nil
+	}
+	change, err = decodeChange(reply.GetChange(), len(known.Digests()))
+	if err != nil {
+		return chutefeed.Change{}, false, fault.Wrap(err)
+	}
+
+	return change, true, nil
+}
+
+// FollowTable reads a table from a peer until the peer is gone or silent, or more returns
+// false. It calls take with each change, beginning with what known lacks, and more after
+// each word of the peer with whether the peer is up to date with the store.
+func (c *Client) FollowTable(
+	ctx context.Context, address, table string, known chutefeed.Table, take func(chutefeed.Change), more func(current bool) bool,
+) error {
+	conn, err := c.connection(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+
+	watch := time.AfterFunc(followSign, func() { cancel(errSilent) })
+	defer watch.Stop()
+
+	digests := len(known.Digests())
+	stream, err := chutesharepb.NewShareClient(conn).FollowTable(ctx, &chutesharepb.FollowTableRequest{Table: table, Known: encodeKnown(known)})
+	for err == nil {
+		var update *chutesharepb.FollowTableUpdate
+		if update, err = stream.Recv(); err != nil {
+			break
+		}
+		watch.Reset(followSign)
+		if update.GetChange() != nil {
+			var change chutefeed.Change
+			if change, err = decodeChange(update.GetChange(), digests); err != nil {
+				break
+			}
+			take(change)
+		}
+		if !more(update.GetCurrent()) {
+			return nil
+		}
+	}
+	if errors.Is(context.Cause(ctx), errSilent) {
+		c.forget(address, conn)
+
+		return errSilent
+	}
+
+	return err
+}
--- a/internal/chuteshare/wire.go
+++ b/internal/chuteshare/wire.go
@@ -7,13 +7,6 @@
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
 )
 
-// Row is one row of the platform's store as a node has read it.
-type Row struct {
-	Key     string
-	Value   []byte
-	Version uint64
-}
-
 // encodeJob writes times as spans from now.
 func encodeJob(j chutebatch.Job, now time.Time) *chutesharepb.MakeRequest {
 	return &chutesharepb.MakeRequest{
@@ -55,21 +48,3 @@
 
 	return out
 }
-
-func encodeRows(rows []Row) []*chutesharepb.Row {
-	out := make([]*chutesharepb.Row, 0, len(rows))
-	for _, row := range rows {
-		out = append(out, &chutesharepb.Row{Key: row.Key, Value: row.Value, Version: row.Version})
-	}
-
-	return out
-}
-
-func decodeRows(rows []*chutesharepb.Row) []Row {
-	out := make([]Row, 0, len(rows))
-	for _, row := range rows {
-		out = append(out, Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion()})
-	}
-
-	return out
-}
