Take the last of several changes of a row, and test following with real nodes

Cause: the store lists every change of a row. A page that held several ones of the configuration left the first of them in force until the next read that brought a change, and rows of one key stood twice in a table. Change: a page's changes are cut down to the last one of each row before they are taken in, and a table never holds a key twice. What a follower is known to have is chutefeed.Feed, pure. Tests: "of several changes of a row the last one counts" failed before. TestFollowing starts 40 nodes in two zones over loopback with a store in memory: the reader killed, half of the nodes killed, the store away from a zone and from all; no configuration goes back.

--- /dev/null
+++ b/internal/chutefeed/feed.go
@@ -0,0 +1,33 @@
+package chutefeed
+
+// Feed is what one follower is known to have of a table.
+type Feed struct {
+	// digests and version are the follower's own word, used until it was sent something.
+	digests []uint64
+	version uint64
+	begun   bool
+	sent    Table
+}
+
+// NewFeed returns the feed of a follower that has read up to a version, with the digests
+// of what it has.
+func NewFeed(version uint64, digests []uint64) *Feed {
+	return &Feed{digests: digests, version: version}
+}
+
+// Next returns what the follower lacks of a table, and false if that is nothing.
+//
+// A follower that knows more than this node has heard of keeps what it has: this node's
+// rows would bring back an upstream that is leaving.
+func (f *Feed) Next(table Table) (Change, bool) {
+	if table.Version() == 0 || table.Version() < f.version || f.begun && table.Version() == f.version {
+		return Change{}, false
+	}
+	change := table.Since(f.sent)
+	if !f.begun {
+		change = table.Missing(f.digests)
+	}
+	f.begun, f.sent, f.version = true, table, table.Version()
+
+	return change, true
+}
--- a/internal/chutefeed/table.go
+++ b/internal/chutefeed/table.go
@@ -21,12 +21,13 @@
 	version uint64
 }
 
-// NewTable returns a table of rows in any order, as of a version of the store.
+// NewTable returns a table of rows in any order, as of a version of the store; of rows
+// with one key the newest counts.
 func NewTable(rows []Row, version uint64) Table {
 	sorted := slices.Clone(rows)
-	slices.SortFunc(sorted, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(sorted, func(a, b Row) int { return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(b.Version, a.Version)) })
 
-	return Table{rows: sorted, version: version}
+	return Table{rows: slices.CompactFunc(sorted, func(a, b Row) bool { return a.Key == b.Key }), version: version}
 }
 
 // Version returns the version of the store as of which the table is true; 0 if it was never read.
--- a/internal/chutegate/watch.go
+++ b/internal/chutegate/watch.go
@@ -1,6 +1,7 @@
 package chutegate
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 
 // merge takes changes in and says whether any of them matters.
 func (w *watch) merge(p Page) bool {
+	p.Rows = lastOfEach(p.Rows)
 	c := chutefeed.Change{Version: p.Version, Rows: w.rowsOf(p)}
 	for _, row := range p.Rows {
 		if row.Deleted {
@@ -68,6 +70,17 @@
 	return w.take(c)
 }
 
+// lastOfEach returns the last change of each row. The store lists every change, and one
+// page may hold a row that was written, deleted and written again.
+func lastOfEach(changes []Row) []Row {
+	last := make(map[string]uint64, len(changes))
+	for _, row := range changes {
+		last[row.Key] = max(last[row.Key], row.Version)
+	}
+
+	return slices.DeleteFunc(slices.Clone(changes), func(row Row) bool { return row.Version < last[row.Key] })
+}
+
 // rowsOf returns the rows of a page with what matters of their values.
 //
 // Every upstream writes its row each second or so, to show that it lives. Taken as
--- a/internal/chutegate/watch_test.go
+++ b/internal/chutegate/watch_test.go
@@ -58,6 +58,25 @@
 		c.Assert(string(row.Value), qt.Equals, "leaving")
 	})
 
+	t.Run("of several changes of a row the last one counts", func(t *testing.T) {
+		// Keys are taken away in quick succession while a node reads nothing. Its next
+		// read brings each configuration of that time; with the first of them in force
+		// callers whose keys are gone were served for four seconds.
+		c := qt.New(t)
+		w := newTestWatch()
+		w.replace(page(1, Row{Key: "c", Value: []byte("1"), Version: 1}, Row{Key: "u", Value: []byte("ready"), Version: 1}))
+		w.merge(page(
+			9,
+			Row{Key: "c", Value: []byte("2"), Version: 2}, Row{Key: "v", Value: []byte("ready"), Version: 3},
+			Row{Key: "u", Version: 4, Deleted: true}, Row{Key: "c", Value: []byte("3"), Version: 5},
+			Row{Key: "v", Version: 6, Deleted: true}, Row{Key: "u", Value: []byte("ready"), Version: 7},
+		))
+		rows := w.snapshot().Rows()
+		c.Assert(rows, qt.HasLen, 2)
+		c.Assert(string(rows[0].Value), qt.Equals, "3")
+		c.Assert(rows[1].Key, qt.Equals, "u")
+	})
+
 	t.Run("a deleted row is gone", func(t *testing.T) {
 		c := qt.New(t)
 		w := newTestWatch()
--- /dev/null
+++ b/internal/chutegate/zone_test.go
@@ -0,0 +1,295 @@
+package chutegate
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteroute"
+	"azurechute.example/azurechute/internal/chuteshare"
+)
+
+// memoryStore is a store without a network that can be away from some nodes.
+type memoryStore struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]map[string]Row
+	changes map[string][]Row
+	changed chan struct{}
+	away    map[string]bool
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{
+		rows: map[string]map[string]Row{}, changes: map[string][]Row{}, changed: make(chan struct{}), away: map[string]bool{},
+	}
+}
+
+func (s *memoryStore) put(table, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.version++
+	row := Row{Key: key, Value: []byte(value), Version: s.version, Deleted: value == ""}
+	if s.rows[table] == nil {
+		s.rows[table] = map[string]Row{}
+	}
+	s.rows[table][key] = row
+	if row.Deleted {
+		delete(s.rows[table], key)
+	}
+	s.changes[table] = append(s.changes[table], row)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) setAway(node string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.away[node] = away
+}
+
+// since returns the changes after a version, and what is closed by the next one.
+func (s *memoryStore) since(node, table string, after uint64) (Page, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.away[node] {
+		return Page{}, nil, context.DeadlineExceeded
+	}
+	page := Page{Version: s.version}
+	for _, row := range s.changes[table] {
+		if row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+
+	return page, s.changed, nil
+}
+
+// seam returns the store as one node reaches it.
+func (s *memoryStore) seam(node string) Store {
+	return Store{
+		Changes: func(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+			until := time.After(wait)
+			for {
+				page, changed, err := s.since(node, table, after)
+				if err != nil || len(page.Rows) > 0 {
+					return page, err
+				}
+				select {
+				case <-changed:
+				case <-until:
+					return page, nil
+				case <-ctx.Done():
+					return Page{}, ctx.Err()
+				}
+			}
+		},
+		All: func(_ context.Context, table string) (Page, error) {
+			page, _, err := s.since(node, table, 0)
+			whole := map[string]Row{}
+			for _, row := range page.Rows {
+				whole[row.Key] = row
+			}
+			page.Rows = nil
+			for _, row := range whole {
+				if !row.Deleted {
+					page.Rows = append(page.Rows, row)
+				}
+			}
+
+			return page, err
+		},
+		Put: func(_ context.Context, table, key string, value []byte) error {
+			s.put(table, key, string(value))
+
+			return nil
+		},
+		Remove: func(_ context.Context, table, key string) error {
+			s.put(table, key, "")
+
+			return nil
+		},
+	}
+}
+
+// zone is a region's nodes with their store.
+type zone struct {
+	*qt.C
+
+	store *memoryStore
+	nodes map[string]*Node
+	peers []chuterelay.Peer
+	stops map[string]func()
+}
+
+// newZones starts nodes in two zones that know of each other, as after a restart of all.
+func newZones(t *testing.T, size int) *zone {
+	z := &zone{C: qt.New(t), store: newMemoryStore(), nodes: map[string]*Node{}, stops: map[string]func(){}}
+	listeners := map[string]net.Listener{}
+	for i := range 2 * size {
+		name := fmt.Sprint("n", i)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		z.Assert(err, qt.IsNil)
+		listeners[name] = l
+		peer := chuterelay.Peer{Name: name, Zone: fmt.Sprint("z", i%2), Region: "r", Address: l.Addr().String(), Power: 1}
+		z.peers = append(z.peers, peer)
+		z.store.put("peers", name, fmt.Sprintf(`{"Name":%q,"Zone":%q,"Region":"r","Address":%q,"Power":1}`, name, peer.Zone, peer.Address))
+	}
+	z.store.put("config", "c", "1")
+	z.store.put("upstreams", "u", "ready")
+	for _, peer := range z.peers {
+		z.start(t, peer, listeners[peer.Name])
+	}
+
+	return z
+}
+
+func (z *zone) start(t *testing.T, self chuterelay.Peer, l net.Listener) {
+	n := New(
+		Settings{Self: self, Tables: Tables{Config: "config", ConfigKey: "c", Upstreams: "upstreams", Peers: "peers", Ledger: "ledger"}},
+		clockwork.NewRealClock(), zerolog.Nop(), z.store.seam(self.Name),
+		Decoders{
+			Config: func(value []byte) (chuteroute.Config, error) {
+				var version uint64
+				_, err := fmt.Sscan(string(value), &version)
+
+				return chuteroute.Config{Version: version}, err
+			},
+			Upstream: func(key string, value []byte) (chutefleet.Upstream, error) {
+				return chutefleet.Upstream{ID: key, Name: key, State: chutefleet.State(value)}, nil
+			},
+		},
+		Upstreams{Trim: func() {}},
+	)
+	server := chuteshare.NewServer(n.Handlers())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(l)
+	}()
+	n.Start()
+	z.nodes[self.Name] = n
+	var once sync.Once
+	z.stops[self.Name] = func() {
+		once.Do(func() {
+			server.Stop()
+			n.Stop()
+			<-done
+		})
+	}
+	t.Cleanup(z.stops[self.Name])
+}
+
+// kill ends a node without a word; its row stays.
+func (z *zone) kill(name string) {
+	z.stops[name]()
+	delete(z.nodes, name)
+}
+
+// reader returns the node that reads the store for the others.
+func (z *zone) reader() string {
+	for _, p := range z.peers {
+		if _, ok := chuterelay.Source(p, z.peers); !ok {
+			return p.Name
+		}
+	}
+
+	return ""
+}
+
+// expectConfig waits until all nodes have a configuration in force, and checks that none goes back.
+func (z *zone) expectConfig(version uint64) {
+	last := map[string]uint64{}
+	for behind := true; behind; time.Sleep(5 * time.Millisecond) {
+		behind = false
+		for name, n := range z.nodes {
+			cfg, _ := n.Config()
+			z.Assert(cfg.Version >= last[name], qt.IsTrue, qt.Commentf("%s went back from %d to %d", name, last[name], cfg.Version))
+			last[name] = cfg.Version
+			behind = behind || cfg.Version < version
+		}
+	}
+}
+
+// expectState waits until all nodes know an upstream's state; empty is none.
+func (z *zone) expectState(key, state string) {
+	for behind := true; behind; time.Sleep(5 * time.Millisecond) {
+		behind = false
+		for _, n := range z.nodes {
+			row, _ := n.watches["upstreams"].snapshot().Get(key)
+			behind = behind || string(row.Value) != state
+		}
+	}
+}
+
+// Twenty nodes a zone make a second level: the first of a zone serves five others, and
+// these the rest.
+const nodesAZone = 20
+
+func TestFollowing(t *testing.T) {
+	z := newZones(t, nodesAZone)
+
+	t.Run("what the store holds reaches every node", func(*testing.T) {
+		z.expectConfig(1)
+		z.expectState("u", "ready")
+		z.store.put("upstreams", "u", "draining")
+		z.store.put("config", "c", "2")
+		z.expectConfig(2)
+		z.expectState("u", "draining")
+	})
+
+	t.Run("the node that reads the store is killed, and what changes then reaches the others", func(*testing.T) {
+		z.kill(z.reader())
+		z.store.put("upstreams", "u", "")
+		z.store.put("config", "c", "3")
+		z.expectConfig(3)
+		z.expectState("u", "")
+	})
+
+	t.Run("half of the nodes are killed at once", func(*testing.T) {
+		for i := range nodesAZone {
+			if name := fmt.Sprint("n", 2*i+i%2); z.nodes[name] != nil {
+				z.kill(name)
+			}
+		}
+		z.store.put("upstreams", "v", "ready")
+		z.store.put("config", "c", "4")
+		z.expectConfig(4)
+		z.expectState("v", "ready")
+	})
+
+	t.Run("the store is away from all of a zone, and a key is revoked meanwhile", func(*testing.T) {
+		// The store can turn some nodes away while it serves the others: what they
+		// follow has lost it too.
+		for _, p := range z.peers {
+			z.store.setAway(p.Name, p.Zone == "z0")
+		}
+		z.store.put("config", "c", "5")
+		z.expectConfig(5)
+	})
+
+	t.Run("the store is back after it was away from all", func(*testing.T) {
+		for _, p := range z.peers {
+			z.store.setAway(p.Name, true)
+		}
+		z.store.put("upstreams", "v", "draining")
+		z.store.put("config", "c", "6")
+		for _, p := range z.peers {
+			z.store.setAway(p.Name, false)
+		}
+		z.expectConfig(6)
+		z.expectState("v", "draining")
+	})
+}
--- /dev/null
+++ b/internal/chuteshare/size_test.go
@@ -0,0 +1,82 @@
+package chuteshare
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
+)
+
+// upstreamRow is an upstream's entry as nodes hand it on.
+func upstreamRow(i int, state string) chutefeed.Row {
+	value := fmt.Sprintf(`{"service":"pool-%d","address":"10.%d.%d.%d:8608","zone":"hall-%d","version":"v1",`+
+		`"concurrency":32,"state":%q,"warmup_left_ms":0,"sequence":0}`, i%5, i>>16, i>>8&255, i&255, i%5, state)
+
+	return chutefeed.Row{Key: fmt.Sprintf("i-%08x", uint32(i)*2654435761), Value: []byte(value), Version: uint64(i)}
+}
+
+func upstreamTable(n int) chutefeed.Table {
+	rows := make([]chutefeed.Row, 0, n)
+	for i := range n {
+		rows = append(rows, upstreamRow(i, "ready"))
+	}
+
+	return chutefeed.NewTable(rows, uint64(n))
+}
+
+// sizes are the bytes of the messages that a follower gets.
+type sizes struct {
+	start, change, moved, sign int
+}
+
+func sizesOf(c *qt.C, upstreams int) sizes {
+	size := func(change chutefeed.Change) int {
+		message, err := (&packs{}).encode("t", change)
+		c.Assert(err, qt.IsNil)
+
+		return proto.Size(&chutesharepb.FollowTableUpdate{Current: true, Change: message})
+	}
+	table := upstreamTable(upstreams)
+	later := table.With(chutefeed.Change{Version: table.Version() + 1, Rows: []chutefeed.Row{upstreamRow(7, "draining")}})
+
+	return sizes{
+		start:  size(later.Missing(nil)),
+		change: size(later.Since(table)),
+		moved:  size(later.Missing(table.Digests())) + proto.Size(encodeKnown(table)),
+		sign:   size(later.WithVersion(later.Version() + 1).Since(later)),
+	}
+}
+
+func TestSizes(t *testing.T) {
+	t.Run("what a change and a sign of life take does not grow with the upstreams", func(t *testing.T) {
+		c := qt.New(t)
+		for _, upstreams := range []int{236, 3_000, 8_000} {
+			got := sizesOf(c, upstreams)
+			note := qt.Commentf("%d upstreams: %+v", upstreams, got)
+			c.Check(got.change <= 256, qt.IsTrue, note)
+			c.Check(got.sign <= 16, qt.IsTrue, note)
+			c.Check(got.moved <= 12_000, qt.IsTrue, note)
+			c.Check(got.start <= 80*upstreams, qt.IsTrue, note)
+		}
+	})
+}
+
+// BenchmarkSizes prints the bytes of the messages that a follower gets.
+func BenchmarkSizes(b *testing.B) {
+	for _, upstreams := range []int{236, 1_000, 3_000, 8_000} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			var got sizes
+			for b.Loop() {
+				got = sizesOf(qt.New(b), upstreams)
+			}
+			b.ReportMetric(float64(got.start), "B/start")
+			b.ReportMetric(float64(got.change), "B/change")
+			b.ReportMetric(float64(got.moved), "B/moved")
+			b.ReportMetric(float64(got.sign), "B/sign")
+		})
+	}
+}
--- a/internal/chuteshare/tables.go
+++ b/internal/chuteshare/tables.go
@@ -30,14 +30,15 @@
 	alive := time.NewTicker(followEvery)
 	defer alive.Stop()
 
-	f := feeding{digests: m.GetKnown().GetDigests(), version: m.GetKnown().GetVersion()}
+	feed := chutefeed.NewFeed(m.GetKnown().GetVersion(), m.GetKnown().GetDigests())
 	for {
 		followed := s.handlers.OnTable(m.GetTable())
 		if followed.Leaving {
 			return status.Error(codes.Unavailable, "this VM is shutting down")
 		}
 		update := &chutesharepb.FollowTableUpdate{Current: followed.Current}
-		if change, ok := f.next(followed.Table); ok {
+		change, ok := feed.Next(followed.Table)
+		if ok {
 			var err error
 			if update.Change, err = s.packs.encode(m.GetTable(), change); err != nil {
 				return err
@@ -55,32 +56,6 @@
 	}
 }
 
-// feeding is what a follower is known to have.
-type feeding struct {
-	// digests and version are the follower's own word, used until it was sent something.
-	digests []uint64
-	version uint64
-	begun   bool
-	sent    chutefeed.Table
-}
-
-// next returns what the follower lacks, and false if that is nothing.
-//
-// A follower that knows more than this node has heard of keeps what it has: this node's
-// rows would bring back an upstream that is leaving.
-func (f *feeding) next(table chutefeed.Table) (chutefeed.Change, bool) {
-	if table.Version() == 0 || table.Version() < f.version || f.begun && table.Version() == f.version {
-		return chutefeed.Change{}, false
-	}
-	change := table.Since(f.sent)
-	if !f.begun {
-		change = table.Missing(f.digests)
-	}
-	f.begun, f.sent, f.version = true, table, table.Version()
-
-	return change, true
-}
-
 // ReadTable hands out what a caller lacks of a table as this node knows it.
 func (s service) ReadTable(_ context.Context, m *chutesharepb.ReadTableRequest) (*chutesharepb.ReadTableReply, error) {
 	table := s.handlers.OnTable(m.GetTable()).Table
