Keep each workspace's share of the stages' queues

Cause: one workspace that sends many times its usual filled the queues of the stages. Change: chutefair, pure: what a workspace usually asks for, by the second, and levels of a queue. Work that makes its workspace's part of the queue larger than twice its share waits behind the others', whatever its urgency; within a level urgency and aim decide as before. Free slots go to whoever waits. Shares are equal at first and usual ones as far as they are known. A collector tells with its wait whether it holds for one workspace alone, so that nodes turn away that one's next requests only, with a Retry-After from its own queue. State: at most 4,096 workspaces a queue; a job carries its workspace's name. Not covered: room for results, slots of engines and the retry budget go to whoever comes; a new collector does not know what was usual.

--- a/internal/chutebatch/admit.go
+++ b/internal/chutebatch/admit.go
@@ -22,12 +22,13 @@
 	return !now.Add(wait + full + j.Rest).After(WorthEnding(j.AimAt, j.Deadline))
 }
 
-// Wait is how long the parts that go ahead of a job's take.
+// Wait is how long the parts that go ahead of those of a job at its level take.
 func (c Collector) Wait(j Job, seats []Seat, now time.Time) time.Duration {
 	batching, ok := c.pools[j.Pool]
 	if !ok {
 		return 0
 	}
+	j.Level = c.Level(j)
 	own := j.place()
 	bound := lateAfter(batching, now)
 	late := own.startBy < bound
--- a/internal/chutebatch/collector.go
+++ b/internal/chutebatch/collector.go
@@ -6,6 +6,7 @@
 
 	"github.com/benbjohnson/immutable"
 
+	"azurechute.example/azurechute/internal/chutefair"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
@@ -34,6 +35,11 @@
 	Deadline time.Time
 	// Rest is the time that the request needs after this stage.
 	Rest time.Duration
+	// Workspace is whose request it is.
+	Workspace string
+	// Level is how far the job is beyond its workspace's share of the queue, from 0; the
+	// collector sets it.
+	Level int
 	// Then lists the pools of the stages that follow, on the way that takes longest.
 	Then []string
 	// Zone is where the results are needed.
@@ -119,6 +125,8 @@
 	strangers *immutable.Map[string, stranger]
 	// heldBack maps an upstream whose slot is kept free for room to the time since when.
 	heldBack *immutable.Map[string, time.Time]
+	// demand is what workspaces usually ask for, by lane.
+	demand   *immutable.Map[Lane, chutefair.Demand]
 	pools    map[string]chuteroute.Batching
 	lastCall uint64
 }
@@ -133,6 +141,7 @@
 		pauses:    immutable.NewMap[string, time.Time](nil),
 		strangers: immutable.NewMap[string, stranger](nil),
 		heldBack:  immutable.NewMap[string, time.Time](nil),
+		demand:    NewLaneMap[chutefair.Demand](),
 	}
 }
 
@@ -150,6 +159,12 @@
 
 // WithJob queues all parts of a job.
 func (c Collector) WithJob(j Job) Collector {
+	j.Level = c.Level(j)
+	demand, ok := c.demand.Get(j.Lane())
+	if !ok {
+		demand = chutefair.NewDemand()
+	}
+	c.demand = c.demand.Set(j.Lane(), demand.With(j.Workspace, float64(j.Parts), j.Since))
 	entry := job{Job: j, missing: j.Parts, results: make([]Result, j.Parts)}
 	for i := range j.Parts {
 		entry.pending = append(entry.pending, i)
--- a/internal/chutebatch/load_test.go
+++ b/internal/chutebatch/load_test.go
@@ -46,6 +46,8 @@
 	aimAt    time.Time
 	deadline time.Time
 	came     int
+	// workspace is empty where the load does not tell them apart.
+	workspace string
 }
 
 // loadPolicy decides who waits for what.
@@ -119,12 +121,32 @@
 	open    map[uint64]loadRequest
 	calls   []loadCall
 	result  loadResult
+	// byWorkspace counts the ends of each workspace's requests.
+	byWorkspace map[string]*loadResult
 }
 
 // run plays a load under a policy.
 func (l loadCase) run(p loadPolicy, seed uint64) loadResult {
-	r := &loadRun{loadCase: l, policy: p, waiting: l.arrivals(seed), open: map[uint64]loadRequest{}}
+	return newLoadRun(l, p, l.arrivals(seed)).play()
+}
+
+func newLoadRun(l loadCase, p loadPolicy, arrivals []loadRequest) *loadRun {
+	r := &loadRun{
+		loadCase: l, policy: p, waiting: arrivals, open: map[uint64]loadRequest{}, byWorkspace: map[string]*loadResult{},
+	}
 	r.result.asked = len(r.waiting)
+	for _, request := range arrivals {
+		if r.byWorkspace[request.workspace] == nil {
+			r.byWorkspace[request.workspace] = &loadResult{}
+		}
+		r.byWorkspace[request.workspace].asked++
+	}
+
+	return r
+}
+
+// play runs the load to its end.
+func (r *loadRun) play() loadResult {
 	for now := start; now.Before(start.Add(loadLength + loadTime)); now = now.Add(loadStep) {
 		r.arrive(now)
 		r.fill(now, r.endCalls(now))
@@ -171,6 +193,7 @@
 		for _, id := range r.policy.ended(c, now) {
 			if request, ok := r.open[id]; ok {
 				r.result.end(request, now)
+				r.byWorkspace[request.workspace].end(request, now)
 				delete(r.open, id)
 			}
 		}
@@ -210,6 +233,7 @@
 func (p *collectorPolicy) arrive(r loadRequest, now time.Time, upstreams int) bool {
 	j := Job{
 		ID: r.id, Pool: "p", Parts: r.parts, ResultBytes: 10, AimAt: r.aimAt, Deadline: r.deadline, Since: now,
+		Workspace: r.workspace,
 	}
 	if !p.c.Admits(j, p.c.Wait(j, seats(upstreams), now), now) {
 		return false
--- a/internal/chutebatch/queue.go
+++ b/internal/chutebatch/queue.go
@@ -9,6 +9,7 @@
 	"github.com/benbjohnson/immutable"
 	"github.com/cespare/xxhash/v2"
 
+	"azurechute.example/azurechute/internal/chutefair"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
@@ -46,6 +47,7 @@
 
 // place is where a job stands in its queue.
 type place struct {
+	level    int
 	priority int
 	startBy  int64
 	id       uint64
@@ -56,7 +58,8 @@
 
 func (placeComparer) Compare(a, b place) int {
 	return cmp.Or(
-		cmp.Compare(a.priority, b.priority), cmp.Compare(a.startBy, b.startBy), cmp.Compare(a.id, b.id),
+		cmp.Compare(a.level, b.level), cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.startBy, b.startBy), cmp.Compare(a.id, b.id),
 	)
 }
 
@@ -64,17 +67,39 @@
 	return placeComparer{}.Compare(p, other) < 0
 }
 
-// place orders jobs by urgency and then by when they have to be done for the rest
-// to be on time: a long prompt needs more time after its stages than a short one.
+// place orders jobs within their workspaces' shares before others, then by urgency, and
+// then by when they have to be done for the rest to be on time: a long prompt needs more
+// time after its stages than a short one.
+//
+// Urgency comes second: a loud workspace's urgent requests, many times its usual, would
+// otherwise take all that the others' less urgent ones have.
 func (j *Job) place() place {
-	return place{priority: j.Priority, startBy: j.AimAt.Add(-j.Rest).UnixNano(), id: j.ID}
+	return place{level: j.Level, priority: j.Priority, startBy: j.AimAt.Add(-j.Rest).UnixNano(), id: j.ID}
 }
 
 // queue holds the jobs of one lane that have waiting parts.
 type queue struct {
 	order *immutable.SortedMap[place, uint64]
-	// parts counts the waiting parts.
+	// parts counts the waiting parts, fair the same by workspace.
 	parts int
+	fair  chutefair.Queue
+}
+
+// Level returns how far a job would be beyond its workspace's share of its queue now.
+//
+// One workspace that sends many times its usual fills the queue. Without levels its jobs
+// have the aims, and so the places, of everybody's, and all are late alike.
+func (c Collector) Level(j Job) int {
+	q, ok := c.queues.Get(j.Lane())
+	if !ok {
+		return 0
+	}
+	demand, ok := c.demand.Get(j.Lane())
+	if !ok {
+		return 0
+	}
+
+	return q.fair.Level(j.Workspace, demand.Share(j.Workspace, j.Since), c.pools[j.Pool].BatchSize)
 }
 
 // withJob files a job and its place in the queue.
@@ -83,9 +108,11 @@
 	q, ok := c.queues.Get(lane)
 	if !ok {
 		q.order = immutable.NewSortedMap[place, uint64](placeComparer{})
+		q.fair = chutefair.NewQueue()
 	}
 	was, _ := c.jobs.Get(j.ID)
 	q.parts += len(j.pending) - len(was.pending)
+	q.fair = q.fair.With(j.Workspace, j.Level, len(j.pending)-len(was.pending))
 	switch {
 	case len(j.pending) > 0 && len(was.pending) == 0:
 		q.order = q.order.Set(j.place(), j.ID)
@@ -163,16 +190,16 @@
 	}
 }
 
-// walkPart visits the jobs whose start lies in [from,to), by priority; false means that visit ended it.
+// walkPart visits the jobs whose start lies in [from,to), by level and priority; false means that visit ended it.
 func (c Collector) walkPart(q queue, from, to int64, visit func(j *job) bool) bool {
 	i := q.order.Iterator()
 	for !i.Done() {
 		next, _, _ := i.Next()
-		// Jump to the part of this priority, then go on behind it.
-		i.Seek(place{priority: next.priority, startBy: from})
+		// Jump to the part of this level and priority, then go on behind it.
+		i.Seek(place{level: next.level, priority: next.priority, startBy: from})
 		for !i.Done() {
 			at, id, _ := i.Next()
-			if at.priority != next.priority || at.startBy >= to {
+			if at.priority != next.priority || at.level != next.level || at.startBy >= to {
 				break
 			}
 			j, _ := c.jobs.Get(id)
@@ -180,7 +207,7 @@
 				return false
 			}
 		}
-		i.Seek(place{priority: next.priority + 1, startBy: math.MinInt64})
+		i.Seek(place{level: next.level, priority: next.priority + 1, startBy: math.MinInt64})
 	}
 
 	return true
--- /dev/null
+++ b/internal/chutefair/fair_test.go
@@ -0,0 +1,120 @@
+package chutefair
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1000, 0)
+
+// steady returns a demand of workspaces that ask for the given work each second.
+func steady(seconds int, work map[string]float64) (Demand, time.Time) {
+	d := NewDemand()
+	now := start
+	for range seconds {
+		for name, w := range work {
+			d = d.With(name, w, now)
+		}
+		now = now.Add(time.Second)
+	}
+
+	return d, now
+}
+
+func TestDemand(t *testing.T) {
+	t.Run("shares follow what is usual", func(t *testing.T) {
+		c := qt.New(t)
+		d, now := steady(memory, map[string]float64{"large": 90, "small": 10})
+		large, small := d.Share("large", now), d.Share("small", now)
+		c.Assert(large > 0.8 && large < 0.9, qt.IsTrue, qt.Commentf("%f", large))
+		c.Assert(small > 0.1 && small < 0.2, qt.IsTrue, qt.Commentf("%f", small))
+	})
+
+	t.Run("a burst of seconds hardly changes what is usual", func(t *testing.T) {
+		// A workspace sends eight times its usual for nine seconds. Taken as its new
+		// usual, the end of the burst would be within its share.
+		c := qt.New(t)
+		d, now := steady(memory, map[string]float64{"loud": 10, "other": 90})
+		before := d.Share("loud", now)
+		for range 9 {
+			d = d.With("loud", 80, now).With("other", 90, now)
+			now = now.Add(time.Second)
+		}
+		after := d.With("loud", 0, now).Share("loud", now)
+		c.Assert(after < 1.6*before, qt.IsTrue, qt.Commentf("%f to %f", before, after))
+	})
+
+	t.Run("a lasting change becomes usual within a minute", func(t *testing.T) {
+		c := qt.New(t)
+		d, now := steady(20, map[string]float64{"grown": 10, "other": 90})
+		for range 60 {
+			d = d.With("grown", 30, now).With("other", 90, now)
+			now = now.Add(time.Second)
+		}
+		share := d.Share("grown", now)
+		c.Assert(share > 0.2, qt.IsTrue, qt.Commentf("%f", share))
+	})
+
+	t.Run("a new workspace has a share", func(t *testing.T) {
+		c := qt.New(t)
+		d, now := steady(memory, map[string]float64{"a": 50, "b": 50})
+		share := d.With("new", 500, now).Share("new", now)
+		c.Assert(share > 0.03 && share < 0.2, qt.IsTrue, qt.Commentf("%f", share))
+	})
+
+	t.Run("shares are equal at a start, whoever is loud", func(t *testing.T) {
+		// A collector is replaced in the middle of a burst of one workspace.
+		c := qt.New(t)
+		d, now := steady(3, map[string]float64{"loud": 500, "a": 10, "b": 10, "c": 10})
+		share := d.Share("loud", now)
+		c.Assert(share < 0.35, qt.IsTrue, qt.Commentf("%f", share))
+	})
+
+	t.Run("the state is bounded at 37,000 workspaces", func(t *testing.T) {
+		c := qt.New(t)
+		d := NewDemand()
+		for i := range 37_000 {
+			d = d.With(fmt.Sprint("w", i), 1, start.Add(time.Duration(i)*time.Millisecond))
+		}
+		c.Assert(d.usual.Len() <= maxWorkspaces, qt.IsTrue)
+	})
+}
+
+func TestQueue(t *testing.T) {
+	t.Run("a burst of all alike is beyond nobody's share", func(t *testing.T) {
+		c := qt.New(t)
+		q := NewQueue()
+		for range 100 {
+			for i := range 10 {
+				name := fmt.Sprint("w", i)
+				level := q.Level(name, 0.1, 8)
+				c.Assert(level, qt.Equals, 0)
+				q = q.With(name, level, 2)
+			}
+		}
+	})
+
+	t.Run("two loud ones are held to their shares, and the others go before both", func(t *testing.T) {
+		c := qt.New(t)
+		q := NewQueue()
+		for range 200 {
+			for _, name := range []string{"loud", "louder", "louder"} {
+				q = q.With(name, q.Level(name, 0.1, 8), 2)
+			}
+		}
+		c.Assert(q.Level("quiet", 0.1, 8), qt.Equals, 0)
+		c.Assert(q.Level("loud", 0.1, 8) > 0, qt.IsTrue)
+		c.Assert(q.Level("louder", 0.1, 8) > 0, qt.IsTrue)
+		c.Assert(q.levels[0] <= 2*(8+2), qt.IsTrue)
+	})
+
+	t.Run("a queue that has emptied keeps nothing", func(t *testing.T) {
+		c := qt.New(t)
+		q := NewQueue().With("a", 1, 3).With("b", 0, 2).With("a", 1, -3).With("b", 0, -2)
+		c.Assert(q.waiting.Len(), qt.Equals, 0)
+		c.Assert(q.levels, qt.Equals, [maxLevel + 1]int{})
+	})
+}
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -47,9 +47,9 @@
 	case chuterelay.DropAsk:
 		n.dropAsk(e.Ask)
 	case chuterelay.GiveParts:
-		n.update(e.Token, chuteshare.Update{Results: e.Results, Wait: e.Wait})
+		n.update(e.Token, chuteshare.Update{Results: e.Results, Wait: e.Wait, Beyond: e.Beyond})
 	case chuterelay.RefuseParts:
-		n.update(e.Token, chuteshare.Update{Failure: e.Reason, Leaving: e.Leaving, Wait: e.Wait})
+		n.update(e.Token, chuteshare.Update{Failure: e.Reason, Leaving: e.Leaving, Wait: e.Wait, Beyond: e.Beyond})
 	case chuterelay.RunCall:
 		n.spawn(func(ctx context.Context) { n.runCall(ctx, e) })
 	case chuterelay.FreeResults:
@@ -129,13 +129,14 @@
 	n.spawn(func(context.Context) {
 		defer cancel()
 		end, ended := n.peers.Make(ctx, e.Peer.Address, e.Job, n.Now(), func(u chuteshare.Update) {
-			n.send(chuterelay.PartsMade{Ask: e.Ask, Results: u.Results, Wait: u.Wait})
+			n.send(chuterelay.PartsMade{Ask: e.Ask, Results: u.Results, Wait: u.Wait, Beyond: u.Beyond})
 		})
 		if !ended {
 			return
 		}
 		n.send(chuterelay.PartsFailed{
 			Ask: e.Ask, PeerLost: end.Lost, PeerSilent: end.Silent, Reason: end.Reason, Wait: end.Wait,
+			Beyond: end.Beyond,
 		})
 	})
 }
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -33,7 +33,11 @@
 		r.zone = planned.Zone
 	}
 	if wait, hopeless := st.hopeless(r); hopeless {
-		st.giveUp(r, overloaded("the queues of its stages are too long: "+wait.String()))
+		own := time.Duration(0)
+		if st.beyondShare(r) {
+			own = wait
+		}
+		st.giveUp(r, overloaded("the queues of its stages are too long: "+wait.String(), own))
 
 		return
 	}
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -283,20 +283,20 @@
 		return
 	}
 	results := st.collector.Results(id)
-	wait := st.laneWait(st.collector.Job(id))
+	wait, beyond := st.laneWait(st.collector.Job(id))
 	if o.ask != 0 {
-		st.partsMade(PartsMade{Ask: o.ask, Results: results, Wait: wait})
+		st.partsMade(PartsMade{Ask: o.ask, Results: results, Wait: wait, Beyond: beyond})
 
 		return
 	}
-	st.do(GiveParts{Token: o.token, Results: results, Wait: wait})
+	st.do(GiveParts{Token: o.token, Results: results, Wait: wait, Beyond: beyond})
 }
 
 // refuseJob tells whoever asked that a job failed.
 func (st *step) refuseJob(failed chutebatch.FailedJob) {
-	wait := time.Duration(0)
+	wait, beyond := time.Duration(0), false
 	if failed.Job.Pool != "" {
-		wait = st.laneWait(failed.Job)
+		wait, beyond = st.laneWait(failed.Job)
 	}
 	o, ok := st.origins.Get(failed.Job.ID)
 	if !ok {
@@ -304,10 +304,10 @@
 	}
 	st.origins = st.origins.Delete(failed.Job.ID)
 	if o.ask != 0 {
-		st.partsFailed(PartsFailed{Ask: o.ask, Reason: string(failed.Reason), Wait: wait})
+		st.partsFailed(PartsFailed{Ask: o.ask, Reason: string(failed.Reason), Wait: wait, Beyond: beyond})
 
 		return
 	}
 	st.tokens = st.tokens.Delete(o.token)
-	st.do(RefuseParts{Token: o.token, Reason: string(failed.Reason), Wait: wait})
+	st.do(RefuseParts{Token: o.token, Reason: string(failed.Reason), Wait: wait, Beyond: beyond})
 }
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -78,8 +78,10 @@
 type GiveParts struct {
 	Token   uint64
 	Results []chutebatch.Result
-	// Wait is how long a job of the same kind would wait here now.
-	Wait time.Duration
+	// Wait is how long a job of the same kind would wait here now; Beyond says that this
+	// holds for its workspace alone, which is beyond its share.
+	Wait   time.Duration
+	Beyond bool
 }
 
 // RefuseParts tells a peer that its job brings no results.
@@ -87,8 +89,10 @@
 	Token   uint64
 	Reason  string
 	Leaving bool
-	// Wait is how long a job of the same kind would wait here now.
-	Wait time.Duration
+	// Wait is how long a job of the same kind would wait here now; Beyond says that this
+	// holds for its workspace alone, which is beyond its share.
+	Wait   time.Duration
+	Beyond bool
 }
 
 // RunCall hands a batch of parts to an upstream.
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -68,8 +68,10 @@
 type PartsMade struct {
 	Ask     uint64
 	Results []chutebatch.Result
-	// Wait is how long a job of the same kind would wait there now.
-	Wait time.Duration
+	// Wait is how long a job of the same kind would wait there now; Beyond says that this
+	// holds for its workspace alone, which is beyond its share.
+	Wait   time.Duration
+	Beyond bool
 }
 
 // PartsFailed reports that an ask brought no results.
@@ -80,8 +82,10 @@
 	PeerLost   bool
 	PeerSilent bool
 	Reason     string
-	// Wait is how long a job of the same kind would wait there now.
-	Wait time.Duration
+	// Wait is how long a job of the same kind would wait there now; Beyond says that this
+	// holds for its workspace alone, which is beyond its share.
+	Wait   time.Duration
+	Beyond bool
 }
 
 // JobAsked reports that a peer asks this node's collector for a job; Token names it in effects.
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -23,7 +23,7 @@
 	job := chutebatch.Job{
 		Request: r.ID, Pool: stage.Pool, Stage: i, Parts: r.parts(i),
 		ResultBytes: stage.ResultBytes, Priority: r.rank(), AimAt: r.aimAt, Deadline: r.until(),
-		Rest: rest, Then: then, Zone: r.zone, Since: st.now,
+		Rest: rest, Then: then, Zone: r.zone, Since: st.now, Workspace: r.Workspace.Name,
 	}
 	if len(stage.After) == 0 {
 		job.Key = r.PartKey
@@ -43,7 +43,9 @@
 	job.Shard = st.shard(job)
 	peer := st.peers.collector(job.Lane(), st.zones.allCutOff(st.now), st.now)
 	a := ask{
-		handle: r.Handle, stage: i, peer: peer, queue: queueKey{lane: job.Lane(), priority: r.rank()},
+		handle: r.Handle, stage: i, peer: peer, queue: queueKey{
+			lane: job.Lane(), priority: r.rank(), workspace: r.Workspace.Name,
+		},
 	}
 	s := r.stages[i]
 	s.ask = id
@@ -115,7 +117,7 @@
 		return
 	}
 	st.noteHeard(a.peer.Zone)
-	st.noteWait(r, a.queue, e.Wait)
+	st.noteWait(r, a.queue, e.Wait, e.Beyond)
 	s := r.stages[a.stage]
 	s.done = true
 	s.results = e.Results
@@ -164,7 +166,7 @@
 		n.Pool, n.Stage, n.Peer, n.Reason = r.Pipeline.Stages[a.stage].Pool, a.stage, a.peer.Name, e.Reason
 	})
 	if !e.PeerLost {
-		st.noteWait(r, a.queue, e.Wait)
+		st.noteWait(r, a.queue, e.Wait, e.Beyond)
 	}
 	st.asks = st.asks.Delete(e.Ask)
 	s := r.stages[a.stage]
@@ -175,7 +177,11 @@
 	overloaded := e.Reason == string(chutebatch.PartOverloaded)
 	tooLate := st.now.Add(st.callTimes.of(r)).After(r.until()) || gone && r.lateBy(st.now) > 0
 	if overloaded || tooLate || s.tries >= maxAsks {
-		st.giveUp(r, stageRefusal(r.Pipeline.Stages[a.stage].Pool, e.Reason))
+		own := time.Duration(0)
+		if e.Beyond {
+			own = e.Wait
+		}
+		st.giveUp(r, stageRefusal(r.Pipeline.Stages[a.stage].Pool, e.Reason, own))
 
 		return
 	}
@@ -183,11 +189,12 @@
 	st.advance(r)
 }
 
-// stageRefusal is what a caller hears whose stage failed.
-func stageRefusal(pool, reason string) Refusal {
+// stageRefusal is what a caller hears whose stage failed; queue is that of its workspace
+// alone, if that is beyond its share.
+func stageRefusal(pool, reason string, queue time.Duration) Refusal {
 	text := "its stage in pool " + pool + " failed: " + reason
 	if reason == string(chutebatch.PartOverloaded) || reason == string(chutebatch.PartLate) {
-		return overloaded(text)
+		return overloaded(text, queue)
 	}
 
 	return notRun(text)
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -98,6 +98,8 @@
 	Reason string
 	// Wait is how long a job of the same kind would wait there now.
 	Wait time.Duration
+	// Beyond says that Wait holds for the job's workspace alone, which is beyond its share.
+	Beyond bool
 }
 
 func waitOf(u *chutesharepb.MakeUpdate) time.Duration {
@@ -157,9 +159,11 @@
 			watch.Reset(nextSign)
 		case chutesharepb.MakeUpdate_KIND_MADE:
 			watch.Stop()
-			made(Update{Results: decodeResults(update.GetResults()), Wait: waitOf(update)})
+			made(Update{Results: decodeResults(update.GetResults()), Wait: waitOf(update), Beyond: update.GetBeyond()})
 		case chutesharepb.MakeUpdate_KIND_FAILED:
-			return JobEnd{Lost: update.GetLeaving(), Reason: update.GetReason(), Wait: waitOf(update)}, nil
+			return JobEnd{
+				Lost: update.GetLeaving(), Reason: update.GetReason(), Wait: waitOf(update), Beyond: update.GetBeyond(),
+			}, nil
 		}
 	}
 }
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -34,6 +34,8 @@
 	Leaving bool
 	// Wait is how long a job of the same kind would wait here now.
 	Wait time.Duration
+	// Beyond says that Wait holds for the job's workspace alone, which is beyond its share.
+	Beyond bool
 }
 
 // Handlers answers other nodes; all fields must be set.
@@ -137,11 +139,12 @@
 	if u.Failure != "" {
 		return &chutesharepb.MakeUpdate{
 			Kind: chutesharepb.MakeUpdate_KIND_FAILED, Reason: u.Failure, Leaving: u.Leaving,
-			WaitMs: u.Wait.Milliseconds(),
+			WaitMs: u.Wait.Milliseconds(), Beyond: u.Beyond,
 		}
 	}
 
 	return &chutesharepb.MakeUpdate{
 		Kind: chutesharepb.MakeUpdate_KIND_MADE, Results: encodeResults(u.Results), WaitMs: u.Wait.Milliseconds(),
+		Beyond: u.Beyond,
 	}
 }
--- a/internal/chuteshare/wire.go
+++ b/internal/chuteshare/wire.go
@@ -14,6 +14,7 @@
 		Key: j.Key, Inputs: j.Inputs, ResultBytes: j.ResultBytes, Priority: int32(j.Priority), //nolint:gosec // small
 		AimMs: j.AimAt.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
 		RestMs: j.Rest.Milliseconds(), Zone: j.Zone, Shard: j.Shard, Then: j.Then, InputsAt: j.InputsAt,
+		Workspace: j.Workspace,
 	}
 }
 
@@ -21,13 +22,14 @@
 	return chutebatch.Job{
 		Request: m.GetRequest(), Pool: m.GetPool(), Stage: int(m.GetStage()), Parts: int(m.GetParts()),
 		Key: m.GetKey(), Inputs: m.GetInputs(), ResultBytes: m.GetResultBytes(), Priority: int(m.GetPriority()),
-		AimAt:    now.Add(time.Duration(m.GetAimMs()) * time.Millisecond),
-		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
-		Rest:     time.Duration(m.GetRestMs()) * time.Millisecond,
-		Zone:     m.GetZone(),
-		Shard:    m.GetShard(),
-		Then:     m.GetThen(),
-		InputsAt: m.GetInputsAt(),
+		AimAt:     now.Add(time.Duration(m.GetAimMs()) * time.Millisecond),
+		Deadline:  now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
+		Rest:      time.Duration(m.GetRestMs()) * time.Millisecond,
+		Zone:      m.GetZone(),
+		Shard:     m.GetShard(),
+		Then:      m.GetThen(),
+		InputsAt:  m.GetInputsAt(),
+		Workspace: m.GetWorkspace(),
 	}
 }
 
