Let a workspace that was hardly there become usual within a minute

Cause: of one second no more than twice the usual demand counts; a workspace that asked once in half a minute had next to none, and stayed at the least share for minutes however steadily it asked: 0.10 in place of 0.25 after a minute. Change: the cap is twice the least demand that a workspace is taken to have. Tests: "a workspace that was hardly there becomes usual within a minute" failed before. A pause without any request was no fault: it fades by two thirds at most.

--- a/internal/chutefair/demand.go
+++ b/internal/chutefair/demand.go
@@ -16,14 +16,14 @@
 	memory = 30
 	// learnBins is the number of bins before a workspace's demand is taken for usual.
 	learnBins = 5
-	// cap is how much of one bin counts, in times of the usual demand. A workspace that
-	// sends eight times its usual for nine seconds would otherwise have three times its
-	// share by then.
+	// capRatio is how much of one bin counts, in times of the usual demand. A workspace
+	// that sends eight times its usual for nine seconds would otherwise have three times
+	// its share by then.
 	capRatio = 2
 	// floorPart is the part of the mean demand that every workspace has as demand, so
 	// that one that is new, or seldom there, has a share.
 	floorPart = 0.25
-	// maxWorkspaces bounds the workspaces that are known apart; 4 096 take under 1 MB.
+	// maxWorkspaces bounds the workspaces that are known apart; 4,096 take under 1 MB.
 	// Others count as new ones.
 	maxWorkspaces = 4096
 )
@@ -64,7 +64,7 @@
 		}
 		u.from = now
 	}
-	next := u.at(now)
+	next := u.at(now, d.floor())
 	next.work += work
 	d.total += next.rate - u.rate
 	d.usual = d.usual.Set(workspace, next)
@@ -72,25 +72,31 @@
 	return d
 }
 
-// at closes the bins that are over.
-func (u usual) at(now time.Time) usual {
+// floor is the least demand that a workspace is taken to have.
+func (d Demand) floor() float64 {
+	return floorPart * d.total / float64(max(1, d.usual.Len()))
+}
+
+// at closes the bins that are over; floor is the least demand to take for usual.
+func (u usual) at(now time.Time, floor float64) usual {
 	over := int(now.Sub(u.from) / bin)
 	if over <= 0 {
 		return u
 	}
 	u.from = u.from.Add(time.Duration(over) * bin)
 	for range min(over, memory) {
-		u = u.closed()
+		u = u.closed(floor)
 	}
 
 	return u
 }
 
-// closed takes the open bin into the average.
-func (u usual) closed() usual {
+// closed takes the open bin into the average. The floor lets one whose usual demand has
+// faded away in a long pause grow again.
+func (u usual) closed(floor float64) usual {
 	work := u.work
 	if u.bins >= learnBins {
-		work = min(work, capRatio*u.rate)
+		work = min(work, capRatio*max(u.rate, floor))
 	}
 	u.bins = min(u.bins+1, memory)
 	u.rate += (work - u.rate) / float64(u.bins)
@@ -148,7 +154,6 @@
 		// What was seen of a new workspace may be its burst.
 		known = 0
 	}
-	floor := floorPart * d.total / float64(d.usual.Len())
 
-	return (known + floor) / (d.total * (1 + floorPart))
+	return (known + d.floor()) / (d.total * (1 + floorPart))
 }
--- a/internal/chutefair/fair_test.go
+++ b/internal/chutefair/fair_test.go
@@ -58,6 +58,26 @@
 		c.Assert(share > 0.2, qt.IsTrue, qt.Commentf("%f", share))
 	})
 
+	t.Run("a workspace that was hardly there becomes usual within a minute", func(t *testing.T) {
+		// Nothing counts beyond twice the usual of a second. Of a workspace that asked
+		// once in half a minute that is next to nothing, for minutes.
+		c := qt.New(t)
+		d, now := steady(1, map[string]float64{"seldom": 1, "other": 90})
+		for i := range 600 {
+			d = d.With("other", 90, now)
+			if i%30 == 0 {
+				d = d.With("seldom", 1, now)
+			}
+			now = now.Add(time.Second)
+		}
+		for range 60 {
+			d = d.With("seldom", 30, now).With("other", 90, now)
+			now = now.Add(time.Second)
+		}
+		share := d.Share("seldom", now)
+		c.Assert(share > 0.2, qt.IsTrue, qt.Commentf("%f", share))
+	})
+
 	t.Run("a new workspace has a share", func(t *testing.T) {
 		c := qt.New(t)
 		d, now := steady(memory, map[string]float64{"a": 50, "b": 50})
