--- a/internal/chutefleet/word.go
+++ b/internal/chutefleet/report.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// LoadWord is what one node tells another of an upstream's load.
-type LoadWord struct {
+// LoadReport is what one node tells another of an upstream's load.
+type LoadReport struct {
 	// Upstream is the incarnation's id.
 	Upstream string
 	// Calls is the number that run or wait there, for all callers.
@@ -20,53 +20,53 @@
 // others are told: below that a prompt is served sooner where it is kept.
 const tellSlots = 0.5
 
-// maxWords bounds the words in one message: 16 take some 400 bytes. A popular prompt
+// maxReports bounds the reports in one message: 16 take some 400 bytes. A popular prompt
 // crowds a few upstreams; where more are crowded, the pool is full and none is better.
-const maxWords = 16
+const maxReports = 16
 
-// WithWord takes in another node's word on an upstream, unless a later one is known.
-func (f Fleet) WithWord(w LoadWord, now time.Time) Fleet {
-	at := now.Add(-w.Age)
-	if m, ok := f.members.Get(w.Upstream); !ok || w.Age >= reportLife || !m.reportedAt.Before(at) {
+// WithReport takes in another node's report on an upstream, unless a later one is known.
+func (f Fleet) WithReport(r LoadReport, now time.Time) Fleet {
+	at := now.Add(-r.Age)
+	if m, ok := f.members.Get(r.Upstream); !ok || r.Age >= reportLife || !m.reportedAt.Before(at) {
 		return f
 	}
 
-	return f.WithLoad(w.Upstream, w.Calls, 0, at)
+	return f.WithLoad(r.Upstream, r.Calls, 0, at)
 }
 
-// Word returns what this node knows of an upstream's load, and false if that is nothing recent.
-func (f Fleet) Word(id string, now time.Time) (LoadWord, bool) {
+// Report returns what this node knows of an upstream's load, and false if that is nothing recent.
+func (f Fleet) Report(id string, now time.Time) (LoadReport, bool) {
 	m, ok := f.members.Get(id)
 	if !ok || m.reportedAt.IsZero() || now.Sub(m.reportedAt) >= reportLife {
-		return LoadWord{}, false
+		return LoadReport{}, false
 	}
 
-	return LoadWord{Upstream: id, Calls: m.others + m.inFlight, Age: now.Sub(m.reportedAt)}, true
+	return LoadReport{Upstream: id, Calls: m.others + m.inFlight, Age: now.Sub(m.reportedAt)}, true
 }
 
-// Crowded returns words on the upstreams of a pool that have too many calls for prompts
+// Crowded returns the loads of the upstreams of a pool that have too many calls for prompts
 // to stay there, the most crowded ones first.
 //
 // A node of hundreds hears from one upstream less than once in ten seconds. Without a
-// word from others it sends a popular prompt to the upstream that holds it, however many
+// report from others it sends a popular prompt to the upstream that holds it, however many
 // wait there.
-func (f Fleet) Crowded(pool string, now time.Time) []LoadWord {
+func (f Fleet) Crowded(pool string, now time.Time) []LoadReport {
 	candidates := f.candidates(Query{Pool: pool}, now)
 	mean := meanLoad(candidates)
-	var words []LoadWord
+	var reports []LoadReport
 	for i := range candidates {
 		if !candidates[i].above(mean, tellSlots) {
 			continue
 		}
-		if w, ok := f.Word(candidates[i].ID, now); ok {
-			words = append(words, w)
+		if r, ok := f.Report(candidates[i].ID, now); ok {
+			reports = append(reports, r)
 		}
 	}
-	slices.SortFunc(words, func(a, b LoadWord) int {
+	slices.SortFunc(reports, func(a, b LoadReport) int {
 		return cmp.Or(cmp.Compare(b.Calls, a.Calls), cmp.Compare(a.Upstream, b.Upstream))
 	})
 
-	return words[:min(len(words), maxWords)]
+	return reports[:min(len(reports), maxReports)]
 }
 
 // meanLoad is the mean load of the candidates.
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -47,10 +47,10 @@
 	case chuterelay.DropAsk:
 		n.dropAsk(e.Ask)
 	case chuterelay.GiveParts:
-		n.update(e.Token, chuteshare.Update{Results: e.Results, Wait: e.Wait, Beyond: e.Beyond, Words: e.Words})
+		n.update(e.Token, chuteshare.Update{Results: e.Results, Wait: e.Wait, Beyond: e.Beyond, Loads: e.Loads})
 	case chuterelay.RefuseParts:
 		n.update(e.Token, chuteshare.Update{
-			Failure: e.Reason, Leaving: e.Leaving, Wait: e.Wait, Beyond: e.Beyond, Words: e.Words,
+			Failure: e.Reason, Leaving: e.Leaving, Wait: e.Wait, Beyond: e.Beyond, Loads: e.Loads,
 		})
 	case chuterelay.RunCall:
 		n.spawn(func(ctx context.Context) { n.runCall(ctx, e) })
@@ -130,15 +130,15 @@
 	n.asks[e.Ask] = cancel
 	n.spawn(func(context.Context) {
 		defer cancel()
-		end, ended := n.peers.Make(ctx, e.Peer.Address, chuteshare.Ask{Job: e.Job, Words: e.Words}, n.Now(), func(u chuteshare.Update) {
-			n.send(chuterelay.PartsMade{Ask: e.Ask, Results: u.Results, Wait: u.Wait, Beyond: u.Beyond, Words: u.Words})
+		end, ended := n.peers.Make(ctx, e.Peer.Address, chuteshare.Ask{Job: e.Job, Loads: e.Loads}, n.Now(), func(u chuteshare.Update) {
+			n.send(chuterelay.PartsMade{Ask: e.Ask, Results: u.Results, Wait: u.Wait, Beyond: u.Beyond, Loads: u.Loads})
 		})
 		if !ended {
 			return
 		}
 		n.send(chuterelay.PartsFailed{
 			Ask: e.Ask, PeerLost: end.Lost, PeerSilent: end.Silent, Reason: end.Reason, Wait: end.Wait,
-			Beyond: end.Beyond, Words: end.Words,
+			Beyond: end.Beyond, Loads: end.Loads,
 		})
 	})
 }
@@ -222,7 +222,7 @@
 
 // takeJob takes a peer's job to the own collector.
 func (n *Node) takeJob(token uint64, asked chuteshare.Ask, updates chan<- chuteshare.Update) {
-	n.sendWith(chuterelay.JobAsked{Token: token, Job: asked.Job, Words: asked.Words}, func() { n.jobs[token] = updates })
+	n.sendWith(chuterelay.JobAsked{Token: token, Job: asked.Job, Loads: asked.Loads}, func() { n.jobs[token] = updates })
 }
 
 // workspaceOf returns whose request a line is about. Only the first line and the last one
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -136,7 +136,7 @@
 func (st *step) noteLoad(id string, load *Load) {
 	if load != nil {
 		st.fleet = st.fleet.WithLoad(id, load.Running, load.Waiting, st.now)
-		st.words = st.words.withHeard(id)
+		st.loads = st.loads.withHeard(id)
 	}
 }
 
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -35,7 +35,7 @@
 
 		return
 	}
-	st.hear(e.Words)
+	st.hear(e.Loads)
 	job := e.Job
 	job.ID = st.newID()
 	job.Since = st.now
@@ -290,7 +290,7 @@
 
 		return
 	}
-	st.do(GiveParts{Token: o.token, Results: results, Wait: wait, Beyond: beyond, Words: st.crowded()})
+	st.do(GiveParts{Token: o.token, Results: results, Wait: wait, Beyond: beyond, Loads: st.crowded()})
 }
 
 // refuseJob tells whoever asked that a job failed.
@@ -311,6 +311,6 @@
 	}
 	st.tokens = st.tokens.Delete(o.token)
 	st.do(RefuseParts{
-		Token: o.token, Reason: string(failed.Reason), Wait: wait, Beyond: beyond, Words: st.crowded(),
+		Token: o.token, Reason: string(failed.Reason), Wait: wait, Beyond: beyond, Loads: st.crowded(),
 	})
 }
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -67,8 +67,8 @@
 	Ask  uint64
 	Peer Peer
 	Job  chutebatch.Job
-	// Words are what this node has heard of upstreams' loads.
-	Words []chutefleet.LoadWord
+	// Loads are what this node has heard of upstreams' loads.
+	Loads []chutefleet.LoadReport
 }
 
 // DropAsk tells the peer that the job or its results are not needed any more.
@@ -84,8 +84,8 @@
 	// holds for its workspace alone, which is beyond its share.
 	Wait   time.Duration
 	Beyond bool
-	// Words are on upstreams that are crowded.
-	Words []chutefleet.LoadWord
+	// Loads are on upstreams that are crowded.
+	Loads []chutefleet.LoadReport
 }
 
 // RefuseParts tells a peer that its job brings no results.
@@ -97,8 +97,8 @@
 	// holds for its workspace alone, which is beyond its share.
 	Wait   time.Duration
 	Beyond bool
-	// Words are on upstreams that are crowded.
-	Words []chutefleet.LoadWord
+	// Loads are on upstreams that are crowded.
+	Loads []chutefleet.LoadReport
 }
 
 // RunCall hands a batch of parts to an upstream.
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -72,8 +72,8 @@
 	// holds for its workspace alone, which is beyond its share.
 	Wait   time.Duration
 	Beyond bool
-	// Words are on upstreams that are crowded.
-	Words []chutefleet.LoadWord
+	// Loads are on upstreams that are crowded.
+	Loads []chutefleet.LoadReport
 }
 
 // PartsFailed reports that an ask brought no results.
@@ -88,16 +88,16 @@
 	// holds for its workspace alone, which is beyond its share.
 	Wait   time.Duration
 	Beyond bool
-	// Words are on upstreams that are crowded.
-	Words []chutefleet.LoadWord
+	// Loads are on upstreams that are crowded.
+	Loads []chutefleet.LoadReport
 }
 
 // JobAsked reports that a peer asks this node's collector for a job; Token names it in effects.
 type JobAsked struct {
 	Token uint64
 	Job   chutebatch.Job
-	// Words are what the peer has heard of upstreams' loads.
-	Words []chutefleet.LoadWord
+	// Loads are what the peer has heard of upstreams' loads.
+	Loads []chutefleet.LoadReport
 }
 
 // JobDropped reports that a peer needs a job, or its results, no longer.
--- a/internal/chuterelay/words.go
+++ b/internal/chuterelay/loads.go
@@ -17,60 +17,60 @@
 	crowdedFresh = 100 * time.Millisecond
 )
 
-// words is what this node passes on of upstreams' loads.
+// loads is what this node passes on of upstreams' loads.
 //
 // Hundreds of nodes send a pool's upstreams one call each in seconds, so none of them
 // knows the loads. A zone's collector hears from all nodes of its zone many times a
 // second: jobs bring it what they have heard, and its answers name who is crowded.
-type words struct {
+type loads struct {
 	// unsaid are the upstreams that were heard of since the last job for a peer.
 	unsaid []string
 	// crowded was worked out at a time; it is replaced, never changed.
-	crowded   []chutefleet.LoadWord
+	crowded   []chutefleet.LoadReport
 	crowdedAt time.Time
 }
 
 // withHeard notes that an upstream has told its load.
-func (w words) withHeard(id string) words {
-	if len(w.unsaid) < maxUnsaid && !slices.Contains(w.unsaid, id) {
-		w.unsaid = append(slices.Clone(w.unsaid), id)
+func (l loads) withHeard(id string) loads {
+	if len(l.unsaid) < maxUnsaid && !slices.Contains(l.unsaid, id) {
+		l.unsaid = append(slices.Clone(l.unsaid), id)
 	}
 
-	return w
+	return l
 }
 
 // tell returns what was heard since the last job for a peer.
-func (st *step) tell() []chutefleet.LoadWord {
-	var said []chutefleet.LoadWord
-	for _, id := range st.words.unsaid {
-		if w, ok := st.fleet.Word(id, st.now); ok {
-			said = append(said, w)
+func (st *step) tell() []chutefleet.LoadReport {
+	var said []chutefleet.LoadReport
+	for _, id := range st.loads.unsaid {
+		if r, ok := st.fleet.Report(id, st.now); ok {
+			said = append(said, r)
 		}
 	}
-	st.words.unsaid = nil
+	st.loads.unsaid = nil
 
 	return said
 }
 
 // hear takes in what another node tells of loads.
-func (st *step) hear(told []chutefleet.LoadWord) {
-	for _, w := range told {
-		st.fleet = st.fleet.WithWord(w, st.now)
+func (st *step) hear(told []chutefleet.LoadReport) {
+	for _, r := range told {
+		st.fleet = st.fleet.WithReport(r, st.now)
 	}
 }
 
-// crowded returns words on the engines that have too many calls for prompts to stay there.
-func (st *step) crowded() []chutefleet.LoadWord {
-	if !st.words.crowdedAt.IsZero() && st.now.Sub(st.words.crowdedAt) < crowdedFresh {
-		return st.words.crowded
+// crowded returns the loads of the engines that have too many calls for prompts to stay there.
+func (st *step) crowded() []chutefleet.LoadReport {
+	if !st.loads.crowdedAt.IsZero() && st.now.Sub(st.loads.crowdedAt) < crowdedFresh {
+		return st.loads.crowded
 	}
-	var crowded []chutefleet.LoadWord
+	var crowded []chutefleet.LoadReport
 	for name, pool := range st.config.Pools {
 		if pool.Engine != nil {
 			crowded = append(crowded, st.fleet.Crowded(name, st.now)...)
 		}
 	}
-	st.words.crowded, st.words.crowdedAt = crowded, st.now
+	st.loads.crowded, st.loads.crowdedAt = crowded, st.now
 
 	return crowded
 }
--- a/internal/chuterelay/words_test.go
+++ b/internal/chuterelay/loads_test.go
@@ -11,7 +11,7 @@
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
-func TestLoadWords(t *testing.T) {
+func TestLoadReports(t *testing.T) {
 	t.Run("what answers say of loads goes along with the next job, once", func(*testing.T) {
 		n := collectedElsewhere(t)
 		n.on(Arrived{Submission: plain(1, chuteroute.Repeatable)})
@@ -24,19 +24,19 @@
 		n.on(Arrived{Submission: n.of("w", 3)})
 		asks := take[AskParts](n)
 		// Nine ran or waited there with the call that has ended since.
-		n.Assert(asks[0].Words, qt.DeepEquals, []chutefleet.LoadWord{
+		n.Assert(asks[0].Loads, qt.DeepEquals, []chutefleet.LoadReport{
 			{Upstream: sent.Upstream.ID, Calls: 8, Age: 100 * time.Millisecond},
 		})
-		n.Assert(asks[1].Words, qt.HasLen, 0)
+		n.Assert(asks[1].Loads, qt.HasLen, 0)
 	})
 
 	t.Run("a collector tells which engines are crowded, by what all nodes have heard", func(*testing.T) {
 		n := newNode(t)
 		n.on(JobAsked{Token: 7, Job: chutebatch.Job{
 			Request: "r", Pool: partPool, Parts: 1, AimAt: n.now.Add(time.Second), Deadline: n.now.Add(2 * time.Second),
-		}, Words: []chutefleet.LoadWord{{Upstream: enginePool + "0", Calls: 20}, {Upstream: enginePool + "1", Calls: 1}}})
+		}, Loads: []chutefleet.LoadReport{{Upstream: enginePool + "0", Calls: 20}, {Upstream: enginePool + "1", Calls: 1}}})
 		n.makeParts()
-		n.Assert(only[GiveParts](n).Words, qt.DeepEquals, []chutefleet.LoadWord{{Upstream: enginePool + "0", Calls: 20}})
+		n.Assert(only[GiveParts](n).Loads, qt.DeepEquals, []chutefleet.LoadReport{{Upstream: enginePool + "0", Calls: 20}})
 	})
 
 	t.Run("a prompt does not go to the engine that holds it while that is crowded", func(*testing.T) {
@@ -47,12 +47,12 @@
 			n.on(Arrived{Submission: n.of("w", 1)})
 			n.on(PartsMade{Ask: only[AskParts](n).Ask, Results: []chutebatch.Result{{Ref: "x", Zone: "z1"}}})
 			holder := only[Send](n).Upstream.ID
-			var told []chutefleet.LoadWord
+			var told []chutefleet.LoadReport
 			if crowded {
-				told = []chutefleet.LoadWord{{Upstream: holder, Calls: 30, Age: 50 * time.Millisecond}}
+				told = []chutefleet.LoadReport{{Upstream: holder, Calls: 30, Age: 50 * time.Millisecond}}
 			}
 			n.on(Arrived{Submission: n.of("w", 2)})
-			n.on(PartsMade{Ask: only[AskParts](n).Ask, Results: []chutebatch.Result{{Ref: "x", Zone: "z1"}}, Words: told})
+			n.on(PartsMade{Ask: only[AskParts](n).Ask, Results: []chutebatch.Result{{Ref: "x", Zone: "z1"}}, Loads: told})
 			n.Assert(only[Send](n).Upstream.ID == holder, qt.Equals, !crowded)
 		}
 	})
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -63,7 +63,7 @@
 		return
 	}
 	st.asks = st.asks.Set(id, a)
-	st.do(AskParts{Ask: id, Peer: peer, Job: job, Words: st.tell()})
+	st.do(AskParts{Ask: id, Peer: peer, Job: job, Loads: st.tell()})
 }
 
 // soonCalls is the number of calls in which a stage of a request that is under way is
@@ -117,7 +117,7 @@
 		return
 	}
 	st.noteHeard(a.peer.Zone)
-	st.hear(e.Words)
+	st.hear(e.Loads)
 	st.noteWait(r, a.queue, e.Wait, e.Beyond)
 	s := r.stages[a.stage]
 	s.done = true
@@ -147,7 +147,7 @@
 	if !ok {
 		return
 	}
-	st.hear(e.Words)
+	st.hear(e.Loads)
 	if e.PeerLost {
 		st.peers = st.peers.withSilent(a.peer.Name, st.now)
 	}
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -43,7 +43,7 @@
 	// collector, as last worked out.
 	waits    *immutable.Map[queueKey, heardWait]
 	ownWaits *immutable.Map[queueKey, heardWait]
-	words    words
+	loads    loads
 	// callTimes is how long calls take until their first event.
 	callTimes callTimes
 	// patiences tells callers that come back from new ones.
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -100,8 +100,8 @@
 	Wait time.Duration
 	// Beyond says that Wait holds for the job's workspace alone, which is beyond its share.
 	Beyond bool
-	// Words are on upstreams that are crowded.
-	Words []chutefleet.LoadWord
+	// Loads are on upstreams that are crowded.
+	Loads []chutefleet.LoadReport
 }
 
 func waitOf(u *chutesharepb.MakeUpdate) time.Duration {
@@ -163,12 +163,12 @@
 			watch.Stop()
 			made(Update{
 				Results: decodeResults(update.GetResults()), Wait: waitOf(update), Beyond: update.GetBeyond(),
-				Words: decodeWords(update.GetWords()),
+				Loads: decodeLoads(update.GetLoads()),
 			})
 		case chutesharepb.MakeUpdate_KIND_FAILED:
 			return JobEnd{
 				Lost: update.GetLeaving(), Reason: update.GetReason(), Wait: waitOf(update), Beyond: update.GetBeyond(),
-				Words: decodeWords(update.GetWords()),
+				Loads: decodeLoads(update.GetLoads()),
 			}, nil
 		}
 	}
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -37,14 +37,14 @@
 	Wait time.Duration
 	// Beyond says that Wait holds for the job's workspace alone, which is beyond its share.
 	Beyond bool
-	// Words are on upstreams that are crowded.
-	Words []chutefleet.LoadWord
+	// Loads are on upstreams that are crowded.
+	Loads []chutefleet.LoadReport
 }
 
 // Ask is a job with what the node that asks has heard of upstreams' loads.
 type Ask struct {
 	Job   chutebatch.Job
-	Words []chutefleet.LoadWord
+	Loads []chutefleet.LoadReport
 }
 
 // Handlers answers other nodes; all fields must be set.
@@ -115,7 +115,7 @@
 	}
 	token := s.handlers.NewToken()
 	updates := make(chan Update, 1)
-	s.handlers.OnJob(token, Ask{Job: decodeJob(m, s.handlers.Now()), Words: decodeWords(m.GetWords())}, updates)
+	s.handlers.OnJob(token, Ask{Job: decodeJob(m, s.handlers.Now()), Loads: decodeLoads(m.GetLoads())}, updates)
 	defer s.handlers.OnDrop(token)
 
 	alive := time.NewTicker(aliveEvery)
@@ -148,12 +148,12 @@
 	if u.Failure != "" {
 		return &chutesharepb.MakeUpdate{
 			Kind: chutesharepb.MakeUpdate_KIND_FAILED, Reason: u.Failure, Leaving: u.Leaving,
-			WaitMs: u.Wait.Milliseconds(), Beyond: u.Beyond, Words: encodeWords(u.Words),
+			WaitMs: u.Wait.Milliseconds(), Beyond: u.Beyond, Loads: encodeLoads(u.Loads),
 		}
 	}
 
 	return &chutesharepb.MakeUpdate{
 		Kind: chutesharepb.MakeUpdate_KIND_MADE, Results: encodeResults(u.Results), WaitMs: u.Wait.Milliseconds(),
-		Beyond: u.Beyond, Words: encodeWords(u.Words),
+		Beyond: u.Beyond, Loads: encodeLoads(u.Loads),
 	}
 }
--- a/internal/chuteshare/wire.go
+++ b/internal/chuteshare/wire.go
@@ -22,28 +22,28 @@
 // encodeAsk writes a job with what goes beside it.
 func encodeAsk(asked Ask, now time.Time) *chutesharepb.MakeRequest {
 	m := encodeJob(asked.Job, now)
-	m.Words = encodeWords(asked.Words)
+	m.Loads = encodeLoads(asked.Loads)
 
 	return m
 }
 
-func encodeWords(words []chutefleet.LoadWord) []*chutesharepb.LoadWord {
-	out := make([]*chutesharepb.LoadWord, 0, len(words))
-	for _, w := range words {
-		out = append(out, &chutesharepb.LoadWord{
-			Upstream: w.Upstream, Calls: int32(w.Calls), AgeMs: w.Age.Milliseconds(), //nolint:gosec // small counts
+func encodeLoads(loads []chutefleet.LoadReport) []*chutesharepb.LoadReport {
+	out := make([]*chutesharepb.LoadReport, 0, len(loads))
+	for _, l := range loads {
+		out = append(out, &chutesharepb.LoadReport{
+			Upstream: l.Upstream, Calls: int32(l.Calls), AgeMs: l.Age.Milliseconds(), //nolint:gosec // small counts
 		})
 	}
 
 	return out
 }
 
-func decodeWords(words []*chutesharepb.LoadWord) []chutefleet.LoadWord {
-	var out []chutefleet.LoadWord
-	for _, w := range words {
-		out = append(out, chutefleet.LoadWord{
-			Upstream: w.GetUpstream(), Calls: int(max(0, w.GetCalls())),
-			Age: time.Duration(max(0, w.GetAgeMs())) * time.Millisecond,
+func decodeLoads(loads []*chutesharepb.LoadReport) []chutefleet.LoadReport {
+	var out []chutefleet.LoadReport
+	for _, l := range loads {
+		out = append(out, chutefleet.LoadReport{
+			Upstream: l.GetUpstream(), Calls: int(max(0, l.GetCalls())),
+			Age: time.Duration(max(0, l.GetAgeMs())) * time.Millisecond,
 		})
 	}
 
