--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -186,23 +186,6 @@
 	return n.draining.Load()
 }
 
-// Ready says whether the node can serve new callers.
-func (n *Node) Ready() bool {
-	return n.knowsAll() && !n.draining.Load()
-}
-
-// knowsAll says whether the node knows what it needs to serve anybody.
-func (n *Node) knowsAll() bool {
-	return n.config.Load() != nil && n.listed.Load()
-}
-
-// noteKnown lets requests go on that wait for the node to know what it needs.
-func (n *Node) noteKnown() {
-	if n.knowsAll() {
-		n.knownOnce.Do(func() { close(n.known) })
-	}
-}
-
 // Config returns the configuration in force, or false if there is none yet.
 func (n *Node) Config() (chuteroute.Config, bool) {
 	cfg := n.config.Load()
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -85,30 +85,6 @@
 	n.await(ctx, submission.Handle, e, out)
 }
 
-// startHold is how long after its start a node lets requests wait until it knows the
-// configuration and the upstreams. It mostly takes 0.1 s, with thousands of upstreams
-// 0.5 s. Refused at once, their callers went to another node that had started as late,
-// and of those that all nodes' restart left without an answer half were refused so.
-const startHold = time.Second
-
-// awaitKnown lets a request of a node that has just started wait until the node knows
-// what it needs, up to a part of the caller's time; 0 is no bound. A node that knows
-// nothing for longer refuses at once.
-func (n *Node) awaitKnown(ctx context.Context, bound time.Duration) {
-	left := startHold - n.clock.Since(n.started)
-	if left <= 0 || n.knowsAll() {
-		return
-	}
-	if bound > 0 {
-		left = min(left, bound)
-	}
-	select {
-	case <-ctx.Done():
-	case <-n.known:
-	case <-n.clock.After(left):
-	}
-}
-
 // submission works out what the reducer needs to know, or why the request is refused.
 func (n *Node) submission(cfg chuteroute.Config, in *Incoming) (chuterelay.Submission, *chuterelay.Refusal) {
 	pipeline, ok := cfg.Match(in.Host, in.Path)
--- a/internal/chuteshare/doc.go
+++ b/internal/chuteshare/doc.go
@@ -1,6 +1,6 @@
 // Package chuteshare carries what nodes say to each other about relayed
-// requests: jobs for collectors, and the platform's rows for nodes that cannot
-// reach its store.
+// requests: jobs for collectors with reports on upstreams' loads, and the tables of the
+// platform's store for nodes that follow this one or cannot reach the store.
 //
 // A job's stream is also its lease: while it is open the collector keeps the
 // results, and when it ends, for whatever reason, they are freed. So a caller
