--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,19 @@
 soak: ## faults from outside on separate processes: make soak SEEDS=50 SECONDS=10 FIRST=1000
 	$(GO) test -count=1 -timeout 60m -run TestSoak -v ./platform -soak.seeds=$(or $(SEEDS),10) -soak.seconds=$(or $(SECONDS),10) -soak.first=$(or $(FIRST),1)
 
+# Where the users' kit is unpacked; CI has none.
+KIT ?= ../given/kit/more/system
+HUNT_LARGE := large/kura-forum-large further-grown/smra-registro-grown grown/kura-forum-grown grown/okh-katalogus-grown
+
+.PHONY: regression
+regression: ## the users' days before a landing: a score of the large site, its sweep, hunts on all; needs the kit
+	@test -x $(KIT)/bin/fleetbench || { echo "no kit at $(KIT): nothing is played"; exit 0; }; \
+	play=$$(ls $(KIT)/more/bench-993d7d/bin/fleetbench); \
+	$$play score $(KIT)/large/kura-forum-large.toml --jobs 4 --why "regression: the large deployment"; \
+	$$play sweep $(KIT)/large/kura-forum-large.toml --jobs 3 --why "regression: sweep"; \
+	$$play hunt $(KIT)/further/smra-registro.toml --days 40 --jobs 4 --why "regression: hunt"; \
+	for site in $(HUNT_LARGE); do $$play hunt $(KIT)/$$site.toml --days 8 --jobs 4 --why "regression: hunt"; done
+
 .PHONY: fuzz
 fuzz: ## run each fuzz target for a few seconds
 	@sh .ci/fuzz 5s
--- a/internal/chutefleet/choose.go
+++ b/internal/chutefleet/choose.go
@@ -99,16 +99,11 @@
 // one prefix meet at one upstream without the nodes talking about it. The bound
 // on load keeps a popular prefix from crushing its holder.
 func holder(candidates []candidate, affinity string) (Upstream, bool) {
-	total := 0.0
-	for i := range candidates {
-		total += candidates[i].load
-	}
-	mean := total / float64(len(candidates))
+	mean := meanLoad(candidates)
 	best := -1
 	var bestHash uint64
 	for i := range candidates {
-		bound := affinityFactor*mean + affinitySlots*float64(candidates[i].Slots)
-		if candidates[i].load > bound {
+		if candidates[i].crowded(mean) {
 			continue
 		}
 		if h := xxhash.Sum64String(affinity + "|" + candidates[i].Name); best < 0 || h > bestHash {
--- /dev/null
+++ b/internal/chutefleet/word.go
@@ -0,0 +1,90 @@
+package chutefleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// LoadWord is what one node tells another of an upstream's load.
+type LoadWord struct {
+	// Upstream is the incarnation's id.
+	Upstream string
+	// Calls is the number that run or wait there, for all callers.
+	Calls int
+	// Age is how old the upstream's own report is.
+	Age time.Duration
+}
+
+// tellSlots is the part of its slots by which an upstream is above the pool's mean load when
+// others are told: below that a prompt is served sooner where it is kept.
+const tellSlots = 0.5
+
+// maxWords bounds the words in one message: 16 take some 400 bytes. A popular prompt
+// crowds a few upstreams; where more are crowded, the pool is full and none is better.
+const maxWords = 16
+
+// WithWord takes in another node's word on an upstream, unless a later one is known.
+func (f Fleet) WithWord(w LoadWord, now time.Time) Fleet {
+	at := now.Add(-w.Age)
+	if m, ok := f.members.Get(w.Upstream); !ok || w.Age >= reportLife || !m.reportedAt.Before(at) {
+		return f
+	}
+
+	return f.WithLoad(w.Upstream, w.Calls, 0, at)
+}
+
+// Word returns what this node knows of an upstream's load, and false if that is nothing recent.
+func (f Fleet) Word(id string, now time.Time) (LoadWord, bool) {
+	m, ok := f.members.Get(id)
+	if !ok || m.reportedAt.IsZero() || now.Sub(m.reportedAt) >= reportLife {
+		return LoadWord{}, false
+	}
+
+	return LoadWord{Upstream: id, Calls: m.others + m.inFlight, Age: now.Sub(m.reportedAt)}, true
+}
+
+// Crowded returns words on the upstreams of a pool that have too many calls for prompts
+// to stay there, the most crowded ones first.
+//
+// A node of hundreds hears from one upstream less than once in ten seconds. Without a
+// word from others it sends a popular prompt to the upstream that holds it, however many
+// wait there.
+func (f Fleet) Crowded(pool string, now time.Time) []LoadWord {
+	candidates := f.candidates(Query{Pool: pool}, now)
+	mean := meanLoad(candidates)
+	var words []LoadWord
+	for i := range candidates {
+		if !candidates[i].above(mean, tellSlots) {
+			continue
+		}
+		if w, ok := f.Word(candidates[i].ID, now); ok {
+			words = append(words, w)
+		}
+	}
+	slices.SortFunc(words, func(a, b LoadWord) int {
+		return cmp.Or(cmp.Compare(b.Calls, a.Calls), cmp.Compare(a.Upstream, b.Upstream))
+	})
+
+	return words[:min(len(words), maxWords)]
+}
+
+// meanLoad is the mean load of the candidates.
+func meanLoad(candidates []candidate) float64 {
+	total := 0.0
+	for i := range candidates {
+		total += candidates[i].load
+	}
+
+	return total / float64(max(1, len(candidates)))
+}
+
+// crowded says whether a candidate has too many calls for prompts to stay there.
+func (c *candidate) crowded(mean float64) bool {
+	return c.above(mean, affinitySlots)
+}
+
+// above says whether a candidate's load is well above the mean, by a part of its slots.
+func (c *candidate) above(mean, slots float64) bool {
+	return c.load > affinityFactor*mean+slots*float64(c.Slots)
+}
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -50,11 +50,11 @@
 	// nodesKnown is closed when the list of nodes was read once.
 	nodesKnown  chan struct{}
 	nodesListed sync.Once
-	// equipped is closed when configuration and upstreams are both known.
-	equipped     chan struct{}
-	equippedOnce sync.Once
-	lost         lostNodes
-	chosen       atomic.Pointer[sourceChoice]
+	// known is closed when configuration and upstreams are both known.
+	known     chan struct{}
+	knownOnce sync.Once
+	lost      lostNodes
+	chosen    atomic.Pointer[sourceChoice]
 	// storeFailedAt is when the store last failed this node; nil if it never did.
 	storeFailedAt atomic.Pointer[time.Time]
 	// listed says that the list of upstreams was read once.
@@ -99,7 +99,7 @@
 		running: running, stop: stop,
 		entries: map[uint64]*entry{}, asks: map[uint64]context.CancelFunc{},
 		jobs: map[uint64]chan<- chuteshare.Update{}, watches: map[string]*watch{}, nodesKnown: make(chan struct{}),
-		equipped:   make(chan struct{}),
+		known:      make(chan struct{}),
 		storeCalls: newStoreCalls(),
 	}
 	identity := chutecore.Identity{
@@ -199,7 +199,7 @@
 // noteKnown lets requests go on that wait for the node to know what it needs.
 func (n *Node) noteKnown() {
 	if n.knowsAll() {
-		n.equippedOnce.Do(func() { close(n.equipped) })
+		n.knownOnce.Do(func() { close(n.known) })
 	}
 }
 
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -79,6 +79,8 @@
 	ended.Leaving = answer.Leaving
 	ended.Load = answer.Load
 	if s.Streams && answer.Status == http.StatusOK && answer.Signed && answer.Events && !answer.Altered {
+		// The load was told with the first event; by its end it is old.
+		ended.Load = nil
 		ended.Events, err = a.pass(ctx, answer)
 		ended.End = chuterelay.EndAnswered
 		if err != nil {
@@ -179,7 +181,7 @@
 		}
 		a.entry.lastEvent = event.id
 		if count == 0 {
-			a.node.send(chuterelay.AttemptBegan{Handle: a.send.Handle, Attempt: a.send.Attempt})
+			a.node.send(chuterelay.AttemptBegan{Handle: a.send.Handle, Attempt: a.send.Attempt, Load: answer.Load})
 		}
 		count++
 	}
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -104,7 +104,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-n.equipped:
+	case <-n.known:
 	case <-n.clock.After(left):
 	}
 }
--- /dev/null
+++ b/internal/chutegate/start_test.go
@@ -0,0 +1,62 @@
+package chutegate
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"azurechute.example/azurechute/internal/chuteroute"
+)
+
+func TestStartHold(t *testing.T) {
+	// All nodes are killed and start again. A balancer sends callers to them at once; a
+	// tenth of a second later they know what they need. Turned away, the callers would
+	// meet other nodes that have started as late.
+	start := func() (*Node, *clockwork.FakeClock) {
+		clock := clockwork.NewFakeClock()
+		n := New(Settings{}, clock, zerolog.Nop(), Store{}, Decoders{}, Upstreams{})
+
+		return n, clock
+	}
+	await := func(n *Node, bound time.Duration) <-chan struct{} {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			n.awaitKnown(context.Background(), bound)
+		}()
+
+		return done
+	}
+
+	t.Run("a request waits until configuration and upstreams are known", func(t *testing.T) {
+		c := qt.New(t)
+		n, clock := start()
+		done := await(n, 0)
+		c.Assert(clock.BlockUntilContext(context.Background(), 1), qt.IsNil)
+		n.config.Store(&chuteroute.Config{})
+		n.noteKnown()
+		c.Assert(done, qt.HasLen, 0)
+		n.listed.Store(true)
+		n.noteKnown()
+		<-done
+	})
+
+	t.Run("it waits for a part of its caller's time at most", func(t *testing.T) {
+		c := qt.New(t)
+		n, clock := start()
+		done := await(n, 300*time.Millisecond)
+		c.Assert(clock.BlockUntilContext(context.Background(), 1), qt.IsNil)
+		clock.Advance(300 * time.Millisecond)
+		<-done
+	})
+
+	t.Run("a node that knows nothing for longer refuses at once", func(*testing.T) {
+		n, clock := start()
+		clock.Advance(startHold)
+		<-await(n, 0)
+	})
+}
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -42,6 +42,7 @@
 		st.callTimes = st.callTimes.with(r, st.now.Sub(r.current.sentAt))
 	}
 	r.begun = true
+	st.noteLoad(r.current.upstream.ID, e.Load)
 	st.noteHeard(r.current.upstream.Zone)
 	st.fleet = st.fleet.WithRead(r.current.upstream.ID, r.current.tokens).WithSuccess(r.current.upstream.ID, st.now)
 	r.current.tokens = 0
@@ -128,8 +129,14 @@
 	if e.Leaving {
 		st.fleet = st.fleet.WithLeaving(id)
 	}
-	if e.Load != nil {
-		st.fleet = st.fleet.WithLoad(id, e.Load.Running, e.Load.Waiting, st.now)
+	st.noteLoad(id, e.Load)
+}
+
+// noteLoad takes in an upstream's own word on its load, if there is one.
+func (st *step) noteLoad(id string, load *Load) {
+	if load != nil {
+		st.fleet = st.fleet.WithLoad(id, load.Running, load.Waiting, st.now)
+		st.words = st.words.withHeard(id)
 	}
 }
 
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -35,6 +35,7 @@
 
 		return
 	}
+	st.hear(e.Words)
 	job := e.Job
 	job.ID = st.newID()
 	job.Since = st.now
@@ -289,7 +290,7 @@
 
 		return
 	}
-	st.do(GiveParts{Token: o.token, Results: results, Wait: wait, Beyond: beyond})
+	st.do(GiveParts{Token: o.token, Results: results, Wait: wait, Beyond: beyond, Words: st.crowded()})
 }
 
 // refuseJob tells whoever asked that a job failed.
@@ -309,5 +310,7 @@
 		return
 	}
 	st.tokens = st.tokens.Delete(o.token)
-	st.do(RefuseParts{Token: o.token, Reason: string(failed.Reason), Wait: wait, Beyond: beyond})
+	st.do(RefuseParts{
+		Token: o.token, Reason: string(failed.Reason), Wait: wait, Beyond: beyond, Words: st.crowded(),
+	})
 }
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -67,6 +67,8 @@
 	Ask  uint64
 	Peer Peer
 	Job  chutebatch.Job
+	// Words are what this node has heard of upstreams' loads.
+	Words []chutefleet.LoadWord
 }
 
 // DropAsk tells the peer that the job or its results are not needed any more.
@@ -82,6 +84,8 @@
 	// holds for its workspace alone, which is beyond its share.
 	Wait   time.Duration
 	Beyond bool
+	// Words are on upstreams that are crowded.
+	Words []chutefleet.LoadWord
 }
 
 // RefuseParts tells a peer that its job brings no results.
@@ -93,6 +97,8 @@
 	// holds for its workspace alone, which is beyond its share.
 	Wait   time.Duration
 	Beyond bool
+	// Words are on upstreams that are crowded.
+	Words []chutefleet.LoadWord
 }
 
 // RunCall hands a batch of parts to an upstream.
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -72,6 +72,8 @@
 	// holds for its workspace alone, which is beyond its share.
 	Wait   time.Duration
 	Beyond bool
+	// Words are on upstreams that are crowded.
+	Words []chutefleet.LoadWord
 }
 
 // PartsFailed reports that an ask brought no results.
@@ -86,12 +88,16 @@
 	// holds for its workspace alone, which is beyond its share.
 	Wait   time.Duration
 	Beyond bool
+	// Words are on upstreams that are crowded.
+	Words []chutefleet.LoadWord
 }
 
 // JobAsked reports that a peer asks this node's collector for a job; Token names it in effects.
 type JobAsked struct {
 	Token uint64
 	Job   chutebatch.Job
+	// Words are what the peer has heard of upstreams' loads.
+	Words []chutefleet.LoadWord
 }
 
 // JobDropped reports that a peer needs a job, or its results, no longer.
@@ -116,6 +122,8 @@
 type AttemptBegan struct {
 	Handle  uint64
 	Attempt uint64
+	// Load is the upstream's own word on its load, or nil.
+	Load *Load
 }
 
 // AttemptEnd is how a relayed call ended.
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -13,7 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
 )
 
@@ -100,6 +100,8 @@
 	Wait time.Duration
 	// Beyond says that Wait holds for the job's workspace alone, which is beyond its share.
 	Beyond bool
+	// Words are on upstreams that are crowded.
+	Words []chutefleet.LoadWord
 }
 
 func waitOf(u *chutesharepb.MakeUpdate) time.Duration {
@@ -110,7 +112,7 @@
 // It calls made once the results are there, and returns how the job ended if
 // that was not by ctx.
 func (c *Client) Make(
-	ctx context.Context, address string, job chutebatch.Job, now time.Time, made func(Update),
+	ctx context.Context, address string, asked Ask, now time.Time, made func(Update),
 ) (JobEnd, bool) {
 	conn, err := c.connection(address)
 	if err != nil {
@@ -122,7 +124,7 @@
 	watch := time.AfterFunc(firstSign, func() { cancel(errSilent) })
 	defer watch.Stop()
 
-	end, err := follow(ctx, conn, encodeJob(job, now), watch, made)
+	end, err := follow(ctx, conn, encodeAsk(asked, now), watch, made)
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
 		c.forget(address, conn)
@@ -159,10 +161,14 @@
 			watch.Reset(nextSign)
 		case chutesharepb.MakeUpdate_KIND_MADE:
 			watch.Stop()
-			made(Update{Results: decodeResults(update.GetResults()), Wait: waitOf(update), Beyond: update.GetBeyond()})
+			made(Update{
+				Results: decodeResults(update.GetResults()), Wait: waitOf(update), Beyond: update.GetBeyond(),
+				Words: decodeWords(update.GetWords()),
+			})
 		case chutesharepb.MakeUpdate_KIND_FAILED:
 			return JobEnd{
 				Lost: update.GetLeaving(), Reason: update.GetReason(), Wait: waitOf(update), Beyond: update.GetBeyond(),
+				Words: decodeWords(update.GetWords()),
 			}, nil
 		}
 	}
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -11,6 +11,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
 )
 
@@ -36,12 +37,20 @@
 	Wait time.Duration
 	// Beyond says that Wait holds for the job's workspace alone, which is beyond its share.
 	Beyond bool
+	// Words are on upstreams that are crowded.
+	Words []chutefleet.LoadWord
+}
+
+// Ask is a job with what the node that asks has heard of upstreams' loads.
+type Ask struct {
+	Job   chutebatch.Job
+	Words []chutefleet.LoadWord
 }
 
 // Handlers answers other nodes; all fields must be set.
 type Handlers struct {
 	// OnJob takes a job in; the update comes on the channel, which has room for it.
-	OnJob func(token uint64, job chutebatch.Job, updates chan<- Update)
+	OnJob func(token uint64, asked Ask, updates chan<- Update)
 	// OnDrop ends a job's lease.
 	OnDrop func(token uint64)
 	// OnTable returns a table of the store as this node knows it.
@@ -106,7 +115,7 @@
 	}
 	token := s.handlers.NewToken()
 	updates := make(chan Update, 1)
-	s.handlers.OnJob(token, decodeJob(m, s.handlers.Now()), updates)
+	s.handlers.OnJob(token, Ask{Job: decodeJob(m, s.handlers.Now()), Words: decodeWords(m.GetWords())}, updates)
 	defer s.handlers.OnDrop(token)
 
 	alive := time.NewTicker(aliveEvery)
@@ -139,12 +148,12 @@
 	if u.Failure != "" {
 		return &chutesharepb.MakeUpdate{
 			Kind: chutesharepb.MakeUpdate_KIND_FAILED, Reason: u.Failure, Leaving: u.Leaving,
-			WaitMs: u.Wait.Milliseconds(), Beyond: u.Beyond,
+			WaitMs: u.Wait.Milliseconds(), Beyond: u.Beyond, Words: encodeWords(u.Words),
 		}
 	}
 
 	return &chutesharepb.MakeUpdate{
 		Kind: chutesharepb.MakeUpdate_KIND_MADE, Results: encodeResults(u.Results), WaitMs: u.Wait.Milliseconds(),
-		Beyond: u.Beyond,
+		Beyond: u.Beyond, Words: encodeWords(u.Words),
 	}
 }
--- a/internal/chuteshare/wire.go
+++ b/internal/chuteshare/wire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
 )
 
@@ -18,6 +19,37 @@
 	}
 }
 
+// encodeAsk writes a job with what goes beside it.
+func encodeAsk(asked Ask, now time.Time) *chutesharepb.MakeRequest {
+	m := encodeJob(asked.Job, now)
+	m.Words = encodeWords(asked.Words)
+
+	return m
+}
+
+func encodeWords(words []chutefleet.LoadWord) []*chutesharepb.LoadWord {
+	out := make([]*chutesharepb.LoadWord, 0, len(words))
+	for _, w := range words {
+		out = append(out, &chutesharepb.LoadWord{
+			Upstream: w.Upstream, Calls: int32(w.Calls), AgeMs: w.Age.Milliseconds(), //nolint:gosec // small counts
+		})
+	}
+
+	return out
+}
+
+func decodeWords(words []*chutesharepb.LoadWord) []chutefleet.LoadWord {
+	var out []chutefleet.LoadWord
+	for _, w := range words {
+		out = append(out, chutefleet.LoadWord{
+			Upstream: w.GetUpstream(), Calls: int(max(0, w.GetCalls())),
+			Age: time.Duration(max(0, w.GetAgeMs())) * time.Millisecond,
+		})
+	}
+
+	return out
+}
+
 func decodeJob(m *chutesharepb.MakeRequest, now time.Time) chutebatch.Job {
 	return chutebatch.Job{
 		Request: m.GetRequest(), Pool: m.GetPool(), Stage: int(m.GetStage()), Parts: int(m.GetParts()),
