Name each request by a fingerprint in the logs

Cause: no log line told which sendings are the same request, so a request that comes again and ends engines could not be told from others that stood beside it.

--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -249,7 +249,7 @@
 		line = line.Int64("AimMs", e.Aim.Milliseconds())
 	}
 	for _, field := range []struct{ name, value string }{
-		{"Workspace", workspaceOf(e)}, {"Upstream", e.Upstream}, {"Peer", e.Peer}, {"At", e.Zone}, {"Reason", e.Reason},
+		{"Fingerprint", e.Fingerprint}, {"Workspace", workspaceOf(e)}, {"Upstream", e.Upstream}, {"Peer", e.Peer}, {"At", e.Zone}, {"Reason", e.Reason},
 	} {
 		if field.value != "" {
 			line = line.Str(field.name, field.value)
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -43,6 +43,7 @@
 	}
 	st.put(r)
 	st.note(StepAdmitted, r, func(n *Note) {
+		n.Fingerprint = r.Fingerprint
 		n.Zone, n.Waited, n.Aim = r.zone, r.waited, r.aimAt.Sub(st.now)
 	})
 	st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -74,6 +74,7 @@
 		return
 	}
 	st.note(StepCallEnded, r, func(n *Note) {
+		n.Fingerprint = r.Fingerprint
 		n.Upstream, n.Peer, n.Reason = r.current.upstream.ID, r.current.upstream.Address, e.reason()
 	})
 	r.tried = append(r.tried[:len(r.tried):len(r.tried)], r.current.upstream.ID)
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -18,9 +18,11 @@
 	// Handle is unique to this process.
 	Handle uint64
 	// ID is the caller's name for this sending; upstreams see it too.
-	ID        string
-	Pipeline  chuteroute.Pipeline
-	Workspace chuteroute.Workspace
+	ID string
+	// Fingerprint is the same for all sendings of one request, whatever their IDs.
+	Fingerprint string
+	Pipeline    chuteroute.Pipeline
+	Workspace   chuteroute.Workspace
 	// Affinity names the prompt part that other requests share; empty if there is none.
 	Affinity     string
 	PromptTokens int64
