Set requests aside that end the upstreams which run them

Cause: what nodes learn from a call's end is kept by upstream (fleet), by pool (budget) or with the request, and forgotten with it. Nothing is kept of a request beyond its end, so one that ends whoever runs it begins anew with each sending, at each node. Ruled out: a node's own repeats as the whole cause (12 ends under 12 sendings that are not repeated), and another reason of the ends (the stand-ins have none). Change: requests have a fingerprint; a broken call whose upstream then refuses connections, or starts again, is told to the other nodes with the requests that stood there, by word of mouth and through a table of the store that is followed like the others. Every node works out the same verdicts (chutequarantine): three ends, those of one event counted once or twice, those at which another one is known to be guilty not at all; an answer clears. A request that is set aside is refused at once, at arrival, before each call and at the collectors; parts of a suspect share no call with others'.

--- a/internal/chutebatch/collector.go
+++ b/internal/chutebatch/collector.go
@@ -35,8 +35,14 @@
 	Deadline time.Time
 	// Rest is the time that the request needs after this stage.
 	Rest time.Duration
-	// Workspace is whose request it is.
+	// Workspace is whose request it is, Pipeline what it runs on.
 	Workspace string
+	Pipeline  string
+	// Fingerprint is the same for all sendings of the request.
+	Fingerprint string
+	// Alone says that its parts share no call with others': upstreams have ended under
+	// its request, and the next end is to tell whether that was its doing.
+	Alone bool
 	// Level is how far the job is beyond its workspace's share of the queue, from 0; the
 	// collector sets it.
 	Level int
@@ -99,6 +105,10 @@
 	PartErrored PartFailure = "Errored"
 	// PartOverloaded: its job was turned away for the queue in front of it.
 	PartOverloaded PartFailure = "Overloaded"
+	// PartEnded: upstreams have ended while they ran its job.
+	PartEnded PartFailure = "UpstreamsEnded"
+	// PartQuarantined: its request is set aside because upstreams end under it.
+	PartQuarantined PartFailure = "Quarantined"
 )
 
 // job is a job with what has become of its parts.
@@ -109,6 +119,8 @@
 	results []Result
 	missing int
 	tries   int
+	// ended counts the upstreams that ended while they ran the job's parts.
+	ended int
 }
 
 // Collector is one node's queue of parts and its calls in flight, over all pools.
--- a/internal/chutebatch/end.go
+++ b/internal/chutebatch/end.go
@@ -8,6 +8,11 @@
 const (
 	// maxTries bounds how often the parts of one job may fail and be queued again.
 	maxTries = 3
+	// maxEnded is the number of upstreams that may end under one job. Tries count parts,
+	// and a job of sixteen has 48: enough to end each upstream of a pool several times
+	// over, in a second. A job that stood beside such a one runs alone after the first
+	// end, and is done by its second call.
+	maxEnded = 2
 	// refusedPause is how long an upstream that refused a call gets no other: its
 	// slot is taken by a call of somebody else, which lasts longer than this.
 	refusedPause = 60 * time.Millisecond
@@ -233,6 +238,11 @@
 	if !refused {
 		j.tries++
 	}
+	if j.ended >= maxEnded {
+		e.fail(p, PartEnded)
+
+		return
+	}
 	if j.tries > maxTries*j.Parts || e.out.Requeued >= e.allowed {
 		e.fail(p, reason)
 
--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -137,7 +137,7 @@
 	left := f.left[seat]
 	crowded := 0
 	f.c.walk(f.lane, f.now, func(j *job) bool {
-		if !f.useful(j) || !f.suits(j, f.seats[seat]) {
+		if !f.useful(j) || !f.suits(j, f.seats[seat]) || j.Alone && len(parts) > 0 {
 			return true
 		}
 		for _, index := range j.pending {
@@ -153,7 +153,7 @@
 			left -= j.ResultBytes
 		}
 
-		return true
+		return !j.Alone || len(parts) == 0
 	})
 	upstream := f.seats[seat].Upstream
 	f.seats = slices.Delete(f.seats, seat, seat+1)
--- a/internal/chutebatch/restart.go
+++ b/internal/chutebatch/restart.go
@@ -1,6 +1,7 @@
 package chutebatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -10,9 +11,9 @@
 // lost parts beyond that, fail. Finished jobs stay with whoever asked.
 func (c Collector) WithoutUpstream(upstream string, allowed int, now time.Time) (Collector, Ended) {
 	var out Ended
-	for _, id := range c.callsAt(upstream) {
+	for _, call := range c.CallsAt(upstream) {
 		var ended Ended
-		c, ended = c.WithCallEnded(id, CallLost, nil, "", allowed-out.Requeued, now)
+		c, ended = c.WithCallEnded(call.ID, CallLost, nil, "", allowed-out.Requeued, now)
 		out = out.with(ended)
 	}
 	for i := c.jobs.Iterator(); !i.Done(); {
@@ -37,17 +38,17 @@
 	return c, out
 }
 
-// callsAt returns the calls in flight at an upstream, in the order of their ids.
-func (c Collector) callsAt(upstream string) []uint64 {
-	var ids []uint64
+// CallsAt returns the calls in flight at an upstream, in the order of their ids.
+func (c Collector) CallsAt(upstream string) []Call {
+	var calls []Call
 	for i := c.calls.Iterator(); !i.Done(); {
-		if id, call, _ := i.Next(); call.Upstream == upstream {
-			ids = append(ids, id)
+		if _, call, _ := i.Next(); call.Upstream == upstream {
+			calls = append(calls, call)
 		}
 	}
-	slices.Sort(ids)
+	slices.SortFunc(calls, func(a, b Call) int { return cmp.Compare(a.ID, b.ID) })
 
-	return ids
+	return calls
 }
 
 // resultsAt lists the parts whose results lie at an upstream.
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -64,7 +64,14 @@
 	// unreadable counts the entries of upstreams that have become unreadable.
 	unreadable atomic.Int64
 	storeCalls storeCalls
-	watches    map[string]*watch
+	// untold and unkept are the crashes and judgements that wait to be told to other nodes
+	// and to be written to the store, heard those that were told or heard.
+	untold *wordQueue
+	unkept *wordQueue
+	heard  heardWords
+	// crashes counts the ends of upstreams that this node saw.
+	crashes atomic.Int64
+	watches map[string]*watch
 
 	running    context.Context
 	stop       context.CancelFunc
@@ -101,6 +108,7 @@
 		jobs: map[uint64]chan<- chuteshare.Update{}, watches: map[string]*watch{}, nodesKnown: make(chan struct{}),
 		known:      make(chan struct{}),
 		storeCalls: newStoreCalls(),
+		untold:     newWordQueue(), unkept: newWordQueue(),
 	}
 	identity := chutecore.Identity{
 		Node: settings.Self.Name, Zone: settings.Self.Zone, PeerAddress: settings.Self.Address,
@@ -111,7 +119,9 @@
 	})
 	n.state = chutecore.NewState(identity, settings.Seed, n.Now()).WithRelay(relay)
 	n.addGauges()
-	for _, table := range []string{settings.Tables.Config, settings.Tables.Upstreams, settings.Tables.Peers} {
+	for _, table := range []string{
+		settings.Tables.Config, settings.Tables.Upstreams, settings.Tables.Peers, settings.Tables.Quarantine,
+	} {
 		n.watches[table] = newWatch(table)
 	}
 	n.watches[settings.Tables.Upstreams].essence = decode.UpstreamEssence
@@ -134,6 +144,9 @@
 	n.spawn(n.watchConfig)
 	n.spawn(n.watchUpstreams)
 	n.spawn(n.watchPeers)
+	n.spawn(n.watchQuarantine)
+	n.spawn(n.tellWords)
+	n.spawn(n.keepWords)
 	n.spawn(n.register)
 	n.spawn(n.trim)
 	n.spawn(n.flushLedger)
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -19,6 +19,13 @@
 	})
 	n.meter.Gauge("unreadable_entries_total", func() float64 { return float64(n.unreadable.Load()) })
 	n.storeCalls.addGauges(n.meter.Gauge)
+	n.meter.Gauge("upstreams_ended_under_requests_total", func() float64 { return float64(n.crashes.Load()) })
+	n.meter.Gauge("requests_quarantined", func() float64 {
+		held := 0
+		n.Query(func(s chutecore.State) { held = len(s.Relay().Quarantine().Held(n.Now())) })
+
+		return float64(held)
+	})
 	n.meter.Gauge("nodes_listed", func() float64 { return float64(len(n.listedPeers())) })
 	n.meter.Gauge("events_waiting", func() float64 { return float64(len(n.messages)) })
 	n.meter.Gauge("requests_in_flight", func() float64 {
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -35,7 +35,7 @@
 	case chuterelay.NoteZone:
 		n.log.Warn().Str("At", e.Zone).Bool("CutOff", e.CutOff).Strs("Silent", e.Silent).Msg("zone")
 	default:
-		n.performParts(effect)
+		n.performQuarantine(effect)
 	}
 }
 
@@ -180,6 +180,7 @@
 	case err != nil:
 		ended.End, ended.Failure = lostCall(err)
 		ended.Silent = asSendError(err).Silent
+		ended.UpstreamEnded = ended.End == chutebatch.CallLost && !ended.Silent && n.upstreamEnded(ctx, e.Upstream)
 		n.log.Debug().Err(err).Str("Upstream", e.Upstream.ID).Str("Pool", e.Upstream.Pool).
 			Int("Parts", len(parts)).Msg("call with parts failed")
 	case answer.Refused:
--- /dev/null
+++ b/internal/chutegate/quarantine.go
@@ -0,0 +1,382 @@
+package chutegate
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutequarantine"
+	"azurechute.example/azurechute/internal/chuterelay"
+)
+
+const (
+	// endedTimeout bounds the question whether an upstream has ended; a refusal takes the
+	// time to the VM and back, and the caller's request waits for it before it goes elsewhere.
+	endedTimeout = 100 * time.Millisecond
+	// gatherWords is how long crashes are gathered before they are told: an engine takes
+	// tens of calls along, which break within milliseconds.
+	gatherWords = 10 * time.Millisecond
+	// wordPause is the mean pause after the first write of crashes that failed; it doubles
+	// with each further one up to longestWordPause, so that all nodes have told theirs
+	// within 3 s of the store's return.
+	wordPause        = 250 * time.Millisecond
+	longestWordPause = time.Second
+	// maxWords bounds the rows of one transaction, and maxUnsaid those that wait for the
+	// store: a node has calls at some tens of upstreams.
+	maxWords  = 64
+	maxUnsaid = 1024
+	// toldPeers is the number of peers that are told ahead of the store, and tellHops how
+	// often they pass on what is new to them.
+	toldPeers = 16
+	tellHops  = 2
+	// maxHeard bounds the words that are remembered so as not to be passed on twice.
+	maxHeard = 8192
+	// quarantineEvery is the least time between two reads of crashes and judgements.
+	quarantineEvery = 100 * time.Millisecond
+	// purgeEvery is how often old rows are looked for, and maxRows the number from which
+	// on the oldest crashes go before their time: 8,192 rows are some 2 MB at each node.
+	purgeEvery = time.Minute
+	maxRows    = 8192
+)
+
+// Prefixes of the keys of crashes and of judgements in their table.
+const (
+	crashPrefix   = "crash/"
+	requestPrefix = "request/"
+)
+
+// upstreamEnded says whether an upstream has ended, and not just a connection to it.
+func (n *Node) upstreamEnded(ctx context.Context, u chutefleet.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
+
+	return n.upstreams.Ended(ctx, u.Address)
+}
+
+// wordQueue holds rows that are to be told or written; of one key the newest counts.
+type wordQueue struct {
+	mu   sync.Mutex
+	rows map[string][]byte
+	// due has an item while there are rows.
+	due chan struct{}
+}
+
+func newWordQueue() *wordQueue {
+	return &wordQueue{rows: map[string][]byte{}, due: make(chan struct{}, 1)}
+}
+
+// add queues a row; false means that too many wait.
+func (q *wordQueue) add(row chutefeed.Row) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if _, waits := q.rows[row.Key]; !waits && len(q.rows) >= maxUnsaid {
+		return false
+	}
+	q.rows[row.Key] = row.Value
+	q.wake()
+
+	return true
+}
+
+// addBack queues rows that could not be written, unless there are newer ones by now.
+func (q *wordQueue) addBack(rows []chutefeed.Row) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for _, row := range rows {
+		if _, newer := q.rows[row.Key]; !newer {
+			q.rows[row.Key] = row.Value
+		}
+	}
+	q.wake()
+}
+
+// wake says that there are rows; the caller holds mu.
+func (q *wordQueue) wake() {
+	select {
+	case q.due <- struct{}{}:
+	default:
+	}
+}
+
+// next takes out the rows of one message or transaction.
+func (q *wordQueue) next() []chutefeed.Row {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	var rows []chutefeed.Row
+	for key, value := range q.rows {
+		if len(rows) == maxWords {
+			q.wake()
+
+			break
+		}
+		rows = append(rows, chutefeed.Row{Key: key, Value: value})
+		delete(q.rows, key)
+	}
+
+	return rows
+}
+
+// heardWords are the rows that this node has told or heard.
+type heardWords struct {
+	mu   sync.Mutex
+	sums map[string]uint64
+}
+
+// isNews notes a row and says whether it is new here.
+func (w *heardWords) isNews(row chutefeed.Row) bool {
+	sum := xxhash.Sum64(row.Value)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if known, ok := w.sums[row.Key]; ok && known == sum {
+		return false
+	}
+	if w.sums == nil || len(w.sums) >= maxHeard {
+		// Forgotten words are passed on once more at most.
+		w.sums = map[string]uint64{}
+	}
+	w.sums[row.Key] = sum
+
+	return true
+}
+
+// performQuarantine carries out the effects that concern requests which end upstreams.
+func (n *Node) performQuarantine(effect chuterelay.Effect) {
+	switch e := effect.(type) {
+	case chuterelay.TellCrash:
+		key := fmt.Sprintf("%s%016x", crashPrefix, xxhash.Sum64String(e.Crash.Upstream+"|"+n.settings.Self.Name))
+		n.say(key, e.Crash)
+	case chuterelay.TellJudgement:
+		n.say(requestPrefix+e.Judgement.Fingerprint, e.Judgement)
+	case chuterelay.NoteCrash:
+		n.crashes.Add(1)
+		n.logCrash(e)
+	case chuterelay.NoteJudgement:
+		n.log.Warn().Str("Fingerprint", e.Judgement.Fingerprint).Str("Workspace", e.Judgement.Workspace).
+			Str("Pipeline", e.Judgement.Pipeline).Str("Verdict", string(e.Judgement.Verdict)).
+			Strs("Upstreams", e.Judgement.Upstreams).Bool("Heard", e.Heard).Msg("request judged")
+	case chuterelay.JudgeAt:
+		n.after(e.At, chuterelay.JudgeDue{})
+	default:
+		n.performParts(effect)
+	}
+}
+
+// logCrash writes one line an upstream that ended, or one for further suspects there.
+func (n *Node) logCrash(e chuterelay.NoteCrash) {
+	suspects := make([]string, 0, len(e.Crash.Suspects))
+	for _, s := range e.Crash.Suspects {
+		suspects = append(suspects, s.Fingerprint)
+	}
+	n.log.Warn().Str("Upstream", e.Crash.Upstream).Str("Pool", e.Crash.Pool).Strs("Suspects", suspects).
+		Str("Evidence", e.Evidence).Msg("upstream ended under requests")
+}
+
+// say queues a crash or a judgement for the other nodes and the store.
+//
+// The store keeps it for nodes that start later. The word of mouth is there sooner, and
+// while the store is away it is the only way.
+func (n *Node) say(key string, word any) {
+	value, err := json.Marshal(word)
+	if err != nil {
+		n.log.Error().Err(err).Str("Key", key).Msg("a crash or judgement can't be written")
+
+		return
+	}
+	row := chutefeed.Row{Key: key, Value: value}
+	n.heard.isNews(row)
+	if !n.untold.add(row) || !n.unkept.add(row) {
+		n.log.Error().Str("Key", key).Msg("too many crashes wait for the store; this one is lost with this node")
+	}
+}
+
+// awaitWords waits for rows in a queue and a moment longer, since more come at once.
+func (n *Node) awaitWords(ctx context.Context, q *wordQueue) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-q.due:
+		return n.pause(ctx, gatherWords)
+	}
+}
+
+// tellWords tells other nodes what this one has seen.
+func (n *Node) tellWords(ctx context.Context) {
+	for n.awaitWords(ctx, n.untold) {
+		if rows := n.untold.next(); len(rows) > 0 {
+			n.tell(rows, tellHops)
+		}
+	}
+}
+
+// keepWords writes to the store what this node has seen, until the store has it.
+func (n *Node) keepWords(ctx context.Context) {
+	failed := 0
+	for n.awaitWords(ctx, n.unkept) {
+		rows := n.unkept.next()
+		if len(rows) == 0 {
+			continue
+		}
+		put := make([]Row, 0, len(rows))
+		for _, row := range rows {
+			put = append(put, Row{Key: row.Key, Value: row.Value})
+		}
+		err := n.changeQuarantine(ctx, put, nil)
+		if err == nil {
+			failed = 0
+
+			continue
+		}
+		n.unkept.addBack(rows)
+		n.log.Warn().Err(err).Int("Rows", len(rows)).Msg("crashes and judgements are not in the store yet")
+		if !n.pause(ctx, jittered(min(longestWordPause, wordPause<<min(failed, 8)))) {
+			return
+		}
+		failed++
+	}
+}
+
+// changeQuarantine makes one change of the table of crashes and judgements.
+func (n *Node) changeQuarantine(ctx context.Context, put []Row, remove []string) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	n.storeCalls.add(callQuarantine)
+
+	return n.store.Change(ctx, n.settings.Tables.Quarantine, put, remove)
+}
+
+// tell brings rows to some other nodes, to all where they are few.
+func (n *Node) tell(rows []chutefeed.Row, hops int) {
+	others := n.listedPeers()
+	others = slices.DeleteFunc(others, func(p chuterelay.Peer) bool { return p.Name == n.settings.Self.Name })
+	if len(others) > toldPeers {
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] }) //nolint:gosec // spreads words, no secret
+		others = others[:toldPeers]
+	} else {
+		// All hear it from this node; nobody has to pass it on.
+		hops = 0
+	}
+	for _, peer := range others {
+		n.spawn(func(ctx context.Context) {
+			if err := n.peers.Tell(ctx, peer.Address, n.settings.Tables.Quarantine, rows, hops); err != nil {
+				n.log.Debug().Err(err).Str("Peer", peer.Name).Msg("a peer was not told of a crash; it reads it at the store")
+			}
+		})
+	}
+}
+
+// hearWords takes in another node's rows and passes on what is new.
+func (n *Node) hearWords(table string, rows []chutefeed.Row, hops int) {
+	if table != n.settings.Tables.Quarantine {
+		return
+	}
+	rows = slices.DeleteFunc(rows, func(row chutefeed.Row) bool { return !n.heard.isNews(row) })
+	if len(rows) == 0 {
+		return
+	}
+	n.hear(rows)
+	if hops > 0 {
+		n.tell(rows, hops-1)
+	}
+}
+
+// watchQuarantine keeps up with the crashes and judgements that the store has.
+func (n *Node) watchQuarantine(ctx context.Context) {
+	w := n.watches[n.settings.Tables.Quarantine]
+	n.spawn(func(ctx context.Context) { n.purgeQuarantine(ctx, w) })
+	var last chutefeed.Table
+	n.keep(ctx, w, func() time.Duration { return peersWait }, quarantineEvery, func() {
+		table := w.snapshot()
+		news := table.Since(last).Rows
+		last = table
+		for _, row := range news {
+			n.heard.isNews(row)
+		}
+		if len(news) > 0 {
+			n.hear(news)
+		}
+	})
+}
+
+// hear hands rows to the loop; one that can't be read is left out.
+func (n *Node) hear(rows []chutefeed.Row) {
+	var heard chuterelay.QuarantineHeard
+	for _, row := range rows {
+		var err error
+		switch {
+		case strings.HasPrefix(row.Key, crashPrefix):
+			var c chutequarantine.Crash
+			if err = json.Unmarshal(row.Value, &c); err == nil && c.Upstream != "" {
+				heard.Crashes = append(heard.Crashes, c)
+			}
+		case strings.HasPrefix(row.Key, requestPrefix):
+			var j chutequarantine.Judgement
+			if err = json.Unmarshal(row.Value, &j); err == nil && j.Fingerprint != "" {
+				heard.Judgements = append(heard.Judgements, j)
+			}
+		}
+		if err != nil {
+			n.log.Error().Err(err).Str("Key", row.Key).Msg("a crash or judgement can't be read; it is left out")
+		}
+	}
+	n.send(heard)
+}
+
+// purgeQuarantine removes old rows, where this node reads the store for the others.
+func (n *Node) purgeQuarantine(ctx context.Context, w *watch) {
+	first := map[string]time.Time{}
+	for n.pause(ctx, purgeEvery) {
+		old := oldRows(w.snapshot(), first, n.Now())
+		if _, follows := n.source(); follows || len(old) == 0 {
+			continue
+		}
+		if err := n.changeQuarantine(ctx, nil, old); err != nil {
+			n.log.Warn().Err(err).Int("Rows", len(old)).Msg("old crashes and judgements are not removed yet")
+		}
+	}
+}
+
+// oldRows returns keys of rows that are to go: those that have been there for longer than
+// they count, and of crashes that are too many the oldest. first holds since when each is
+// known here.
+func oldRows(table chutefeed.Table, first map[string]time.Time, now time.Time) []string {
+	var old []string
+	var crashes []chutefeed.Row
+	for _, row := range table.Rows() {
+		since, known := first[row.Key]
+		if !known {
+			first[row.Key] = now
+		}
+		if known && now.Sub(since) >= chutequarantine.Life {
+			old = append(old, row.Key)
+		} else if strings.HasPrefix(row.Key, crashPrefix) {
+			crashes = append(crashes, row)
+		}
+	}
+	for key := range first {
+		if _, listed := table.Get(key); !listed {
+			delete(first, key)
+		}
+	}
+	if surplus := table.Len() - len(old) - maxRows; surplus > 0 {
+		slices.SortFunc(crashes, func(a, b chutefeed.Row) int { return cmp.Compare(a.Version, b.Version) })
+		for _, row := range crashes[:min(surplus, len(crashes))] {
+			old = append(old, row.Key)
+		}
+	}
+
+	return old[:min(len(old), maxWords)]
+}
--- a/internal/chutegate/seams.go
+++ b/internal/chutegate/seams.go
@@ -130,6 +130,9 @@
 	RunParts func(ctx context.Context, u chutefleet.Upstream, parts []PartWork) (PartsAnswer, error)
 	// Free tells an upstream which results nobody needs.
 	Free func(ctx context.Context, u chutefleet.Upstream, refs []string) error
+	// Ended says whether a process that was at an address has ended: the VM is there and
+	// refuses connections. No answer proves nothing.
+	Ended func(ctx context.Context, address string) bool
 	// Alive says whether anything accepts connections at an address.
 	Alive func(ctx context.Context, address string) bool
 	// Forget closes the unused connections to an address.
@@ -164,6 +167,8 @@
 	// Put and Remove change one row.
 	Put    func(ctx context.Context, table, key string, value []byte) error
 	Remove func(ctx context.Context, table, key string) error
+	// Change writes and deletes rows whatever they are, all or none.
+	Change func(ctx context.Context, table string, put []Row, remove []string) error
 	// Replace writes rows of one part of a table, each on the condition that it has the
 	// given version (0: absent), all or none. It returns their new version, or else the
 	// rows as they are.
@@ -185,6 +190,8 @@
 	ConfigKey string
 	Upstreams string
 	// Peers is the project's own table of nodes, Ledger that of cost counters.
-	Peers  string
-	Ledger string
+	// Quarantine is that of crashes and of the requests that are set aside.
+	Peers      string
+	Ledger     string
+	Quarantine string
 }
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -68,11 +68,7 @@
 		Fresh: s.Fresh, Priority: s.Priority,
 	})
 	if err != nil {
-		ended.End = a.endOf(ctx, err)
-		ended.Silent = ended.End == chuterelay.EndSilent || asSendError(err).Silent
-		ended.Detail = err.Error()
-
-		return ended
+		return a.broken(ctx, ended, err)
 	}
 	a.touch()
 	defer func() { _ = answer.Body.Close() }()
@@ -84,8 +80,7 @@
 		ended.Events, err = a.pass(ctx, answer)
 		ended.End = chuterelay.EndAnswered
 		if err != nil {
-			ended.End = a.endOf(ctx, err)
-			ended.Detail = err.Error()
+			return a.broken(ctx, ended, err)
 		}
 
 		return ended
@@ -95,10 +90,7 @@
 		err = errTooLong
 	}
 	if err != nil {
-		ended.End = a.endOf(ctx, err)
-		ended.Detail = err.Error()
-
-		return ended
+		return a.broken(ctx, ended, err)
 	}
 	ended.End, ended.HasAnswer = judge(answer, a.entry.begun)
 	if ended.HasAnswer {
@@ -111,6 +103,16 @@
 	return ended
 }
 
+// broken says what a failed exchange means, and whether the upstream has ended with it.
+func (a *attempt) broken(ctx context.Context, ended chuterelay.AttemptEnded, err error) chuterelay.AttemptEnded {
+	ended.End = a.endOf(ctx, err)
+	ended.Silent = ended.End == chuterelay.EndSilent || asSendError(err).Silent
+	ended.Detail = err.Error()
+	ended.UpstreamEnded = ended.End == chuterelay.EndBroken && a.node.upstreamEnded(ctx, a.send.Upstream)
+
+	return ended
+}
+
 var (
 	errTooLong = errors.New("the answer is longer than this node holds")
 	errOrder   = errors.New("an event is missing, doubled or cut off")
--- a/internal/chutegate/storecalls.go
+++ b/internal/chutegate/storecalls.go
@@ -21,6 +21,8 @@
 	// callRegister writes or removes the own row, callCounters writes cost counters.
 	callRegister callReason = "register"
 	callCounters callReason = "counters"
+	// callQuarantine writes crashes and judgements, or removes old ones.
+	callQuarantine callReason = "quarantine"
 )
 
 // storeCalls counts calls of the store by reason.
@@ -28,7 +30,7 @@
 
 func newStoreCalls() storeCalls {
 	calls := storeCalls{}
-	for _, reason := range []callReason{callStart, callGap, callRead, callRetry, callInPlace, callRegister, callCounters} {
+	for _, reason := range []callReason{callStart, callGap, callRead, callRetry, callInPlace, callRegister, callCounters, callQuarantine} {
 		calls[reason] = new(atomic.Int64)
 	}
 
--- a/internal/chutegate/zone_test.go
+++ b/internal/chutegate/zone_test.go
@@ -116,6 +116,9 @@
 
 			return nil
 		},
+		Change: func(_ context.Context, table string, put []Row, remove []string) error {
+			return s.change(node, table, put, remove)
+		},
 		Remove: func(_ context.Context, table, key string) error {
 			s.put(table, key, "")
 
@@ -124,6 +127,21 @@
 	}
 }
 
+// change writes and deletes rows for a node, unless the store is away from it.
+func (s *memoryStore) change(node, table string, put []Row, remove []string) error {
+	if _, _, err := s.since(node, table, 0); err != nil {
+		return err
+	}
+	for _, row := range put {
+		s.put(table, row.Key, string(row.Value))
+	}
+	for _, key := range remove {
+		s.put(table, key, "")
+	}
+
+	return nil
+}
+
 // zone is a region's nodes with their store.
 type zone struct {
 	*qt.C
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -63,6 +63,9 @@
 	if !st.now.Before(r.Deadline) {
 		return Refusal{Kind: RefusedNotRun, Reason: "the deadline has passed"}, true
 	}
+	if refusal, held := st.quarantined(r.Fingerprint); held {
+		return refusal, true
+	}
 	if st.fleet.Len(r.pool) == 0 {
 		return notRun("no upstream of pool " + r.pool + " is listed"), true
 	}
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -6,6 +6,11 @@
 
 // send hands the request to an upstream, now that all stages are done.
 func (st *step) send(r request) {
+	if refusal, held := st.quarantined(r.Fingerprint); held {
+		st.giveUp(r, refusal)
+
+		return
+	}
 	u, ok := st.choose(r)
 	if !ok && len(r.tried) > 0 {
 		// All others failed it too, or are gone: one that was tried may have recovered.
@@ -62,11 +67,15 @@
 	}
 	st.noteAttempt(r, e)
 	st.endAttempt(r)
+	if e.UpstreamEnded {
+		st.crashed(r.current.upstream, e.reason(), r.suspect())
+	}
 	st.do(Charge{
 		Attempt: e.Attempt, Workspace: r.Workspace.Name, Pipeline: r.Pipeline.Name, Stage: r.pool,
 		Units: int64(max(1, e.Events)), Wasted: e.End != EndAnswered,
 	})
 	if e.End == EndAnswered {
+		st.clear(r)
 		st.note(StepAnswered, r, func(n *Note) { n.Upstream = r.current.upstream.ID })
 		st.do(Deliver{Handle: r.Handle, Attempt: e.Attempt})
 		st.finish(r)
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -84,6 +84,12 @@
 
 		return
 	}
+	if _, held := st.quarantined(job.Fingerprint); held {
+		st.refuseJob(chutebatch.FailedJob{Job: job, Reason: chutebatch.PartQuarantined})
+
+		return
+	}
+	job.Alone = len(st.quarantine.Suspected(job.Fingerprint)) > 0
 	if !st.collector.Admits(job, st.waitsAhead(job), st.now) {
 		st.refuseJob(chutebatch.FailedJob{Job: job, Reason: chutebatch.PartOverloaded})
 
@@ -197,6 +203,9 @@
 	}
 	u, _ := st.fleet.Get(call.Upstream)
 	st.noteCall(call, e)
+	if e.UpstreamEnded {
+		st.endedUnder(u, call, "a call with parts broke")
+	}
 	allowed := st.repeatsLeft(call.Pool, collectorShare)
 	var ended chutebatch.Ended
 	st.collector, ended = st.collector.WithCallEnded(e.ID, e.End, e.Ends, u.Zone, allowed, st.now)
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -5,6 +5,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutequarantine"
 )
 
 // Effect is something for the node to do, as data; effects are carried out in order.
@@ -148,6 +149,39 @@
 	Wasted    bool
 }
 
+// TellCrash tells the other nodes of an upstream's end that this node saw.
+type TellCrash struct {
+	Crash chutequarantine.Crash
+}
+
+// TellJudgement tells the other nodes of a judgement.
+type TellJudgement struct {
+	Judgement chutequarantine.Judgement
+}
+
+// NoteCrash is an upstream's end with the requests that this node had there, for the log.
+type NoteCrash struct {
+	Crash chutequarantine.Crash
+	// Evidence is what showed that the process has ended.
+	Evidence string
+}
+
+// NoteJudgement is a judgement that this node has come to or heard of, for the log.
+type NoteJudgement struct {
+	Judgement chutequarantine.Judgement
+	Heard     bool
+}
+
+// JudgeAt asks for a JudgeDue event.
+type JudgeAt struct {
+	At time.Time
+}
+
+func (TellCrash) relayEffect()       {}
+func (TellJudgement) relayEffect()   {}
+func (NoteCrash) relayEffect()       {}
+func (NoteJudgement) relayEffect()   {}
+func (JudgeAt) relayEffect()         {}
 func (SetDeadline) relayEffect()     {}
 func (Send) relayEffect()            {}
 func (CancelSend) relayEffect()      {}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -5,6 +5,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
@@ -118,6 +119,8 @@
 	// Silent says that nothing came back, not even a refused connection.
 	Silent  bool
 	Leaving bool
+	// UpstreamEnded says that the upstream's process has ended, not just the connection.
+	UpstreamEnded bool
 }
 
 // AttemptBegan reports that the first event of a stream is on its way to the caller.
@@ -163,7 +166,9 @@
 	// Events counts the events that went to the caller in this attempt.
 	Events  int
 	Leaving bool
-	Load    *Load
+	// UpstreamEnded says that the upstream's process has ended, not just the connection.
+	UpstreamEnded bool
+	Load          *Load
 	// Detail is what the log shows of a failure.
 	Detail string
 }
@@ -180,6 +185,15 @@
 	Alive    bool
 }
 
+// QuarantineHeard reports what other nodes tell of crashes and judgements.
+type QuarantineHeard struct {
+	Crashes    []chutequarantine.Crash
+	Judgements []chutequarantine.Judgement
+}
+
+// JudgeDue reports that crashes can be judged.
+type JudgeDue struct{}
+
 // DrainStarted reports that the process was asked to end.
 type DrainStarted struct{}
 
@@ -203,6 +217,8 @@
 func (AttemptBegan) relayEvent()    {}
 func (AttemptEnded) relayEvent()    {}
 func (ProbeEnded) relayEvent()      {}
+func (QuarantineHeard) relayEvent() {}
+func (JudgeDue) relayEvent()        {}
 func (DrainStarted) relayEvent()    {}
 func (DrainEnding) relayEvent()     {}
 func (Ticked) relayEvent()          {}
--- a/internal/chuterelay/restart.go
+++ b/internal/chuterelay/restart.go
@@ -31,6 +31,11 @@
 	st.probed = st.probed.Delete(u.ID)
 	st.endAttemptsAt(u)
 	st.loseResultsAt(u)
+	if u.State == chutefleet.StateReady {
+		for _, call := range st.collector.CallsAt(u.ID) {
+			st.endedUnder(u, call, restartedReason)
+		}
+	}
 	allowed := st.repeatsLeft(u.Pool, collectorShare)
 	var ended chutebatch.Ended
 	st.collector, ended = st.collector.WithoutUpstream(u.ID, allowed, st.now)
@@ -47,7 +52,10 @@
 			continue
 		}
 		st.do(CancelSend{Handle: r.Handle, Attempt: r.current.id})
-		st.attemptEnded(AttemptEnded{Handle: r.Handle, Attempt: r.current.id, End: EndBroken, Detail: restartedReason})
+		st.attemptEnded(AttemptEnded{
+			Handle: r.Handle, Attempt: r.current.id, End: EndBroken, UpstreamEnded: u.State == chutefleet.StateReady,
+			Detail: restartedReason,
+		})
 	}
 }
 
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -24,6 +24,7 @@
 		Request: r.ID, Pool: stage.Pool, Stage: i, Parts: r.parts(i),
 		ResultBytes: stage.ResultBytes, Priority: r.rank(), AimAt: r.aimAt, Deadline: r.until(),
 		Rest: rest, Then: then, Zone: r.zone, Since: st.now, Workspace: r.Workspace.Name,
+		Pipeline: r.Pipeline.Name, Fingerprint: r.Fingerprint,
 	}
 	if len(stage.After) == 0 {
 		job.Key = r.PartKey
@@ -177,6 +178,15 @@
 	r = r.withStage(a.stage, s)
 	gone := e.Reason == string(chutebatch.PartInputGone) || e.Reason == string(chutebatch.PartLate)
 	overloaded := e.Reason == string(chutebatch.PartOverloaded)
+	if e.Reason == string(chutebatch.PartQuarantined) || e.Reason == string(chutebatch.PartEnded) {
+		refusal, held := st.quarantined(r.Fingerprint)
+		if !held {
+			refusal = Refusal{Kind: RefusedNotRun, Reason: "upstreams ended while they ran its stage", RetryAfter: endedRetry}
+		}
+		st.giveUp(r, refusal)
+
+		return
+	}
 	tooLate := st.now.Add(st.callTimes.of(r)).After(r.until()) || gone && r.lateBy(st.now) > 0
 	if overloaded || tooLate || s.tries >= maxAsks {
 		own := time.Duration(0)
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -9,6 +9,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
@@ -47,7 +48,10 @@
 	// callTimes is how long calls take until their first event.
 	callTimes callTimes
 	// patiences tells callers that come back from new ones.
-	patiences patiences
+	patiences  patiences
+	quarantine chutequarantine.Quarantine
+	// judgeAt is when the next JudgeDue event is due; zero if none is.
+	judgeAt time.Time
 	// tickAt is when the next Ticked event is due; zero if none is.
 	tickAt   time.Time
 	draining bool
@@ -74,7 +78,9 @@
 		callTimes: newCallTimes(),
 		patiences: newPatiences(),
 		zones:     newZones(s.Self.Zone),
-		random:    *rand.NewPCG(s.Seed, s.Seed),
+
+		quarantine: chutequarantine.New(),
+		random:     *rand.NewPCG(s.Seed, s.Seed),
 	}
 }
 
@@ -171,6 +177,11 @@
 		st.listUpstreams(e)
 	case PeersListed:
 		st.peers = st.peers.withListed(e.Peers)
+	case QuarantineHeard:
+		st.hearQuarantine(e)
+	case JudgeDue:
+		st.judgeAt = time.Time{}
+		st.judge()
 	case DrainStarted:
 		st.drain()
 	case DrainEnding:
--- a/internal/chuteshare/pack.go
+++ b/internal/chuteshare/pack.go
@@ -115,11 +115,17 @@
 	}
 	c := chutefeed.Change{
 		Version: m.GetVersion(), Whole: m.GetWhole(), Groups: m.GetGroups(), GroupCount: digests, Gone: m.GetGone(),
-		Rows: make([]chutefeed.Row, 0, len(rows)),
+		Rows: decodeRows(rows),
 	}
+
+	return c, nil
+}
+
+func decodeRows(rows []*chutesharepb.Row) []chutefeed.Row {
+	out := make([]chutefeed.Row, 0, len(rows))
 	for _, row := range rows {
-		c.Rows = append(c.Rows, chutefeed.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion()})
+		out = append(out, chutefeed.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion()})
 	}
 
-	return c, nil
+	return out
 }
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -55,6 +55,9 @@
 	OnDrop func(token uint64)
 	// OnTable returns a table of the store as this node knows it.
 	OnTable func(table string) Followed
+	// OnTell takes in rows of one of the system's own tables; hops is how often they are
+	// still to be passed on.
+	OnTell func(table string, rows []chutefeed.Row, hops int)
 	// Now tells the time in which jobs are meant.
 	Now func() time.Time
 	// NewToken returns a number that was not given out before.
--- a/internal/chuteshare/wire.go
+++ b/internal/chuteshare/wire.go
@@ -15,7 +15,7 @@
 		Key: j.Key, Inputs: j.Inputs, ResultBytes: j.ResultBytes, Priority: int32(j.Priority), //nolint:gosec // small
 		AimMs: j.AimAt.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
 		RestMs: j.Rest.Milliseconds(), Zone: j.Zone, Shard: j.Shard, Then: j.Then, InputsAt: j.InputsAt,
-		Workspace: j.Workspace,
+		Workspace: j.Workspace, Fingerprint: j.Fingerprint, Pipeline: j.Pipeline,
 	}
 }
 
@@ -62,6 +62,9 @@
 		Then:      m.GetThen(),
 		InputsAt:  m.GetInputsAt(),
 		Workspace: m.GetWorkspace(),
+
+		Fingerprint: m.GetFingerprint(),
+		Pipeline:    m.GetPipeline(),
 	}
 }
 
