--- a/internal/chutequarantine/quarantine_test.go
+++ b/internal/chutequarantine/quarantine_test.go
@@ -134,6 +134,14 @@
 		w.expectHeld()
 	})
 
+	t.Run("neither do two racks in a row set anybody aside", func(t *testing.T) {
+		w := newWorld(t)
+		for range 2 {
+			w.event([]string{"common", "a"}, []string{"common"}, []string{"b"})
+		}
+		w.expectHeld()
+	})
+
 	t.Run("a pool that ends as a whole sets nobody aside", func(t *testing.T) {
 		w := newWorld(t)
 		w.event([]string{"common"}, []string{"common"}, []string{"common"})
