Go on following a node while asking the store in its place

Cause: a node whose source was out of date stopped following it, asked the store and, where the store was silent to it too, heard nothing for 0.8 s; nor did those that follow it. The source had heard of the change from a peer by then. Change: the question runs beside the following. Removed once: TestFollowedWhileAsking hangs on the code before, in 20 s.

--- a/internal/chutegate/follow.go
+++ b/internal/chutegate/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chuterelay"
 )
 
 const (
@@ -42,8 +43,6 @@
 	followOther followEnd = "Other"
 	// followLost: the node that was followed is gone or silent.
 	followLost followEnd = "Lost"
-	// followStale: it lives and has lost the store for longer than is to be waited.
-	followStale followEnd = "Stale"
 )
 
 // staleness is how long the node that is followed has been out of date, and how
@@ -80,6 +79,11 @@
 }
 
 // follow takes a table from the node's source until that fails.
+//
+// While the source is out of date this node asks the store itself, and goes on following:
+// another node may reach the store and tell the source. One that stopped to ask, and whose
+// question met a silent store, had keys that were revoked in force for a second longer, and
+// so had all that follow it.
 func (n *Node) follow(ctx context.Context, w *watch, stale *staleness, changed func()) followEnd {
 	source, ok := n.source()
 	if !ok {
@@ -94,7 +98,7 @@
 			changed()
 		}
 	}
-	end := followOther
+	asking := newQuestion()
 	more := func(current bool) bool {
 		now := n.Now()
 		if current {
@@ -105,10 +109,10 @@
 			changed()
 		}
 		*stale = stale.with(current, now)
-		if stale.due(now) {
-			end = followStale
-
-			return false
+		if asking.ended() {
+			*stale = n.afterQuestion(w, *stale, asking.answered, current, source)
+		} else if stale.due(now) && !asking.underWay {
+			asking.start(n, func(ctx context.Context) bool { return n.readInPlace(ctx, w, changed) })
 		}
 		chosen, ok := n.source()
 
@@ -116,7 +120,7 @@
 	}
 	err := n.peers.FollowTable(ctx, source.Address, w.name, w.snapshot(), take, more)
 	if err == nil || ctx.Err() != nil {
-		return end
+		return followOther
 	}
 	w.setCurrent(false)
 	n.lost.add(source.Name, n.Now())
@@ -128,27 +132,61 @@
 	return followLost
 }
 
-// readInPlace asks the store because the node that is followed has lost it. If the
-// store answers, the fault is the reader's, and another one is followed from now on.
-func (n *Node) readInPlace(ctx context.Context, w *watch, stale *staleness, changed func()) {
-	source, ok := n.source()
-	if n.storeFailing() {
-		// One table's question tells for all of them.
-		w.reached(false, n.Now())
-		*stale = stale.failed(n.Now())
+// question is one question at the store beside the following; one goroutine uses it.
+type question struct {
+	underWay bool
+	answered bool
+	answers  chan bool
+}
 
-		return
-	}
-	if err := n.readOnce(ctx, w, 0, callInPlace, changed); err != nil {
-		*stale = stale.failed(n.Now())
+func newQuestion() *question {
+	return &question{answers: make(chan bool, 1)}
+}
+
+// start asks, beside the caller.
+func (q *question) start(n *Node, ask func(ctx context.Context) bool) {
+	q.underWay = true
+	n.spawn(func(ctx context.Context) { q.answers <- ask(ctx) })
+}
+
+// ended says whether a question has ended since it was last looked.
+func (q *question) ended() bool {
+	select {
+	case q.answered = <-q.answers:
+		q.underWay = false
 
-		return
+		return true
+	default:
+		return false
 	}
-	*stale = staleness{}
-	if ok {
+}
+
+// afterQuestion says how stale the source counts after a question at the store. If the
+// store answered and the source is still out of date, the fault is on the way to the source,
+// and another one is followed from now on.
+func (n *Node) afterQuestion(w *watch, stale staleness, answered, current bool, source chuterelay.Peer) staleness {
+	switch {
+	case !answered && !current:
+		return stale.failed(n.Now())
+	case answered && !current:
 		n.lost.add(source.Name, n.Now())
 		n.log.Info().Str("Table", w.name).Str("Peer", source.Name).Msg("the node that is followed has lost the store, others reach it")
 	}
+
+	return staleness{patience: stale.patience}
+}
+
+// readInPlace asks the store because the node that is followed has lost it, and says
+// whether it answered.
+func (n *Node) readInPlace(ctx context.Context, w *watch, changed func()) bool {
+	if n.storeFailing() {
+		// One table's question tells for all of them.
+		w.reached(false, n.Now())
+
+		return false
+	}
+
+	return n.readOnce(ctx, w, 0, callInPlace, changed) == nil
 }
 
 // storeFailing says whether the store has just failed this node.
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"azurechute.example/azurechute/internal/chuterelay"
@@ -88,6 +89,14 @@
 	if w != n.watches[n.settings.Tables.Peers] {
 		n.awaitNodes(ctx)
 	}
+	var mu sync.Mutex
+	look := changed
+	changed = func() {
+		// A question beside the following may bring news at the same time as that.
+		mu.Lock()
+		defer mu.Unlock()
+		look()
+	}
 	var direct time.Time
 	var stale staleness
 	failed, lost := 0, 0
@@ -98,10 +107,6 @@
 			case followOther:
 				lost = 0
 
-				continue
-			case followStale:
-				n.readInPlace(ctx, w, &stale, changed)
-
 				continue
 			case followLost:
 				if lost++; lost < lostInRow {
--- a/internal/chutegate/zone_test.go
+++ b/internal/chutegate/zone_test.go
@@ -26,11 +26,14 @@
 	changes map[string][]Row
 	changed chan struct{}
 	away    map[string]bool
+	// silent holds back the answers to a node until its channel is closed.
+	silent map[string]chan struct{}
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{
 		rows: map[string]map[string]Row{}, changes: map[string][]Row{}, changed: make(chan struct{}), away: map[string]bool{},
+		silent: map[string]chan struct{}{},
 	}
 }
 
@@ -59,6 +62,27 @@
 	s.away[node] = away
 }
 
+// silence holds back all answers to a node, and returns what ends that.
+func (s *memoryStore) silence(node string) func() {
+	held := make(chan struct{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.silent[node] = held
+
+	return sync.OnceFunc(func() { close(held) })
+}
+
+// awaitAnswer waits as long as the store is silent to a node.
+func (s *memoryStore) awaitAnswer(node string) {
+	s.mu.Lock()
+	held := s.silent[node]
+	s.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
+
 // since returns the changes after a version, and what is closed by the next one.
 func (s *memoryStore) since(node, table string, after uint64) (Page, <-chan struct{}, error) {
 	s.mu.Lock()
@@ -81,6 +105,7 @@
 func (s *memoryStore) seam(node string) Store {
 	return Store{
 		Changes: func(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+			s.awaitAnswer(node)
 			until := time.After(wait)
 			for {
 				page, changed, err := s.since(node, table, after)
@@ -97,6 +122,7 @@
 			}
 		},
 		All: func(_ context.Context, table string) (Page, error) {
+			s.awaitAnswer(node)
 			page, _, err := s.since(node, table, 0)
 			whole := map[string]Row{}
 			for _, row := range page.Rows {
@@ -311,3 +337,30 @@
 		z.expectState("v", "draining")
 	})
 }
+
+func TestFollowedWhileAsking(t *testing.T) {
+	// The store turns the region's reader away and is silent to the first node of the other
+	// zone, which asks it since what it follows is out of date. A key is revoked. Nodes that
+	// reach the store tell the reader, and the reader tells those who follow it; one that
+	// left it to ask would serve the revoked key until its own question has failed.
+	z := newZones(t, followAbove)
+	z.expectConfig(1)
+	reader := z.reader()
+	first := z.firstOfOtherZone(reader)
+	t.Cleanup(z.store.silence(first))
+	z.store.setAway(reader, true)
+	z.store.put("config", "c", "2")
+	z.expectConfig(2)
+}
+
+// firstOfOtherZone returns the node that follows the reader for its zone.
+func (z *zone) firstOfOtherZone(reader string) string {
+	for _, p := range z.peers {
+		source, follows := chuterelay.Source(p, z.peers)
+		if follows && source.Name == reader && source.Zone != p.Zone {
+			return p.Name
+		}
+	}
+
+	return ""
+}
