Let a node that starts learn which requests are set aside before it serves

Cause: a node that starts knows configuration and upstreams some milliseconds before the quarantine, and all nodes may start at once while a poison request's callers come back. Change: requests wait for the quarantine's first read, up to 0.3 s after the start.

--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -53,8 +53,10 @@
 	// known is closed when configuration and upstreams are both known.
 	known     chan struct{}
 	knownOnce sync.Once
-	lost      lostNodes
-	chosen    atomic.Pointer[sourceChoice]
+	// quarantineKnown is closed when the crashes and judgements were read once.
+	quarantineKnown chan struct{}
+	lost            lostNodes
+	chosen          atomic.Pointer[sourceChoice]
 	// storeFailedAt is when the store last failed this node; nil if it never did.
 	storeFailedAt atomic.Pointer[time.Time]
 	// listed says that the list of upstreams was read once.
@@ -106,7 +108,7 @@
 		running: running, stop: stop,
 		entries: map[uint64]*entry{}, asks: map[uint64]context.CancelFunc{},
 		jobs: map[uint64]chan<- chuteshare.Update{}, watches: map[string]*watch{}, nodesKnown: make(chan struct{}),
-		known:      make(chan struct{}),
+		known: make(chan struct{}), quarantineKnown: make(chan struct{}),
 		storeCalls: newStoreCalls(),
 		untold:     newWordQueue(), unkept: newWordQueue(),
 	}
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -298,6 +298,7 @@
 	w := n.watches[n.settings.Tables.Quarantine]
 	n.spawn(func(ctx context.Context) { n.purgeQuarantine(ctx, w) })
 	var last chutefeed.Table
+	known := sync.OnceFunc(func() { close(n.quarantineKnown) })
 	n.keep(ctx, w, func() time.Duration { return peersWait }, quarantineEvery, func() {
 		table := w.snapshot()
 		news := table.Since(last).Rows
@@ -308,6 +309,9 @@
 		if len(news) > 0 {
 			n.hear(news)
 		}
+		if table.Version() > 0 {
+			known()
+		}
 	})
 }
 
--- a/internal/chutegate/ready.go
+++ b/internal/chutegate/ready.go
@@ -12,6 +12,12 @@
 // in place of 217.
 const startHold = time.Second
 
+// quarantineHold is how long after its start a node lets requests wait until it knows which
+// are set aside. It mostly takes some milliseconds more than the rest. When all nodes start
+// at once, the callers of a poison request come back to all of them at once, and each node
+// that knows nothing ends an upstream. Without the store a node serves without that knowledge.
+const quarantineHold = 300 * time.Millisecond
+
 // Ready says whether the node can serve new callers.
 func (n *Node) Ready() bool {
 	return n.knowsAll() && !n.draining.Load()
@@ -33,16 +39,30 @@
 // what it needs, up to a part of the caller's time; 0 is no bound. A node that knows
 // nothing for longer refuses at once.
 func (n *Node) awaitKnown(ctx context.Context, bound time.Duration) {
-	left := startHold - n.clock.Since(n.started)
-	if left <= 0 || n.knowsAll() {
-		return
+	began := n.clock.Now()
+	if !n.knowsAll() {
+		n.hold(ctx, startHold, bound, n.known)
+	}
+	if bound > 0 {
+		if bound -= n.clock.Since(began); bound <= 0 {
+			return
+		}
 	}
+	n.hold(ctx, quarantineHold, bound, n.quarantineKnown)
+}
+
+// hold waits until something is known, up to a time after the start and the bound.
+func (n *Node) hold(ctx context.Context, after, bound time.Duration, known <-chan struct{}) {
+	left := after - n.clock.Since(n.started)
 	if bound > 0 {
 		left = min(left, bound)
 	}
+	if left <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
-	case <-n.known:
+	case <-known:
 	case <-n.clock.After(left):
 	}
 }
--- a/internal/chutegate/ready_test.go
+++ b/internal/chutegate/ready_test.go
@@ -19,6 +19,7 @@
 	start := func() (*Node, *clockwork.FakeClock) {
 		clock := clockwork.NewFakeClock()
 		n := New(Settings{}, clock, zerolog.Nop(), Store{}, Decoders{}, Upstreams{})
+		close(n.quarantineKnown)
 
 		return n, clock
 	}
@@ -59,4 +60,21 @@
 		clock.Advance(startHold)
 		<-await(n, 0)
 	})
+
+	t.Run("it waits for the quarantine too, for a moment", func(t *testing.T) {
+		// A poison request's callers come back to all nodes at once. Without the store a
+		// node can't know, and serves all the same.
+		c := qt.New(t)
+		clock := clockwork.NewFakeClock()
+		n := New(Settings{}, clock, zerolog.Nop(), Store{}, Decoders{}, Upstreams{})
+		n.config.Store(&chuteroute.Config{})
+		n.listed.Store(true)
+		done := await(n, 0)
+		c.Assert(clock.BlockUntilContext(context.Background(), 1), qt.IsNil)
+		clock.Advance(quarantineHold - 1)
+		c.Assert(done, qt.HasLen, 0)
+		clock.Advance(1)
+		<-done
+		<-await(n, 0)
+	})
 }
--- a/internal/chutegate/zone_test.go
+++ b/internal/chutegate/zone_test.go
@@ -202,7 +202,7 @@
 
 func (z *zone) start(t *testing.T, self chuterelay.Peer, l net.Listener) {
 	n := New(
-		Settings{Self: self, Tables: Tables{Config: "config", ConfigKey: "c", Upstreams: "upstreams", Peers: "peers", Ledger: "ledger"}},
+		Settings{Self: self, Tables: Tables{Config: "config", ConfigKey: "c", Upstreams: "upstreams", Peers: "peers", Ledger: "ledger", Quarantine: "quarantine"}},
 		clockwork.NewRealClock(), zerolog.Nop(), z.store.seam(self.Name),
 		Decoders{
 			Config: func(value []byte) (chuteroute.Config, error) {
