List the requests that are set aside, and let an operator set one free

Change: azurechute quarantine list and lift; the state dump names them, and refusals have the request's fingerprint.

--- a/cmd/azurechute/main.go
+++ b/cmd/azurechute/main.go
@@ -42,6 +42,8 @@
 	app.Serve = serve
 	app.Relay = func(ctx context.Context, path string) error { return relay(ctx, path, reload) }
 	app.ReadLedger = chuteplatform.ReadLedger
+	app.ReadQuarantine = chuteplatform.ReadQuarantine
+	app.Lift = chuteplatform.Lift
 
 	return app.Run(ctx, os.Args[1:])
 }
--- a/internal/chutecli/app.go
+++ b/internal/chutecli/app.go
@@ -13,11 +13,12 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chutestore"
 	"azurechute.example/azurechute/internal/chutetable"
 )
 
-// App is what the commands run with; New fills in all but Serve, Relay and ReadLedger.
+// App is what the commands run with; New fills in all but Serve, Relay, ReadLedger, ReadQuarantine and Lift.
 type App struct {
 	// Serve runs the server until ctx ends, with the settings in the named file.
 	Serve func(ctx context.Context, settingsPath string) error
@@ -25,6 +26,10 @@
 	Relay func(ctx context.Context, settingsPath string) error
 	// ReadLedger reads the rows of cost counters from the platform's store at an address.
 	ReadLedger func(ctx context.Context, address string) ([]json.RawMessage, error)
+	// ReadQuarantine reads the judgements on requests from the platform's store at an address.
+	ReadQuarantine func(ctx context.Context, address string) ([]chutequarantine.Judgement, error)
+	// Lift sets a request free; it returns an error if it is not set aside.
+	Lift func(ctx context.Context, address, fingerprint string) error
 	// Open connects to the platform's services.
 	Open  func(cfg chutetable.Settings) Platform
 	Clock clockwork.Clock
@@ -74,10 +79,12 @@
 type commands struct {
 	Output string `default:"text" enum:"text,json" help:"Form of the result: text or json." short:"o"`
 
-	Serve   serveCommand   `cmd:"" help:"Run the server of an entry VM."`
-	Relay   relayCommand   `cmd:"" help:"Run an entry VM that relays requests on the platform."`
-	Config  configCommands `cmd:"" help:"Check, publish and follow configurations."`
-	Cost    costCommand    `cmd:"" help:"Show what each stage cost a team."`
+	Serve      serveCommand       `cmd:"" help:"Run the server of an entry VM."`
+	Relay      relayCommand       `cmd:"" help:"Run an entry VM that relays requests on the platform."`
+	Config     configCommands     `cmd:"" help:"Check, publish and follow configurations."`
+	Cost       costCommand        `cmd:"" help:"Show what each stage cost a team."`
+	Quarantine quarantineCommands `cmd:"" help:"List the requests that are set aside since upstreams end under them, and set one free."`
+
 	State   stateCommand   `cmd:"" help:"Dump a node's whole state."`
 	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request, and why."`
 	Summary summaryCommand `cmd:"" help:"Count from logs how requests ended and why, and how long their steps took."`
--- /dev/null
+++ b/internal/chutecli/quarantine.go
@@ -0,0 +1,81 @@
+package chutecli
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"azurechute.example/azurechute/internal/chutequarantine"
+)
+
+type quarantineCommands struct {
+	List listQuarantineCommand `cmd:"" help:"Show the requests that are set aside, with the upstreams that ended under them."`
+	Lift liftCommand           `cmd:"" help:"Set one request free."`
+}
+
+// quarantineFlags name the store that nodes keep the quarantine in.
+type quarantineFlags struct {
+	Platform string        `env:"AZURECHUTE_PLATFORM" help:"Address of the platform's store." placeholder:"HOST:PORT" required:""`
+	Timeout  time.Duration `default:"10s" help:"How long the command may take."`
+}
+
+type listQuarantineCommand struct {
+	quarantineFlags
+
+	All bool `help:"Show requests that were cleared or lifted too."`
+}
+
+// Run lists the judgements.
+func (c listQuarantineCommand) Run(ctx context.Context, s session) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	all, err := s.ReadQuarantine(ctx, c.Platform)
+	if err != nil {
+		return err
+	}
+	shown := make([]chutequarantine.Judgement, 0, len(all))
+	for _, j := range all {
+		if c.All || j.Verdict == chutequarantine.VerdictQuarantined {
+			shown = append(shown, j)
+		}
+	}
+
+	return s.print(shown, func() {
+		rows := [][]string{{"FINGERPRINT", "WORKSPACE", "PIPELINE", "VERDICT", "ENDED", "UPSTREAMS"}}
+		for _, j := range shown {
+			rows = append(rows, []string{
+				j.Fingerprint, j.Workspace, j.Pipeline, string(j.Verdict), strconv.Itoa(len(j.Upstreams)), strings.Join(j.Upstreams, " "),
+			})
+		}
+		s.columns(rows)
+	})
+}
+
+type liftCommand struct {
+	quarantineFlags
+
+	Fingerprint string `arg:"" help:"The request's fingerprint, as list and the nodes' logs show it."`
+}
+
+// Help returns the command's detailed help.
+func (liftCommand) Help() string {
+	return `Every node takes the request in again within a second, and sets it aside anew after
+three more upstreams have ended under it. Lift it when what made it harmful is gone,
+such as a fault of a model that was mended.
+
+Example:
+  azurechute quarantine lift 5d2f0c3e9a7b41d8a6e0f19c23b4d5e6`
+}
+
+// Run lifts one verdict.
+func (c liftCommand) Run(ctx context.Context, s session) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	if err := s.Lift(ctx, c.Platform, c.Fingerprint); err != nil {
+		return err
+	}
+	s.progress("request %s is set free", c.Fingerprint)
+
+	return nil
+}
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -49,12 +49,6 @@
 	maxRows    = 8192
 )
 
-// Prefixes of the keys of crashes and of judgements in their table.
-const (
-	crashPrefix   = "crash/"
-	requestPrefix = "request/"
-)
-
 // upstreamEnded says whether an upstream has ended, and not just a connection to it.
 func (n *Node) upstreamEnded(ctx context.Context, u chutefleet.Upstream) bool {
 	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
@@ -157,10 +151,9 @@
 func (n *Node) performQuarantine(effect chuterelay.Effect) {
 	switch e := effect.(type) {
 	case chuterelay.TellCrash:
-		key := fmt.Sprintf("%s%016x", crashPrefix, xxhash.Sum64String(e.Crash.Upstream+"|"+n.settings.Self.Name))
-		n.say(key, e.Crash)
+		n.say(chutequarantine.CrashKey(e.Crash.Upstream, n.settings.Self.Name), e.Crash)
 	case chuterelay.TellJudgement:
-		n.say(requestPrefix+e.Judgement.Fingerprint, e.Judgement)
+		n.say(chutequarantine.JudgementKey(e.Judgement.Fingerprint), e.Judgement)
 	case chuterelay.NoteCrash:
 		n.crashes.Add(1)
 		n.logCrash(e)
@@ -319,20 +312,15 @@
 func (n *Node) hear(rows []chutefeed.Row) {
 	var heard chuterelay.QuarantineHeard
 	for _, row := range rows {
-		var err error
-		switch {
-		case strings.HasPrefix(row.Key, crashPrefix):
-			var c chutequarantine.Crash
-			if err = json.Unmarshal(row.Value, &c); err == nil && c.Upstream != "" {
-				heard.Crashes = append(heard.Crashes, c)
-			}
-		case strings.HasPrefix(row.Key, requestPrefix):
-			var j chutequarantine.Judgement
-			if err = json.Unmarshal(row.Value, &j); err == nil && j.Fingerprint != "" {
-				heard.Judgements = append(heard.Judgements, j)
-			}
+		crash, isCrash, err := chutequarantine.ReadCrash(row.Key, row.Value)
+		judgement, isJudgement, err2 := chutequarantine.ReadJudgement(row.Key, row.Value)
+		if isCrash {
+			heard.Crashes = append(heard.Crashes, crash)
+		}
+		if isJudgement {
+			heard.Judgements = append(heard.Judgements, judgement)
 		}
-		if err != nil {
+		if err := errors.Join(err, err2); err != nil {
 			n.log.Error().Err(err).Str("Key", row.Key).Msg("a crash or judgement can't be read; it is left out")
 		}
 	}
@@ -366,7 +354,7 @@
 		}
 		if known && now.Sub(since) >= chutequarantine.Life {
 			old = append(old, row.Key)
-		} else if strings.HasPrefix(row.Key, crashPrefix) {
+		} else if strings.HasPrefix(row.Key, chutequarantine.CrashPrefix) {
 			crashes = append(crashes, row)
 		}
 	}
--- a/internal/chutegate/quarantine_test.go
+++ b/internal/chutegate/quarantine_test.go
@@ -55,7 +55,7 @@
 func (z *zone) stored(fingerprint string) bool {
 	z.store.mu.Lock()
 	defer z.store.mu.Unlock()
-	_, ok := z.store.rows["quarantine"][requestPrefix+fingerprint]
+	_, ok := z.store.rows["quarantine"][chutequarantine.JudgementPrefix+fingerprint]
 
 	return ok
 }
@@ -103,9 +103,9 @@
 	var log strings.Builder
 	n := New(Settings{Tables: Tables{Quarantine: "q"}}, clockwork.NewFakeClock(), zerolog.New(&log), Store{}, Decoders{}, Upstreams{})
 	rows := []chutefeed.Row{
-		{Key: crashPrefix + "1", Value: []byte(`{"Upstream":"u","Suspects":[{"Fingerprint":"f"}]}`)},
-		{Key: crashPrefix + "2", Value: []byte(`{`)},
-		{Key: requestPrefix + "f", Value: []byte(`{"Fingerprint":"f","Verdict":"Quarantined"}`)},
+		{Key: chutequarantine.CrashPrefix + "1", Value: []byte(`{"Upstream":"u","Suspects":[{"Fingerprint":"f"}]}`)},
+		{Key: chutequarantine.CrashPrefix + "2", Value: []byte(`{`)},
+		{Key: chutequarantine.JudgementPrefix + "f", Value: []byte(`{"Fingerprint":"f","Verdict":"Quarantined"}`)},
 		{Key: "other", Value: []byte(`{}`)},
 	}
 
@@ -114,12 +114,12 @@
 		heard := (<-n.messages).event.(chuterelay.QuarantineHeard)
 		c.Assert(heard.Crashes, qt.HasLen, 1)
 		c.Assert(heard.Judgements, qt.HasLen, 1)
-		c.Assert(log.String(), qt.Contains, crashPrefix+"2")
+		c.Assert(log.String(), qt.Contains, chutequarantine.CrashPrefix+"2")
 	})
 
 	t.Run("what is heard again, or of another table, is no news", func(*testing.T) {
 		n.hearWords("q", rows, 0)
-		n.hearWords("p", []chutefeed.Row{{Key: requestPrefix + "g", Value: []byte(`{"Fingerprint":"g"}`)}}, 0)
+		n.hearWords("p", []chutefeed.Row{{Key: chutequarantine.JudgementPrefix + "g", Value: []byte(`{"Fingerprint":"g"}`)}}, 0)
 		c.Assert(n.messages, qt.HasLen, 0)
 	})
 }
@@ -166,13 +166,13 @@
 func TestOldRows(t *testing.T) {
 	now := time.Unix(1000, 0)
 	crash := func(i int) chutefeed.Row {
-		return chutefeed.Row{Key: fmt.Sprint(crashPrefix, i), Version: uint64(i + 1)} //nolint:gosec // a small count
+		return chutefeed.Row{Key: fmt.Sprint(chutequarantine.CrashPrefix, i), Version: uint64(i + 1)} //nolint:gosec // a small count
 	}
 
 	t.Run("rows go when they count no more", func(t *testing.T) {
 		c := qt.New(t)
 		first := map[string]time.Time{}
-		table := chutefeed.NewTable([]chutefeed.Row{crash(0), {Key: requestPrefix + "f"}}, 5)
+		table := chutefeed.NewTable([]chutefeed.Row{crash(0), {Key: chutequarantine.JudgementPrefix + "f"}}, 5)
 		c.Assert(oldRows(table, first, now), qt.HasLen, 0)
 		c.Assert(oldRows(table, first, now.Add(chutequarantine.Life-1)), qt.HasLen, 0)
 		c.Assert(oldRows(table, first, now.Add(chutequarantine.Life)), qt.HasLen, 2)
@@ -182,7 +182,7 @@
 
 	t.Run("of too many the oldest crashes go, and no verdict", func(t *testing.T) {
 		c := qt.New(t)
-		rows := []chutefeed.Row{{Key: requestPrefix + "f"}}
+		rows := []chutefeed.Row{{Key: chutequarantine.JudgementPrefix + "f"}}
 		for i := range maxRows + 1 {
 			rows = append(rows, crash(i))
 		}
--- /dev/null
+++ b/internal/chutequarantine/row.go
@@ -0,0 +1,50 @@
+package chutequarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Prefixes of the keys of crashes and of judgements in their table of the store.
+const (
+	CrashPrefix     = "crash/"
+	JudgementPrefix = "request/"
+)
+
+// CrashKey returns the key of what a node tells of an upstream's end.
+func CrashKey(upstream, node string) string {
+	return fmt.Sprintf("%s%016x", CrashPrefix, xxhash.Sum64String(upstream+"|"+node))
+}
+
+// JudgementKey returns the key of the judgement on a request.
+func JudgementKey(fingerprint string) string {
+	return JudgementPrefix + fingerprint
+}
+
+// ReadCrash decodes a crash's row; ok is false for other rows.
+func ReadCrash(key string, value []byte) (c Crash, ok bool, err error) {
+	if !strings.HasPrefix(key, CrashPrefix) {
+		return Crash{}, false, nil
+	}
+	if err = json.Unmarshal(value, &c); err == nil && c.Upstream == "" {
+		err = fmt.Errorf("row %s: Upstream is empty", key)
+	}
+
+	return c, err == nil, err
+}
+
+// ReadJudgement decodes a judgement's row; ok is false for other rows.
+func ReadJudgement(key string, value []byte) (j Judgement, ok bool, err error) {
+	fingerprint, is := strings.CutPrefix(key, JudgementPrefix)
+	if !is {
+		return Judgement{}, false, nil
+	}
+	if err = json.Unmarshal(value, &j); err == nil && j.Fingerprint != fingerprint {
+		err = fmt.Errorf("row %s: Fingerprint is %q", key, j.Fingerprint)
+	}
+
+	return j, err == nil, err
+}
--- a/internal/chuterelay/note.go
+++ b/internal/chuterelay/note.go
@@ -25,7 +25,8 @@
 type Note struct {
 	Step    Step
 	Request string
-	// Fingerprint is that of the request where it is admitted, and where a call of it failed.
+	// Fingerprint is that of the request where it is admitted or refused, and where a call
+	// of it failed.
 	Fingerprint string
 	// Workspace is whose request it is; empty if the pipeline takes no keys.
 	Workspace string
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -217,7 +217,9 @@
 	if r.runs > 0 && refusal.Kind == RefusedNotRun {
 		refusal.Kind = RefusedFailed
 	}
-	st.note(StepRefused, r, func(n *Note) { n.Reason, n.Wait = string(refusal.Kind)+": "+refusal.Reason, refusal.RetryAfter })
+	st.note(StepRefused, r, func(n *Note) {
+		n.Fingerprint, n.Reason, n.Wait = r.Fingerprint, string(refusal.Kind)+": "+refusal.Reason, refusal.RetryAfter
+	})
 	st.do(Refuse{Handle: r.Handle, Refusal: refusal})
 	st.finish(r)
 }
--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -5,6 +5,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutequarantine"
 )
 
 // View is what a state dump shows of relayed requests.
@@ -16,6 +17,8 @@
 	Upstreams []chutefleet.View
 	Peers     []PeerView
 	Lanes     []LaneView
+	// Quarantined are the requests that are set aside.
+	Quarantined []chutequarantine.Judgement `json:",omitempty"`
 }
 
 // RequestView is one request in flight.
@@ -47,6 +50,7 @@
 func (s State) View(now time.Time) View {
 	v := View{
 		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
+		Quarantined: s.quarantine.Held(now),
 	}
 	for i := s.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
