--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -92,6 +92,9 @@
 	judgements *immutable.Map[string, judged]
 	// voids maps a request to the incarnations that count no more against it.
 	voids *immutable.Map[string, []string]
+	// unjudged are the requests that were accused since crashes were last judged: nothing
+	// that happens otherwise can make a request guilty.
+	unjudged []string
 	// judgeAt is when there is something to judge; zero if there is nothing.
 	judgeAt time.Time
 }
@@ -125,6 +128,7 @@
 		known.Suspects = append(known.Suspects, s)
 		at, _ := q.accused.Get(s.Fingerprint)
 		q.accused = q.accused.Set(s.Fingerprint, append(slices.Clip(at), c.Upstream))
+		q.unjudged = append(slices.Clip(q.unjudged), s.Fingerprint)
 	}
 	q.crashes = q.crashes.Set(c.Upstream, known)
 	if news && q.judgeAt.IsZero() {
