Take an upstream that has left the list for one that ended as it was told to

Cause: an upstream whose entry goes without a word serves on and ends; its last calls break, and were told as suspects of a crash. One that crashes is still listed then.

--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -55,9 +55,12 @@
 
 // crashed takes in that an upstream ended while it ran requests of this node.
 //
-// One that was leaving has ended as it was told to, whatever it still ran.
+// One that was leaving, or had left the list already, has ended as it was told to, whatever
+// it still ran: the entry of one that crashes runs out seconds later.
 func (st *step) crashed(u chutefleet.Upstream, evidence string, suspects ...chutequarantine.Suspect) {
-	if known, ok := st.fleet.Get(u.ID); ok && known.State != chutefleet.StateReady || u.ID == "" || len(suspects) == 0 {
+	known, listed := st.fleet.Get(u.ID)
+	serving := listed && known.State == chutefleet.StateReady || st.fleet.HasReplaced(u.ID)
+	if !serving || len(suspects) == 0 {
 		return
 	}
 	seen := chutequarantine.Crash{Upstream: u.ID, Pool: u.Pool, Suspects: suspects}
--- a/internal/chuterelay/quarantine_test.go
+++ b/internal/chuterelay/quarantine_test.go
@@ -152,6 +152,16 @@
 		expectNo[TellCrash](n)
 	})
 
+	t.Run("so has one that has left the list without a word", func(t *testing.T) {
+		// Some upstreams never say that they leave: their entries go, they serve on for a
+		// while, and end.
+		n := newNode(t)
+		s := n.sent(n.marked(plain(1, chuteroute.Unrepeatable), "a"))
+		n.relist(1)
+		n.crashes(s)
+		expectNo[TellCrash](n)
+	})
+
 	t.Run("so has one that started again after it", func(t *testing.T) {
 		n := newNode(t)
 		s := n.sent(n.marked(plain(1, chuteroute.Unrepeatable), "a"))
