--- a/internal/chutebatch/alone.go
+++ b/internal/chutebatch/ended.go
@@ -21,8 +21,8 @@
 	return c
 }
 
-// Quarantined gives up the waiting jobs of a request that is not to run any more.
-func (c Collector) Quarantined(fingerprint string) (Collector, Ended) {
+// WithoutRequest gives up the waiting jobs of a request that is not to run any more.
+func (c Collector) WithoutRequest(fingerprint string) (Collector, Ended) {
 	var out Ended
 	for i := c.jobs.Iterator(); !i.Done(); {
 		if _, j, _ := i.Next(); j.Fingerprint == fingerprint && len(j.pending) > 0 {
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
@@ -31,20 +29,14 @@
 	// within 3 s of the store's return.
 	wordPause        = 250 * time.Millisecond
 	longestWordPause = time.Second
-	// maxWords bounds the rows of one transaction, and maxUnsaid those that wait for the
-	// store: a node has calls at some tens of upstreams.
-	maxWords  = 64
-	maxUnsaid = 1024
 	// toldPeers is the number of peers that are told ahead of the store, and tellHops how
 	// often they pass on what is new to them.
 	toldPeers = 16
 	tellHops  = 2
-	// maxHeard bounds the words that are remembered so as not to be passed on twice.
-	maxHeard = 8192
 	// quarantineEvery is the least time between two reads of crashes and judgements.
 	quarantineEvery = 100 * time.Millisecond
 	// purgeEvery is how often old rows are looked for, and maxRows the number from which
-	// on the oldest crashes go before their time: 8,192 rows are some 2 MB at each node.
+	// on the oldest crashes go before their time: 8,192 rows are some 6 MB at each node.
 	purgeEvery = time.Minute
 	maxRows    = 8192
 )
@@ -57,96 +49,6 @@
 	return n.upstreams.Ended(ctx, u.Address)
 }
 
-// wordQueue holds rows that are to be told or written; of one key the newest counts.
-type wordQueue struct {
-	mu   sync.Mutex
-	rows map[string][]byte
-	// due has an item while there are rows.
-	due chan struct{}
-}
-
-func newWordQueue() *wordQueue {
-	return &wordQueue{rows: map[string][]byte{}, due: make(chan struct{}, 1)}
-}
-
-// add queues a row; false means that too many wait.
-func (q *wordQueue) add(row chutefeed.Row) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	if _, waits := q.rows[row.Key]; !waits && len(q.rows) >= maxUnsaid {
-		return false
-	}
-	q.rows[row.Key] = row.Value
-	q.wake()
-
-	return true
-}
-
-// addBack queues rows that could not be written, unless there are newer ones by now.
-func (q *wordQueue) addBack(rows []chutefeed.Row) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	for _, row := range rows {
-		if _, newer := q.rows[row.Key]; !newer {
-			q.rows[row.Key] = row.Value
-		}
-	}
-	q.wake()
-}
-
-// wake says that there are rows; the caller holds mu.
-func (q *wordQueue) wake() {
-	select {
-	case q.due <- struct{}{}:
-	default:
-	}
-}
-
-// next takes out the rows of one message or transaction.
-func (q *wordQueue) next() []chutefeed.Row {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	var rows []chutefeed.Row
-	for key, value := range q.rows {
-		if len(rows) == maxWords {
-			q.wake()
-
-			break
-		}
-		rows = append(rows, chutefeed.Row{Key: key, Value: value})
-		delete(q.rows, key)
-	}
-
-	return rows
-}
-
-// heardWords are the rows that this node has told or heard.
-type heardWords struct {
-	mu   sync.Mutex
-	sums map[string]uint64
-}
-
-// isNews notes a row and says whether it is new here.
-func (w *heardWords) isNews(row chutefeed.Row) bool {
-	sum := xxhash.Sum64(row.Value)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	if known, ok := w.sums[row.Key]; ok && known == sum {
-		return false
-	}
-	if w.sums == nil || len(w.sums) >= maxHeard {
-		// Forgotten words are passed on once more at most.
-		w.sums = map[string]uint64{}
-	}
-	w.sums[row.Key] = sum
-
-	return true
-}
-
 // performQuarantine carries out the effects that concern requests which end upstreams.
 func (n *Node) performQuarantine(effect chuterelay.Effect) {
 	switch e := effect.(type) {
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -154,7 +154,7 @@
 		}
 	}
 	var ended chutebatch.Ended
-	st.collector, ended = st.collector.Quarantined(j.Fingerprint)
+	st.collector, ended = st.collector.WithoutRequest(j.Fingerprint)
 	st.settle(ended)
 }
 
