--- a/internal/chuterelay/quarantine_test.go
+++ b/internal/chuterelay/quarantine_test.go
@@ -77,6 +77,9 @@
 		r := n.expectRefused(RefusedNotRun)
 		n.Assert(r.RetryAfter > time.Minute, qt.IsTrue)
 		expectNo[Send](n)
+		for _, note := range take[Note](n) {
+			n.Assert(note.Step, qt.Equals, StepRefused)
+		}
 		n.sent(n.marked(plain(2, chuteroute.Unrepeatable), "other"))
 	})
 
@@ -140,6 +143,18 @@
 		n.expectRefused(RefusedFailed)
 	})
 
+	t.Run("neither is one without stages", func(t *testing.T) {
+		n := newNode(t)
+		bare := stream(1, chuteroute.Resumable)
+		bare.Pipeline.Stages, bare.Parts = nil, nil
+		s := n.sent(n.marked(bare, "p"))
+		n.on(AttemptBegan{Handle: s.Handle, Attempt: s.Attempt})
+		n.elsewhere("p", "a", "b", "c")
+		n.ends(s, EndBroken)
+		expectNo[Send](n)
+		n.expectRefused(RefusedFailed)
+	})
+
 	t.Run("an upstream that was leaving has ended as it was told to", func(t *testing.T) {
 		n := newNode(t)
 		s := n.sent(n.marked(plain(1, chuteroute.Unrepeatable), "a"))
@@ -264,16 +279,19 @@
 		expectNo[RunCall](n)
 	})
 
-	t.Run("the parts of one that is suspected share no call from the start", func(t *testing.T) {
-		n := newNode(t)
-		n.elsewhere("p", "a")
-		blocked := n.startCall(t, 9)
-		n.startCall(t, 8)
-		n.on(partsJob(n, 1, "a", 2))
-		n.on(partsJob(n, 2, "p", 2))
-		n.answer(blocked)
-		n.Assert(only[RunCall](n).Call.Parts, qt.HasLen, 2)
-	})
+	for _, order := range [][]string{{"a", "p"}, {"p", "a"}} {
+		t.Run("the parts of one that is suspected share no call from the start", func(t *testing.T) {
+			n := newNode(t)
+			n.elsewhere("p", "u")
+			blocked := n.startCall(t, 9)
+			n.startCall(t, 8)
+			for i, f := range order {
+				n.on(partsJob(n, uint64(i+1), f, 2))
+			}
+			n.answer(blocked)
+			n.Assert(only[RunCall](n).Call.Parts, qt.HasLen, 2)
+		})
+	}
 
 	t.Run("a restart accuses what was under way there", func(t *testing.T) {
 		n := newNode(t)
