Hand nothing of a cancelled call over, and let the next one wait for its end

The call was cancelled; the head of the answer lost the race against the cancellation and the event behind it won it, so that the caller got events without status, headers and signature. The next call could read the number of the last event while the cancelled one still wrote it. Ruled out: the quarantine: the path is that of upstreams that start again; the code is older. Change: a cancelled call hands nothing over, and the head counts as given only if it was; calls of one request take turns.

--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -31,6 +31,10 @@
 	e.attempts[s.Attempt] = cancel
 	n.spawn(func(context.Context) {
 		defer cancel()
+		// A cancelled attempt may still hand an event over, while the next one asks to go on
+		// after the last that the caller has.
+		e.turn.Lock()
+		defer e.turn.Unlock()
 		a := &attempt{node: n, entry: e, send: s}
 		ended := a.run(ctx)
 		if ctx.Err() != nil {
@@ -175,8 +179,10 @@
 			return count, errOrder
 		}
 		if !a.entry.begun {
+			if !a.move(ctx, move{begin: true, status: answer.Status, header: answer.Header}) {
+				return count, ctx.Err()
+			}
 			a.entry.begun = true
-			a.move(ctx, move{begin: true, status: answer.Status, header: answer.Header})
 		}
 		if !a.move(ctx, move{event: event.bytes}) {
 			return count, ctx.Err()
@@ -191,6 +197,11 @@
 
 // move hands one piece to the caller's goroutine; false means that the attempt was cancelled.
 func (a *attempt) move(ctx context.Context, m move) bool {
+	if ctx.Err() != nil {
+		// Where both are possible a select takes either: the head of an answer could be
+		// dropped and the event behind it handed over.
+		return false
+	}
 	select {
 	case a.entry.moves <- m:
 		return true
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -31,7 +32,9 @@
 	// attempts are the calls under way, answers the whole answers that may be passed on.
 	attempts map[uint64]context.CancelFunc
 	answers  map[uint64]whole
-	// lastEvent is the last event handed over; written by one attempt at a time.
+	// turn is held by the attempt that hands over events, lastEvent is the last of them;
+	// begun says that the head of the answer was handed over.
+	turn      sync.Mutex
 	lastEvent int
 	begun     bool
 }
