--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -66,11 +66,11 @@
 	// unreadable counts the entries of upstreams that have become unreadable.
 	unreadable atomic.Int64
 	storeCalls storeCalls
-	// untold and unkept are the crashes and judgements that wait to be told to other nodes
+	// toGossip and toStore are the crashes and judgements that wait to be told to other nodes
 	// and to be written to the store, heard those that were told or heard.
-	untold *wordQueue
-	unkept *wordQueue
-	heard  heardWords
+	toGossip *reportQueue
+	toStore  *reportQueue
+	seen     seenReports
 	// crashes counts the ends of upstreams that this node saw.
 	crashes atomic.Int64
 	watches map[string]*watch
@@ -110,7 +110,7 @@
 		jobs: map[uint64]chan<- chuteshare.Update{}, watches: map[string]*watch{}, nodesKnown: make(chan struct{}),
 		known: make(chan struct{}), quarantineKnown: make(chan struct{}),
 		storeCalls: newStoreCalls(),
-		untold:     newWordQueue(), unkept: newWordQueue(),
+		toGossip:   newReportQueue(), toStore: newReportQueue(),
 	}
 	identity := chutecore.Identity{
 		Node: settings.Self.Name, Zone: settings.Self.Zone, PeerAddress: settings.Self.Address,
@@ -148,8 +148,8 @@
 	n.spawn(n.watchUpstreams)
 	n.spawn(n.watchPeers)
 	n.spawn(n.watchQuarantine)
-	n.spawn(n.tellWords)
-	n.spawn(n.keepWords)
+	n.spawn(n.gossipReports)
+	n.spawn(n.storeReports)
 	n.spawn(n.register)
 	n.spawn(n.trim)
 	n.spawn(n.flushLedger)
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -21,18 +21,18 @@
 	// endedTimeout bounds the question whether an upstream has ended; a refusal takes the
 	// time to the VM and back, and the caller's request waits for it before it goes elsewhere.
 	endedTimeout = 100 * time.Millisecond
-	// gatherWords is how long crashes are gathered before they are told: an engine takes
+	// gatherReports is how long crashes are gathered before they are told: an engine takes
 	// tens of calls along, which break within milliseconds.
-	gatherWords = 10 * time.Millisecond
-	// wordPause is the mean pause after the first write of crashes that failed; it doubles
-	// with each further one up to longestWordPause, so that all nodes have told theirs
+	gatherReports = 10 * time.Millisecond
+	// storePause is the mean pause after the first write of crashes that failed; it doubles
+	// with each further one up to longestStorePause, so that all nodes have told theirs
 	// within 3 s of the store's return.
-	wordPause        = 250 * time.Millisecond
-	longestWordPause = time.Second
-	// toldPeers is the number of peers that are told ahead of the store, and tellHops how
+	storePause        = 250 * time.Millisecond
+	longestStorePause = time.Second
+	// gossipPeers is the number of peers that are told ahead of the store, and gossipHops how
 	// often they pass on what is new to them.
-	toldPeers = 16
-	tellHops  = 2
+	gossipPeers = 16
+	gossipHops  = 2
 	// quarantineEvery is the least time between two reads of crashes and judgements.
 	quarantineEvery = 100 * time.Millisecond
 	// purgeEvery is how often old rows are looked for, and maxRows the number from which
@@ -53,9 +53,9 @@
 func (n *Node) performQuarantine(effect chuterelay.Effect) {
 	switch e := effect.(type) {
 	case chuterelay.TellCrash:
-		n.say(chutequarantine.CrashKey(e.Crash.Upstream, n.settings.Self.Name), e.Crash)
+		n.report(chutequarantine.CrashKey(e.Crash.Upstream, n.settings.Self.Name), e.Crash)
 	case chuterelay.TellJudgement:
-		n.say(chutequarantine.JudgementKey(e.Judgement.Fingerprint), e.Judgement)
+		n.report(chutequarantine.JudgementKey(e.Judgement.Fingerprint), e.Judgement)
 	case chuterelay.NoteCrash:
 		n.crashes.Add(1)
 		n.logCrash(e)
@@ -80,48 +80,48 @@
 		Str("Evidence", e.Evidence).Msg("upstream ended under requests")
 }
 
-// say queues a crash or a judgement for the other nodes and the store.
+// report queues a crash or a judgement for the other nodes and the store.
 //
-// The store keeps it for nodes that start later. The word of mouth is there sooner, and
+// The store keeps it for nodes that start later. Gossip is there sooner, and
 // while the store is away it is the only way.
-func (n *Node) say(key string, word any) {
-	value, err := json.Marshal(word)
+func (n *Node) report(key string, report any) {
+	value, err := json.Marshal(report)
 	if err != nil {
 		n.log.Error().Err(err).Str("Key", key).Msg("a crash or judgement can't be written")
 
 		return
 	}
 	row := chutefeed.Row{Key: key, Value: value}
-	n.heard.isNews(row)
-	if !n.untold.add(row) || !n.unkept.add(row) {
+	n.seen.isNews(row)
+	if !n.toGossip.add(row) || !n.toStore.add(row) {
 		n.log.Error().Str("Key", key).Msg("too many crashes wait for the store; this one is lost with this node")
 	}
 }
 
-// awaitWords waits for rows in a queue and a moment longer, since more come at once.
-func (n *Node) awaitWords(ctx context.Context, q *wordQueue) bool {
+// awaitReports waits for rows in a queue and a moment longer, since more come at once.
+func (n *Node) awaitReports(ctx context.Context, q *reportQueue) bool {
 	select {
 	case <-ctx.Done():
 		return false
 	case <-q.due:
-		return n.pause(ctx, gatherWords)
+		return n.pause(ctx, gatherReports)
 	}
 }
 
-// tellWords tells other nodes what this one has seen.
-func (n *Node) tellWords(ctx context.Context) {
-	for n.awaitWords(ctx, n.untold) {
-		if rows := n.untold.next(); len(rows) > 0 {
-			n.tell(rows, tellHops)
+// gossipReports tells other nodes what this one has seen.
+func (n *Node) gossipReports(ctx context.Context) {
+	for n.awaitReports(ctx, n.toGossip) {
+		if rows := n.toGossip.next(); len(rows) > 0 {
+			n.gossip(rows, gossipHops)
 		}
 	}
 }
 
-// keepWords writes to the store what this node has seen, until the store has it.
-func (n *Node) keepWords(ctx context.Context) {
+// storeReports writes to the store what this node has seen, until the store has it.
+func (n *Node) storeReports(ctx context.Context) {
 	failed := 0
-	for n.awaitWords(ctx, n.unkept) {
-		rows := n.unkept.next()
+	for n.awaitReports(ctx, n.toStore) {
+		rows := n.toStore.next()
 		if len(rows) == 0 {
 			continue
 		}
@@ -135,9 +135,9 @@
 
 			continue
 		}
-		n.unkept.addBack(rows)
+		n.toStore.addBack(rows)
 		n.log.Warn().Err(err).Int("Rows", len(rows)).Msg("crashes and judgements are not in the store yet")
-		if !n.pause(ctx, jittered(min(longestWordPause, wordPause<<min(failed, 8)))) {
+		if !n.pause(ctx, jittered(min(longestStorePause, storePause<<min(failed, 8)))) {
 			return
 		}
 		failed++
@@ -153,13 +153,13 @@
 	return n.store.Change(ctx, n.settings.Tables.Quarantine, put, remove)
 }
 
-// tell brings rows to some other nodes, to all where they are few.
-func (n *Node) tell(rows []chutefeed.Row, hops int) {
+// gossip brings rows to some other nodes, to all where they are few.
+func (n *Node) gossip(rows []chutefeed.Row, hops int) {
 	others := n.listedPeers()
 	others = slices.DeleteFunc(others, func(p chuterelay.Peer) bool { return p.Name == n.settings.Self.Name })
-	if len(others) > toldPeers {
-		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] }) //nolint:gosec // spreads words, no secret
-		others = others[:toldPeers]
+	if len(others) > gossipPeers {
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] }) //nolint:gosec // spreads gossip, no secret
+		others = others[:gossipPeers]
 	} else {
 		// All hear it from this node; nobody has to pass it on.
 		hops = 0
@@ -173,18 +173,18 @@
 	}
 }
 
-// hearWords takes in another node's rows and passes on what is new.
-func (n *Node) hearWords(table string, rows []chutefeed.Row, hops int) {
+// takeReports takes in another node's rows and passes on what is new.
+func (n *Node) takeReports(table string, rows []chutefeed.Row, hops int) {
 	if table != n.settings.Tables.Quarantine {
 		return
 	}
-	rows = slices.DeleteFunc(rows, func(row chutefeed.Row) bool { return !n.heard.isNews(row) })
+	rows = slices.DeleteFunc(rows, func(row chutefeed.Row) bool { return !n.seen.isNews(row) })
 	if len(rows) == 0 {
 		return
 	}
-	n.hear(rows)
+	n.takeRows(rows)
 	if hops > 0 {
-		n.tell(rows, hops-1)
+		n.gossip(rows, hops-1)
 	}
 }
 
@@ -199,10 +199,10 @@
 		news := table.Since(last).Rows
 		last = table
 		for _, row := range news {
-			n.heard.isNews(row)
+			n.seen.isNews(row)
 		}
 		if len(news) > 0 {
-			n.hear(news)
+			n.takeRows(news)
 		}
 		if table.Version() > 0 {
 			known()
@@ -210,8 +210,8 @@
 	})
 }
 
-// hear hands rows to the loop; one that can't be read is left out.
-func (n *Node) hear(rows []chutefeed.Row) {
+// takeRows hands rows to the loop; one that can't be read is left out.
+func (n *Node) takeRows(rows []chutefeed.Row) {
 	var heard chuterelay.QuarantineHeard
 	for _, row := range rows {
 		crash, isCrash, err := chutequarantine.ReadCrash(row.Key, row.Value)
@@ -272,5 +272,5 @@
 		}
 	}
 
-	return old[:min(len(old), maxWords)]
+	return old[:min(len(old), maxReports)]
 }
--- a/internal/chutegate/quarantine_test.go
+++ b/internal/chutegate/quarantine_test.go
@@ -110,7 +110,7 @@
 	}
 
 	t.Run("rows that can't be read are logged and left out", func(*testing.T) {
-		n.hearWords("q", rows, 0)
+		n.takeReports("q", rows, 0)
 		heard := (<-n.messages).event.(chuterelay.QuarantineHeard)
 		c.Assert(heard.Crashes, qt.HasLen, 1)
 		c.Assert(heard.Judgements, qt.HasLen, 1)
@@ -118,30 +118,30 @@
 	})
 
 	t.Run("what is heard again, or of another table, is no news", func(*testing.T) {
-		n.hearWords("q", rows, 0)
-		n.hearWords("p", []chutefeed.Row{{Key: chutequarantine.JudgementPrefix + "g", Value: []byte(`{"Fingerprint":"g"}`)}}, 0)
+		n.takeReports("q", rows, 0)
+		n.takeReports("p", []chutefeed.Row{{Key: chutequarantine.JudgementPrefix + "g", Value: []byte(`{"Fingerprint":"g"}`)}}, 0)
 		c.Assert(n.messages, qt.HasLen, 0)
 	})
 }
 
-func TestWordQueue(t *testing.T) {
+func TestReportQueue(t *testing.T) {
 	row := func(i int) chutefeed.Row {
 		return chutefeed.Row{Key: fmt.Sprint("k", i), Value: []byte{byte(i)}}
 	}
 
 	t.Run("it is bounded, and newer rows take the place of older ones", func(t *testing.T) {
 		c := qt.New(t)
-		q := newWordQueue()
-		for i := range maxUnsaid {
+		q := newReportQueue()
+		for i := range maxQueued {
 			c.Assert(q.add(row(i)), qt.IsTrue)
 		}
-		c.Assert(q.add(row(maxUnsaid)), qt.IsFalse)
+		c.Assert(q.add(row(maxQueued)), qt.IsFalse)
 		c.Assert(q.add(row(0)), qt.IsTrue)
 	})
 
 	t.Run("rows that could not be written come again, unless there are newer ones", func(t *testing.T) {
 		c := qt.New(t)
-		q := newWordQueue()
+		q := newReportQueue()
 		q.add(row(1))
 		taken := q.next()
 		newer := chutefeed.Row{Key: "k1", Value: []byte("newer")}
@@ -152,12 +152,12 @@
 
 	t.Run("what does not fit into one message is due at once", func(t *testing.T) {
 		c := qt.New(t)
-		q := newWordQueue()
-		for i := range maxWords + 1 {
+		q := newReportQueue()
+		for i := range maxReports + 1 {
 			q.add(row(i))
 		}
 		<-q.due
-		c.Assert(q.next(), qt.HasLen, maxWords)
+		c.Assert(q.next(), qt.HasLen, maxReports)
 		<-q.due
 		c.Assert(q.next(), qt.HasLen, 1)
 	})
--- a/internal/chutegate/words.go
+++ b/internal/chutegate/reports.go
@@ -9,32 +9,32 @@
 )
 
 const (
-	// maxWords bounds the rows of one transaction, and maxUnsaid those that wait for the
+	// maxReports bounds the rows of one transaction, and maxQueued those that wait for the
 	// store: a node has calls at some tens of upstreams.
-	maxWords  = 64
-	maxUnsaid = 1024
-	// maxHeard bounds the words that are remembered so as not to be passed on twice.
-	maxHeard = 8192
+	maxReports = 64
+	maxQueued  = 1024
+	// maxSeen bounds the reports that are remembered so as not to be passed on twice.
+	maxSeen = 8192
 )
 
-// wordQueue holds rows that are to be told or written; of one key the newest counts.
-type wordQueue struct {
+// reportQueue holds rows that are to be told or written; of one key the newest counts.
+type reportQueue struct {
 	mu   sync.Mutex
 	rows map[string][]byte
 	// due has an item while there are rows.
 	due chan struct{}
 }
 
-func newWordQueue() *wordQueue {
-	return &wordQueue{rows: map[string][]byte{}, due: make(chan struct{}, 1)}
+func newReportQueue() *reportQueue {
+	return &reportQueue{rows: map[string][]byte{}, due: make(chan struct{}, 1)}
 }
 
 // add queues a row; false means that too many wait.
-func (q *wordQueue) add(row chutefeed.Row) bool {
+func (q *reportQueue) add(row chutefeed.Row) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	if _, waits := q.rows[row.Key]; !waits && len(q.rows) >= maxUnsaid {
+	if _, waits := q.rows[row.Key]; !waits && len(q.rows) >= maxQueued {
 		return false
 	}
 	q.rows[row.Key] = row.Value
@@ -44,7 +44,7 @@
 }
 
 // addBack queues rows that could not be written, unless there are newer ones by now.
-func (q *wordQueue) addBack(rows []chutefeed.Row) {
+func (q *reportQueue) addBack(rows []chutefeed.Row) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -57,7 +57,7 @@
 }
 
 // wake says that there are rows; the caller holds mu.
-func (q *wordQueue) wake() {
+func (q *reportQueue) wake() {
 	select {
 	case q.due <- struct{}{}:
 	default:
@@ -65,13 +65,13 @@
 }
 
 // next takes out the rows of one message or transaction.
-func (q *wordQueue) next() []chutefeed.Row {
+func (q *reportQueue) next() []chutefeed.Row {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
 	var rows []chutefeed.Row
 	for key, value := range q.rows {
-		if len(rows) == maxWords {
+		if len(rows) == maxReports {
 			q.wake()
 
 			break
@@ -83,14 +83,14 @@
 	return rows
 }
 
-// heardWords are the rows that this node has told or heard.
-type heardWords struct {
+// seenReports are the rows that this node has told or heard.
+type seenReports struct {
 	mu   sync.Mutex
 	sums map[string]uint64
 }
 
 // isNews notes a row and says whether it is new here.
-func (w *heardWords) isNews(row chutefeed.Row) bool {
+func (w *seenReports) isNews(row chutefeed.Row) bool {
 	sum := xxhash.Sum64(row.Value)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -98,8 +98,8 @@
 	if known, ok := w.sums[row.Key]; ok && known == sum {
 		return false
 	}
-	if w.sums == nil || len(w.sums) >= maxHeard {
-		// Forgotten words are passed on once more at most.
+	if w.sums == nil || len(w.sums) >= maxSeen {
+		// Forgotten reports are passed on once more at most.
 		w.sums = map[string]uint64{}
 	}
 	w.sums[row.Key] = sum
--- a/internal/chutegate/share.go
+++ b/internal/chutegate/share.go
@@ -107,7 +107,7 @@
 			n.sendWith(chuterelay.JobDropped{Token: token}, func() { delete(n.jobs, token) })
 		},
 		OnTable: n.shareTable,
-		OnTell:  n.hearWords,
+		OnTell:  n.takeReports,
 	}
 }
 
--- a/internal/chutequarantine/bench_test.go
+++ b/internal/chutequarantine/bench_test.go
@@ -28,7 +28,7 @@
 func BenchmarkJudge(b *testing.B) {
 	q := full()
 	for b.Loop() {
-		// One request was accused since the last judgement.
+		// One request became a suspect since the last judgement.
 		q.judgeAt, q.unjudged = start, []string{fmt.Sprintf("%032d", 7)}
 		q.Judge(start.Add(maxCrashes * time.Second))
 	}
--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -45,20 +45,20 @@
 	events, q.judgeAt = q.events(now)
 	suspects := q.repeated()
 	for {
-		guilty := q.guilty(suspects, events)
-		if len(guilty) == 0 {
-			q.unjudged = q.accusedSince(q.judgeAt)
+		next := q.nextVerdicts(suspects, events)
+		if len(next) == 0 {
+			q.unjudged = q.suspectsSince(q.judgeAt)
 
 			return q, fresh, seen
 		}
-		for _, j := range guilty {
+		for _, j := range next {
 			for _, u := range j.Upstreams {
 				c, _ := q.crashes.Get(u)
 				seen[j.Fingerprint] = seen[j.Fingerprint] || c.own
 			}
 			q, _ = q.WithJudgement(j, now)
 		}
-		fresh = append(fresh, guilty...)
+		fresh = append(fresh, next...)
 	}
 }
 
@@ -95,21 +95,21 @@
 	return of, time.Time{}
 }
 
-// guilty returns judgements on the request with most ends, and on those that can't be told
+// nextVerdicts returns judgements on the request with most ends, and on those that can't be told
 // from it; none if no request has enough.
-func (q Quarantine) guilty(suspects []string, events map[string]*event) []Judgement {
-	var accused []accusation
+func (q Quarantine) nextVerdicts(suspects []string, events map[string]*event) []Judgement {
+	var candidates []candidate
 	for _, fingerprint := range suspects {
 		if _, held := q.Holds(fingerprint); held {
 			continue
 		}
 		at := q.Suspected(fingerprint)
 		if n := weigh(at, events); n >= sure {
-			accused = append(accused, accusation{upstreams: at, weight: n})
+			candidates = append(candidates, candidate{upstreams: at, weight: n})
 		}
 	}
-	slices.SortStableFunc(accused, func(a, b accusation) int { return cmp.Compare(b.weight, a.weight) })
-	for _, a := range accused {
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	for _, a := range candidates {
 		alike := q.beside(a.upstreams)
 		if len(alike) > 1 && a.weight < surePair {
 			continue
@@ -125,8 +125,8 @@
 	return nil
 }
 
-// accusation is what speaks against one request.
-type accusation struct {
+// candidate is a request with enough ends, by what speaks against it.
+type candidate struct {
 	upstreams []string
 	weight    int
 }
@@ -150,9 +150,9 @@
 	return sum
 }
 
-// accusedSince lists the requests of the crashes that are judged at a time or later; none if
+// suspectsSince lists the requests of the crashes that are judged at a time or later; none if
 // it is zero.
-func (q Quarantine) accusedSince(judgeAt time.Time) []string {
+func (q Quarantine) suspectsSince(judgeAt time.Time) []string {
 	if judgeAt.IsZero() {
 		return nil
 	}
@@ -170,11 +170,11 @@
 	return all
 }
 
-// repeated lists the requests that were accused of late and of enough ends, by fingerprint.
+// repeated lists the requests that became suspects of late and have enough ends, by fingerprint.
 func (q Quarantine) repeated() []string {
 	var all []string
 	for _, fingerprint := range q.unjudged {
-		if at, _ := q.accused.Get(fingerprint); len(at) >= sure {
+		if at, _ := q.crashesOf.Get(fingerprint); len(at) >= sure {
 			all = append(all, fingerprint)
 		}
 	}
--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -86,14 +86,14 @@
 // Quarantine is what one node has heard of crashes and judgements; it is never changed in
 // place.
 type Quarantine struct {
-	// crashes are by incarnation, accused names the incarnations that ended under a request.
+	// crashes are by incarnation, crashesOf names the incarnations that ended under a request.
 	crashes    *immutable.Map[string, crash]
-	accused    *immutable.Map[string, []string]
+	crashesOf  *immutable.Map[string, []string]
 	judgements *immutable.Map[string, judged]
 	// voids maps a request to the incarnations that count no more against it.
 	voids *immutable.Map[string, []string]
-	// unjudged are the requests that were accused since crashes were last judged: nothing
-	// that happens otherwise can make a request guilty.
+	// unjudged are the requests that became suspects since crashes were last judged:
+	// no other one can have reached the number of ends that sets it aside.
 	unjudged []string
 	// judgeAt is when there is something to judge; zero if there is nothing.
 	judgeAt time.Time
@@ -103,7 +103,7 @@
 func New() Quarantine {
 	return Quarantine{
 		crashes:    immutable.NewMap[string, crash](nil),
-		accused:    immutable.NewMap[string, []string](nil),
+		crashesOf:  immutable.NewMap[string, []string](nil),
 		judgements: immutable.NewMap[string, judged](nil),
 		voids:      immutable.NewMap[string, []string](nil),
 	}
@@ -126,8 +126,8 @@
 		}
 		news = true
 		known.Suspects = append(known.Suspects, s)
-		at, _ := q.accused.Get(s.Fingerprint)
-		q.accused = q.accused.Set(s.Fingerprint, append(slices.Clip(at), c.Upstream))
+		at, _ := q.crashesOf.Get(s.Fingerprint)
+		q.crashesOf = q.crashesOf.Set(s.Fingerprint, append(slices.Clip(at), c.Upstream))
 		q.unjudged = append(slices.Clip(q.unjudged), s.Fingerprint)
 	}
 	q.crashes = q.crashes.Set(c.Upstream, known)
@@ -156,14 +156,14 @@
 func (q Quarantine) withoutCrash(c crash) Quarantine {
 	q.crashes = q.crashes.Delete(c.Upstream)
 	for _, s := range c.Suspects {
-		at, _ := q.accused.Get(s.Fingerprint)
+		at, _ := q.crashesOf.Get(s.Fingerprint)
 		at = without(at, c.Upstream)
 		if len(at) > 0 {
-			q.accused = q.accused.Set(s.Fingerprint, at)
+			q.crashesOf = q.crashesOf.Set(s.Fingerprint, at)
 
 			continue
 		}
-		q.accused = q.accused.Delete(s.Fingerprint)
+		q.crashesOf = q.crashesOf.Delete(s.Fingerprint)
 		q.voids = q.voids.Delete(s.Fingerprint)
 	}
 
@@ -246,7 +246,7 @@
 
 // Suspected lists the upstreams whose ends speak against a request by now.
 func (q Quarantine) Suspected(fingerprint string) []string {
-	at, _ := q.accused.Get(fingerprint)
+	at, _ := q.crashesOf.Get(fingerprint)
 	void, _ := q.voids.Get(fingerprint)
 
 	return slices.DeleteFunc(slices.Clone(at), func(u string) bool { return slices.Contains(void, u) || q.explained(u, fingerprint) })
--- a/internal/chuteshare/tell.go
+++ b/internal/chuteshare/tell.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// tellTimeout bounds the word to one peer; what it misses it reads at the store.
+	// tellTimeout bounds the call to one peer; what it misses it reads at the store.
 	tellTimeout = 500 * time.Millisecond
-	// maxTold bounds the rows of one word; a node writes as many in one transaction.
+	// maxTold bounds the rows of one call; a node writes as many in one transaction.
 	maxTold = 100
-	// maxHops bounds how often a word is passed on: sixteen peers each time, three times,
+	// maxHops bounds how often rows are passed on: sixteen peers each time, three times,
 	// are four times the nodes of the largest site.
 	maxHops = 3
 )
@@ -25,7 +25,7 @@
 // Tell takes in a peer's rows.
 func (s service) Tell(_ context.Context, m *chutesharepb.TellRequest) (*chutesharepb.TellReply, error) {
 	if n := len(m.GetRows()); n > maxTold || m.GetHops() < 0 || m.GetHops() > maxHops {
-		return nil, status.Error(codes.InvalidArgument, "Rows or Hops of the word are out of range")
+		return nil, status.Error(codes.InvalidArgument, "Rows or Hops of the call are out of range")
 	}
 	s.handlers.OnTell(m.GetTable(), decodeRows(m.GetRows()), int(m.GetHops()))
 
@@ -46,7 +46,7 @@
 		Table: table, Rows: encodeRows(rows), Hops: int32(hops), //nolint:gosec // up to maxHops
 	})
 	if err != nil && ctx.Err() != nil {
-		// Silent: the next word shall not wait on the same connection.
+		// Silent: the next call shall not wait on the same connection.
 		c.forget(address, conn)
 	}
 
