Keep the sign of a silent zone to calls without an answer's head

Cause: put together in one function, a stream that went silent in its midst would have counted as a sign that its zone is cut off, which it did not before and was not measured.

--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -72,7 +72,10 @@
 		Fresh: s.Fresh, Priority: s.Priority,
 	})
 	if err != nil {
-		return a.broken(ctx, ended, err)
+		ended = a.broken(ctx, ended, err)
+		ended.Silent = ended.End == chuterelay.EndSilent || asSendError(err).Silent
+
+		return ended
 	}
 	a.touch()
 	defer func() { _ = answer.Body.Close() }()
@@ -110,7 +113,6 @@
 // broken says what a failed exchange means, and whether the upstream has ended with it.
 func (a *attempt) broken(ctx context.Context, ended chuterelay.AttemptEnded, err error) chuterelay.AttemptEnded {
 	ended.End = a.endOf(ctx, err)
-	ended.Silent = ended.End == chuterelay.EndSilent || asSendError(err).Silent
 	ended.Detail = err.Error()
 	ended.UpstreamEnded = ended.End == chuterelay.EndBroken && a.node.upstreamEnded(ctx, a.send.Upstream)
 
