Repeat gossip of crashes while the store is away

Gossip was sent once, and a call that takes over 0.5 s is lost; nothing brought it again. Ruled out: the judging: the other nodes had the verdict (the trace waits for one node's). Change: with each try at the store that fails, four other nodes are told. Removed once: the subtest 'gossip that was lost' hangs without it, in 12 s.

--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -33,6 +33,9 @@
 	// often they pass on what is new to them.
 	gossipPeers = 16
 	gossipHops  = 2
+	// gossipAgainPeers is the number of peers that hear of what the store does not take, with
+	// each new try: some 3 KB a second.
+	gossipAgainPeers = 4
 	// quarantineEvery is the least time between two reads of crashes and judgements.
 	quarantineEvery = 100 * time.Millisecond
 	// purgeEvery is how often old rows are looked for, and maxRows the number from which
@@ -136,6 +139,8 @@
 			continue
 		}
 		n.toStore.addBack(rows)
+		// Gossip loses calls, and without the store nothing else brings them.
+		n.gossipTo(rows, gossipAgainPeers, 0)
 		n.log.Warn().Err(err).Int("Rows", len(rows)).Msg("crashes and judgements are not in the store yet")
 		if !n.pause(ctx, jittered(min(longestStorePause, storePause<<min(failed, 8)))) {
 			return
@@ -155,11 +160,16 @@
 
 // gossip brings rows to some other nodes, to all where they are few.
 func (n *Node) gossip(rows []chutefeed.Row, hops int) {
+	n.gossipTo(rows, gossipPeers, hops)
+}
+
+// gossipTo brings rows to so many other nodes, drawn anew each time.
+func (n *Node) gossipTo(rows []chutefeed.Row, peers, hops int) {
 	others := n.listedPeers()
 	others = slices.DeleteFunc(others, func(p chuterelay.Peer) bool { return p.Name == n.settings.Self.Name })
-	if len(others) > gossipPeers {
+	if len(others) > peers {
 		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] }) //nolint:gosec // spreads gossip, no secret
-		others = others[:gossipPeers]
+		others = others[:peers]
 	} else {
 		// All hear it from this node; nobody has to pass it on.
 		hops = 0
--- a/internal/chutegate/quarantine_test.go
+++ b/internal/chutegate/quarantine_test.go
@@ -85,6 +85,24 @@
 		until(func() bool { return z.stored("b") })
 	})
 
+	t.Run("gossip that was lost while the store is away is repeated", func(*testing.T) {
+		// The calls to all peers fail at first, as on a machine that is held up.
+		for _, p := range z.peers {
+			z.store.setAway(p.Name, true)
+		}
+		n := z.nodes[teller]
+		listed := n.nodes.Swap(&[]chuterelay.Peer{})
+		before := n.storeCalls[callQuarantine].Load()
+		z.judges(teller, "c")
+		until(func() bool { return n.storeCalls[callQuarantine].Load() > before })
+		n.nodes.Store(listed)
+		z.expectHeld("c", teller)
+		for _, p := range z.peers {
+			z.store.setAway(p.Name, false)
+		}
+		until(func() bool { return z.stored("c") })
+	})
+
 	t.Run("a node that starts later knows them", func(t *testing.T) {
 		// All that knew it may be gone by then; the store is what is left.
 		for name := range z.nodes {
