Let repeated gossip be passed on where it is news

Cause: told to four nodes at a time and no further, what no call had brought anybody took 35 s to reach forty nodes (TestQuarantineSpreads under the race detector). Change: whoever hears it for the first time passes it on, as at first.

--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -140,7 +140,7 @@
 		}
 		n.toStore.addBack(rows)
 		// Gossip loses calls, and without the store nothing else brings them.
-		n.gossipTo(rows, gossipAgainPeers, 0)
+		n.gossipTo(rows, gossipAgainPeers, gossipHops)
 		n.log.Warn().Err(err).Int("Rows", len(rows)).Msg("crashes and judgements are not in the store yet")
 		if !n.pause(ctx, jittered(min(longestStorePause, storePause<<min(failed, 8)))) {
 			return
