Decide in one place whether an upstream may get a call

Cause: whether an upstream may get a call was decided in parts by member.usable, member.ready, Len and the end of a probe; evacuated zones and cold upstreams would have been added to each Change: Fleet.Availability answers with the bar and when it ends by itself; choice, seats of collectors, shards and probes go by it.

--- a/internal/chutefleet/choose.go
+++ b/internal/chutefleet/choose.go
@@ -62,7 +62,7 @@
 	var out []candidate
 	for _, id := range f.pools[q.Pool] {
 		m, _ := f.members.Get(id)
-		if !m.usable(now) || slices.Contains(q.Without, id) {
+		if !f.availability(&m, now).Open() || slices.Contains(q.Without, id) {
 			continue
 		}
 		load := m.load(now) + failurePenalty*m.evidence(now)
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -186,47 +186,6 @@
 	return m.Upstream, ok
 }
 
-// Usable says whether the upstream may get a new call now.
-func (f Fleet) Usable(id string, now time.Time) bool {
-	m, ok := f.members.Get(id)
-
-	return ok && m.usable(now)
-}
-
-// Len counts the upstreams of a pool that are not leaving.
-func (f Fleet) Len(pool string) int {
-	n := 0
-	for _, id := range f.pools[pool] {
-		if m, _ := f.members.Get(id); m.ready() {
-			n++
-		}
-	}
-
-	return n
-}
-
-// UsableIn returns the upstreams of a pool that may get a new call now, sorted by id.
-func (f Fleet) UsableIn(pool string, now time.Time) []Upstream {
-	var usable []Upstream
-	for _, id := range f.pools[pool] {
-		if m, _ := f.members.Get(id); m.usable(now) {
-			usable = append(usable, m.Upstream)
-		}
-	}
-
-	return usable
-}
-
-// UsableInZone says whether any of the pool's upstreams in a zone may get a new call now.
-func (f Fleet) UsableInZone(pool, zone string, now time.Time) bool {
-	for _, id := range f.pools[pool] {
-		if m, _ := f.members.Get(id); m.Zone == zone && m.usable(now) {
-			return true
-		}
-	}
-
-	return false
-}
 
 // InFlight counts the calls that this node has under way at the pool.
 func (f Fleet) InFlight(pool string) int {
@@ -278,24 +237,6 @@
 	return left
 }
 
-// ready says whether the list has the member as taking calls.
-func (m *member) ready() bool {
-	return m.State == StateReady && !m.unreadable
-}
-
-// usable says whether the member may get a new call.
-//
-// A member that went silent is tried again by one call at a time when its pause
-// is over: a fleet of nodes that all sent their next requests there at once
-// would lose them all if it is still silent.
-func (m *member) usable(now time.Time) bool {
-	if !m.ready() || now.Before(m.asideUntil) {
-		return false
-	}
-
-	return m.silent == 0 || m.inFlight == 0
-}
-
 // load is the number of calls believed to be there now.
 func (m *member) load(now time.Time) float64 {
 	age := now.Sub(m.reportedAt)
--- a/internal/chutefleet/fleet_test.go
+++ b/internal/chutefleet/fleet_test.go
@@ -63,10 +63,10 @@
 		f := fleetOf(upstream("a", "z1"), upstream("b", "z1")).WithFailure("a", FailureSilent, start)
 		expectChosen(c, f, Query{Pool: "p"}, start, "b")
 		later := start.Add(firstAside)
-		c.Assert(f.Usable("a", later), qt.IsTrue)
+		c.Assert(f.Availability("a", later).Open(), qt.IsTrue)
 		f = f.WithSent("a", 0)
-		c.Assert(f.Usable("a", later), qt.IsFalse)
-		c.Assert(f.WithSuccess("a", later).Usable("a", later), qt.IsTrue)
+		c.Assert(f.Availability("a", later).Open(), qt.IsFalse)
+		c.Assert(f.WithSuccess("a", later).Availability("a", later).Open(), qt.IsTrue)
 	})
 
 	t.Run("the pause grows and stays bounded", func(t *testing.T) {
@@ -75,8 +75,8 @@
 		for range 10 {
 			f = f.WithFailure("a", FailureSilent, start)
 		}
-		c.Assert(f.Usable("a", start.Add(longestAside-time.Millisecond)), qt.IsFalse)
-		c.Assert(f.Usable("a", start.Add(longestAside)), qt.IsTrue)
+		c.Assert(f.Availability("a", start.Add(longestAside-time.Millisecond)).Open(), qt.IsFalse)
+		c.Assert(f.Availability("a", start.Add(longestAside)).Open(), qt.IsTrue)
 	})
 }
 
--- a/internal/chutefleet/restart_test.go
+++ b/internal/chutefleet/restart_test.go
@@ -31,7 +31,7 @@
 		c := qt.New(t)
 		f := fleetOf(first).WithSent(first.ID, 100).WithFailure(first.ID, FailureSilent, start)
 		f = f.WithListed([]Upstream{second}, false)
-		c.Assert(f.Usable(second.ID, start), qt.IsTrue)
+		c.Assert(f.Availability(second.ID, start).Open(), qt.IsTrue)
 		c.Assert(f.InFlight("p"), qt.Equals, 0)
 	})
 
@@ -42,7 +42,7 @@
 		f := fleetOf(first).WithSent(first.ID, 0).WithListed([]Upstream{second}, false).WithSent(second.ID, 0)
 		f = f.WithDone(first.ID).WithFailure(first.ID, FailureSilent, start)
 		c.Assert(f.InFlight("p"), qt.Equals, 1)
-		c.Assert(f.WithDone(second.ID).Usable(second.ID, start), qt.IsTrue)
+		c.Assert(f.WithDone(second.ID).Availability(second.ID, start).Open(), qt.IsTrue)
 	})
 
 	t.Run("a late word on the process before does not bring it back", func(t *testing.T) {
@@ -94,7 +94,7 @@
 		f := fleetOf(upstream("a", "z1"), upstream("b", "z1"))
 		f = f.WithListed([]Upstream{unreadable, upstream("b", "z1")}, false)
 		expectChosen(c, f, Query{Pool: "p"}, start, "b")
-		c.Assert(f.Len("p"), qt.Equals, 1)
+		c.Assert(f.Len("p", start), qt.Equals, 1)
 		f = f.WithListed([]Upstream{upstream("a", "z1"), upstream("b", "z1")}, false)
 		expectChosen(c, f, Query{Pool: "p"}, start, "a", "b")
 	})
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -66,7 +66,7 @@
 	if refusal, held := st.quarantined(r.Fingerprint); held {
 		return refusal, true
 	}
-	if st.fleet.Len(r.pool) == 0 {
+	if st.fleet.Len(r.pool, st.now) == 0 {
 		return notRun("no upstream of pool " + r.pool + " is listed"), true
 	}
 
--- a/internal/chuterelay/attempt_test.go
+++ b/internal/chuterelay/attempt_test.go
@@ -109,7 +109,7 @@
 		s := n.sent(plain(1, chuteroute.Repeatable))
 		n.ends(s, EndMisaddressed)
 		n.pass(time.Minute)
-		n.Assert(n.state.Fleet().Usable(s.Upstream.ID, n.now), qt.IsFalse)
+		n.Assert(n.state.Fleet().Availability(s.Upstream.ID, n.now).Open(), qt.IsFalse)
 	})
 }
 
@@ -244,11 +244,11 @@
 		for range 5 {
 			n.pass(probe.At.Sub(n.now))
 			n.on(ProbeEnded{Upstream: s.Upstream.ID})
-			n.Assert(n.state.Fleet().Usable(s.Upstream.ID, n.now), qt.IsFalse)
+			n.Assert(n.state.Fleet().Availability(s.Upstream.ID, n.now).Open(), qt.IsFalse)
 			probe = only[Probe](n)
 		}
 		n.on(ProbeEnded{Upstream: s.Upstream.ID, Alive: true})
-		n.Assert(n.state.Fleet().Usable(s.Upstream.ID, n.now), qt.IsTrue)
+		n.Assert(n.state.Fleet().Availability(s.Upstream.ID, n.now).Open(), qt.IsTrue)
 		expectNo[Probe](n)
 	})
 
--- a/internal/chuterelay/probe.go
+++ b/internal/chuterelay/probe.go
@@ -36,9 +36,9 @@
 // probeEnded takes an upstream back, or asks again later.
 func (st *step) probeEnded(e ProbeEnded) {
 	st.probed = st.probed.Delete(e.Upstream)
-	u, listed := st.fleet.Get(e.Upstream)
+	u, _ := st.fleet.Get(e.Upstream)
 	switch {
-	case !listed || u.State != chutefleet.StateReady:
+	case st.fleet.Availability(e.Upstream, st.now).Bar.Lasting():
 	case e.Alive:
 		st.noteHeard(u.Zone)
 		st.fleet = st.fleet.WithSuccess(e.Upstream, st.now)
