Send nothing to the upstreams of an evacuated zone

Cause: the operator's rows op/evacuate/ZONE were read with their table and never looked at. Results there are not given back by a call, parts that wait go elsewhere at once, what runs goes on. A request whose pool, or a pool of whose stages, has nobody left is refused at once, also while it waits, with a time to come back.

--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -15,6 +15,8 @@
 	BarLeaving Bar = "Leaving"
 	// BarUnreadable: its entry in the list can't be read.
 	BarUnreadable Bar = "Unreadable"
+	// BarEvacuated: the operator has evacuated its zone.
+	BarEvacuated Bar = "Evacuated"
 	// BarSetAside: it went silent and has a pause.
 	BarSetAside Bar = "SetAside"
 	// BarTried: its pause is over, and one call is finding out whether it is back.
@@ -55,6 +57,8 @@
 		return Availability{Bar: BarLeaving}
 	case m.unreadable:
 		return Availability{Bar: BarUnreadable}
+	case f.evacuated[m.Zone]:
+		return Availability{Bar: BarEvacuated}
 	case now.Before(m.asideUntil):
 		return Availability{Bar: BarSetAside, Until: m.asideUntil}
 	case m.silent > 0 && m.inFlight > 0:
@@ -68,7 +72,7 @@
 
 // Lasting says that only news ends the bar, so that the upstream is no part of its pool until then.
 func (b Bar) Lasting() bool {
-	return b == BarUnlisted || b == BarLeaving || b == BarUnreadable
+	return b == BarUnlisted || b == BarLeaving || b == BarUnreadable || b == BarEvacuated
 }
 
 // Len counts the upstreams of a pool that nothing bars but what passes by itself.
--- a/internal/chutefleet/availability_test.go
+++ b/internal/chutefleet/availability_test.go
@@ -26,6 +26,18 @@
 			fleet: both.WithListed([]Upstream{{Name: "a", State: StateUnreadable}}, true), now: start,
 			want: Availability{Bar: BarUnreadable}, lasting: true,
 		},
+		{
+			name: "one in an evacuated zone", fleet: both.WithEvacuated([]string{"z1"}), now: start,
+			want: Availability{Bar: BarEvacuated}, lasting: true,
+		},
+		{name: "one beside an evacuated zone", fleet: both.WithEvacuated([]string{"z2"}), now: start},
+		{name: "one whose zone is taken back", fleet: both.WithEvacuated([]string{"z1"}).WithEvacuated(nil), now: start},
+		{
+			// A list read before the evacuation must not open the zone again.
+			name:  "one that is listed anew while its zone is evacuated",
+			fleet: both.WithEvacuated([]string{"z1"}).WithListed([]Upstream{upstream("a", "z1"), upstream("b", "z2")}, false),
+			now:   start, want: Availability{Bar: BarEvacuated}, lasting: true,
+		},
 		{
 			name: "one that went silent, until its pause is over", fleet: silent, now: start,
 			want: Availability{Bar: BarSetAside, Until: start.Add(firstAside)},
--- /dev/null
+++ b/internal/chutefleet/evacuate.go
@@ -0,0 +1,26 @@
+package chutefleet
+
+import (
+	"maps"
+	"slices"
+)
+
+// WithEvacuated takes in which availability zones the operator has evacuated: all of them, by name.
+func (f Fleet) WithEvacuated(zones []string) Fleet {
+	f.evacuated = make(map[string]bool, len(zones))
+	for _, zone := range zones {
+		f.evacuated[zone] = true
+	}
+
+	return f
+}
+
+// Evacuated says whether a zone is evacuated.
+func (f Fleet) Evacuated(zone string) bool {
+	return f.evacuated[zone]
+}
+
+// EvacuatedZones returns the evacuated zones, sorted.
+func (f Fleet) EvacuatedZones() []string {
+	return slices.Sorted(maps.Keys(f.evacuated))
+}
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -102,6 +102,8 @@
 	// the ids of those right before them; both are replaced, never changed.
 	incarnations map[string]string
 	ended        map[string]bool
+	// evacuated are the zones whose upstreams get nothing; it is replaced, never changed.
+	evacuated map[string]bool
 }
 
 // New returns an empty fleet as seen from a zone.
@@ -186,7 +188,6 @@
 	return m.Upstream, ok
 }
 
-
 // InFlight counts the calls that this node has under way at the pool.
 func (f Fleet) InFlight(pool string) int {
 	n := 0
@@ -203,7 +204,8 @@
 	Upstream
 	InFlight int
 	Failing  float64
-	Aside    bool
+	// Availability tells why it gets no calls now; its Bar is empty if it does.
+	Availability
 }
 
 // Views returns every upstream, sorted by pool and id.
@@ -213,7 +215,7 @@
 		_, m, _ := i.Next()
 		views = append(views, View{
 			Upstream: m.Upstream, InFlight: m.inFlight,
-			Failing: m.evidence(now), Aside: now.Before(m.asideUntil),
+			Failing: m.evidence(now), Availability: f.availability(&m, now),
 		})
 	}
 	slices.SortFunc(views, func(a, b View) int {
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -65,6 +65,8 @@
 	handles  atomic.Uint64
 	// unreadable counts the entries of upstreams that have become unreadable.
 	unreadable atomic.Int64
+	// evacuated counts the zones that are evacuated.
+	evacuated  atomic.Int64
 	storeCalls storeCalls
 	// toGossip and toStore are the crashes and judgements that wait to be told to other nodes
 	// and to be written to the store, heard those that were told or heard.
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -27,10 +27,36 @@
 	return configWait
 }
 
-// watchConfig keeps the configuration up to date.
+// watchConfig keeps the configuration and the evacuations up to date, which lie in one table.
+//
+// A node that starts learns of both at once, and of evacuations first: before it knows a
+// configuration it serves nobody, so it sends nothing to a zone that it does not know to be
+// evacuated.
 func (n *Node) watchConfig(ctx context.Context) {
 	w := n.watches[n.settings.Tables.Config]
-	n.keep(ctx, w, n.configWait, 0, func() { n.adopt(w) })
+	var evacuated []string
+	n.keep(ctx, w, n.configWait, 0, func() {
+		if zones := n.evacuatedZones(w.snapshot()); !slices.Equal(zones, evacuated) {
+			evacuated = zones
+			n.evacuated.Store(int64(len(zones)))
+			n.send(chuterelay.ZonesEvacuated{Zones: zones})
+		}
+		n.adopt(w)
+	})
+}
+
+// evacuatedZones returns the zones that the table says are evacuated, sorted. A row counts
+// whatever its value: an evacuation that is doubtful is obeyed.
+func (n *Node) evacuatedZones(table chutefeed.Table) []string {
+	var zones []string
+	for _, row := range table.Rows() {
+		if zone, ok := n.decode.EvacuatedZone(row.Key); ok {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones)
+
+	return zones
 }
 
 // adopt puts a newer configuration in force; one that can't be read leaves the old one there.
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -18,6 +18,7 @@
 		return float64(cfg.Version)
 	})
 	n.meter.Gauge("unreadable_entries_total", func() float64 { return float64(n.unreadable.Load()) })
+	n.meter.Gauge("zones_evacuated", func() float64 { return float64(n.evacuated.Load()) })
 	n.storeCalls.addGauges(n.meter.Gauge)
 	n.meter.Gauge("upstreams_ended_under_requests_total", func() float64 { return float64(n.crashes.Load()) })
 	n.meter.Gauge("requests_quarantined", func() float64 {
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -34,6 +34,8 @@
 		n.logNote(e)
 	case chuterelay.NoteZone:
 		n.log.Warn().Str("At", e.Zone).Bool("CutOff", e.CutOff).Strs("Silent", e.Silent).Msg("zone")
+	case chuterelay.NoteEvacuation:
+		n.log.Warn().Str("At", e.Zone).Bool("Evacuated", e.Evacuated).Msg("evacuation")
 	default:
 		n.performQuarantine(effect)
 	}
@@ -256,6 +258,9 @@
 			line = line.Str(field.name, field.value)
 		}
 	}
+	if len(e.Evacuated) > 0 {
+		line = line.Strs("Evacuated", e.Evacuated)
+	}
 	if e.Attempt > 0 {
 		line = line.Int("Attempt", e.Attempt)
 	}
--- a/internal/chutegate/seams.go
+++ b/internal/chutegate/seams.go
@@ -177,8 +177,11 @@
 
 // Decoders read the platform's rows; all fields must be set.
 type Decoders struct {
-	Config   func(value []byte) (chuteroute.Config, error)
-	Upstream func(key string, value []byte) (chutefleet.Upstream, error)
+	Config func(value []byte) (chuteroute.Config, error)
+	// EvacuatedZone returns the zone that a row of the configuration's table says is
+	// evacuated, by its key; false for all other rows.
+	EvacuatedZone func(key string) (zone string, ok bool)
+	Upstream      func(key string, value []byte) (chutefleet.Upstream, error)
 	// UpstreamEssence returns an upstream's entry without what each heartbeat changes;
 	// one that can't be read is returned as it is.
 	UpstreamEssence func(value []byte) []byte
--- a/internal/chutegate/zone_test.go
+++ b/internal/chutegate/zone_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -211,6 +212,7 @@
 
 				return chuteroute.Config{Version: version}, err
 			},
+			EvacuatedZone: evacuatedZone,
 			Upstream: func(key string, value []byte) (chutefleet.Upstream, error) {
 				return chutefleet.Upstream{ID: key, Name: key, State: chutefleet.State(value)}, nil
 			},
@@ -236,6 +238,11 @@
 	t.Cleanup(z.stops[self.Name])
 }
 
+// evacuatedZone reads the keys of evacuated zones in tests.
+func evacuatedZone(key string) (string, bool) {
+	return strings.CutPrefix(key, "evacuate/")
+}
+
 // kill ends a node without a word; its row stays.
 func (z *zone) kill(name string) {
 	z.stops[name]()
--- a/internal/chuterelay/admit.go
+++ b/internal/chuterelay/admit.go
@@ -58,7 +58,7 @@
 
 // queueOf names the queue in which a request's stage would wait.
 func (st *step) queueOf(r request, stage int) queueKey {
-	job := chutebatch.Job{Pool: r.Pipeline.Stages[stage].Pool, Zone: st.zones.reachable(r.zone, st.now)}
+	job := chutebatch.Job{Pool: r.Pipeline.Stages[stage].Pool, Zone: st.placeable(r.zone)}
 
 	return queueKey{
 		lane: chutebatch.Lane{Pool: job.Pool, Shard: st.shard(job)}, priority: r.rank(), workspace: r.Workspace.Name,
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -44,7 +44,7 @@
 	st.put(r)
 	st.note(StepAdmitted, r, func(n *Note) {
 		n.Fingerprint = r.Fingerprint
-		n.Zone, n.Waited, n.Aim = r.zone, r.waited, r.aimAt.Sub(st.now)
+		n.Zone, n.Waited, n.Aim, n.Evacuated = r.zone, r.waited, r.aimAt.Sub(st.now), st.fleet.EvacuatedZones()
 	})
 	st.do(SetDeadline{Handle: r.Handle, At: r.Deadline})
 	st.advance(r)
@@ -66,8 +66,8 @@
 	if refusal, held := st.quarantined(r.Fingerprint); held {
 		return refusal, true
 	}
-	if st.fleet.Len(r.pool, st.now) == 0 {
-		return notRun("no upstream of pool " + r.pool + " is listed"), true
+	if pool := st.unlisted(r); pool != "" {
+		return st.noUpstream(pool), true
 	}
 
 	return Refusal{}, false
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -134,6 +134,12 @@
 	Silent []string
 }
 
+// NoteEvacuation tells that a zone is evacuated from now on, or taken back.
+type NoteEvacuation struct {
+	Zone      string
+	Evacuated bool
+}
+
 // TickAt asks for a Ticked event.
 type TickAt struct {
 	At time.Time
@@ -197,5 +203,6 @@
 func (DropConnections) relayEffect() {}
 func (Probe) relayEffect()           {}
 func (NoteZone) relayEffect()        {}
+func (NoteEvacuation) relayEffect()  {}
 func (TickAt) relayEffect()          {}
 func (Charge) relayEffect()          {}
--- /dev/null
+++ b/internal/chuterelay/evacuate_test.go
@@ -0,0 +1,178 @@
+package chuterelay
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuteroute"
+)
+
+// expectSentTo sends plain requests and fails unless all of them go to one zone.
+func (n *node) expectSentTo(zone string, handle *uint64) {
+	n.Helper()
+	for range 30 {
+		*handle++
+		n.Assert(n.sent(plain(*handle, chuteroute.Repeatable)).Upstream.Zone, qt.Equals, zone)
+	}
+}
+
+func TestEvacuation(t *testing.T) {
+	t.Run("nothing is sent to an evacuated zone until it is taken back", func(t *testing.T) {
+		n := withFarZone(t)
+		handle := uint64(0)
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		n.Assert(only[NoteEvacuation](n), qt.Equals, NoteEvacuation{Zone: "z2", Evacuated: true})
+		n.expectSentTo("z1", &handle)
+		n.on(ZonesEvacuated{})
+		n.Assert(only[NoteEvacuation](n), qt.Equals, NoteEvacuation{Zone: "z2"})
+		n.untilFar(&handle)
+	})
+
+	t.Run("the own zone is evacuated too when it is its turn", func(t *testing.T) {
+		n := withFarZone(t)
+		handle := uint64(0)
+		n.on(ZonesEvacuated{Zones: []string{"z1"}})
+		n.expectSentTo("z2", &handle)
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		n.expectSentTo("z1", &handle)
+	})
+
+	t.Run("an upstream that is listed there after it began gets nothing", func(t *testing.T) {
+		n := withFarZone(t)
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		n.on(UpstreamsListed{Hold: true, Upstreams: []chutefleet.Upstream{{
+			ID: "new", Name: "new", Pool: plainPool, Zone: "z2", Slots: 99, State: chutefleet.StateReady,
+		}}})
+		handle := uint64(0)
+		n.expectSentTo("z1", &handle)
+	})
+
+	t.Run("a stream that runs there goes on, and what it lacks comes from elsewhere", func(t *testing.T) {
+		// The caller has the first events. Its engine may end the answer; when it breaks
+		// off in place of that, the rest must come from another zone.
+		n := withFarZone(t)
+		n.on(ZonesEvacuated{Zones: []string{"z1"}})
+		sent := n.sent(stream(1, chuteroute.Resumable))
+		n.Assert(sent.Upstream.Zone, qt.Equals, "z2")
+		n.on(AttemptBegan{Handle: 1, Attempt: sent.Attempt})
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		expectNo[CancelSend](n)
+		n.ends(sent, EndBroken)
+		for range 2 {
+			for _, call := range n.makeParts() {
+				n.Assert(call.Upstream.Zone, qt.Equals, "z1")
+			}
+		}
+		again := only[Send](n)
+		n.Assert(again.Upstream.Zone, qt.Equals, "z1")
+		n.Assert(again.Resume, qt.IsTrue)
+	})
+
+	t.Run("an unrepeatable call that runs there is left alone", func(t *testing.T) {
+		n := withFarZone(t)
+		n.on(ZonesEvacuated{Zones: []string{"z1"}})
+		sent := n.sent(plain(1, chuteroute.Unrepeatable))
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		expectNo[CancelSend](n)
+		n.ends(sent, EndAnswered)
+		only[Deliver](n)
+	})
+
+	t.Run("parts that wait at a collector go to another zone at once", func(t *testing.T) {
+		// All slots of the pool are taken when the evacuation begins; the parts that
+		// wait for them must not take the first that comes free there.
+		n := withFarZone(t)
+		n.on(Arrived{Submission: many(1)})
+		first := take[RunCall](n)
+		n.Assert(first, qt.HasLen, 8)
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		for _, call := range first {
+			n.answer(call)
+		}
+		for _, call := range take[RunCall](n) {
+			n.Assert(call.Upstream.Zone, qt.Equals, "z1")
+		}
+	})
+
+	t.Run("results that lie there are used and not given back by a call", func(t *testing.T) {
+		n := withFarZone(t)
+		n.on(ZonesEvacuated{Zones: []string{"z1"}})
+		sent := n.sent(stream(1, chuteroute.Resumable))
+		take[FreeResults](n) // those of the first stage, before the zone was evacuated
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		n.ends(sent, EndErrored)
+		again := only[Send](n)
+		n.Assert(again.Upstream.Zone, qt.Equals, "z1")
+		n.Assert(again.Inputs, qt.DeepEquals, sent.Inputs)
+		n.ends(again, EndAnswered)
+		expectNo[FreeResults](n)
+	})
+
+	t.Run("a silent upstream is not probed there", func(t *testing.T) {
+		n := withFarZone(t)
+		handle := uint64(0)
+		far := n.untilFar(&handle)
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		n.ends(far, EndUnreachable)
+		expectNo[Probe](n)
+	})
+
+	t.Run("with all zones evacuated a request is refused at once, and truly not run", func(t *testing.T) {
+		n := withFarZone(t)
+		n.on(ZonesEvacuated{Zones: []string{"z1", "z2"}})
+		n.on(Arrived{Submission: plain(1, chuteroute.Unrepeatable)})
+		refusal := n.expectRefused(RefusedNotRun)
+		n.Assert(refusal.RetryAfter > 0, qt.IsTrue)
+		expectNo[Send](n)
+	})
+
+	t.Run("a request whose stages run is refused when the last zone is evacuated", func(t *testing.T) {
+		// Held on, it would wait until its caller leaves.
+		n := withFarZone(t)
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		n.on(ZonesEvacuated{Zones: []string{"z1", "z2"}})
+		n.expectRefused(RefusedNotRun)
+	})
+
+	t.Run("a request of whose stages one has lost its pool is refused at once", func(t *testing.T) {
+		n := newNode(t)
+		n.on(UpstreamsListed{Upstreams: []chutefleet.Upstream{
+			{ID: "e", Name: "e", Pool: enginePool, Zone: "z1", Slots: 8, State: chutefleet.StateReady},
+			{ID: "p", Name: "p", Pool: partPool, Zone: "z2", Slots: 8, State: chutefleet.StateReady},
+		}})
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
+		n.expectRefused(RefusedNotRun)
+	})
+}
+
+// many is a request with more parts in its first stage than the whole pool takes at once.
+func many(handle uint64) Submission {
+	s := stream(handle, chuteroute.Resumable)
+	s.Parts = []int{100, 1}
+	s.Deadline = start.Add(time.Minute)
+	s.Pipeline.Aim = time.Minute
+	s.Pipeline.Stages = []chuteroute.Stage{{Pool: partPool, ResultBytes: 100}, {Pool: partPool, After: []int{0}, ResultBytes: 10}}
+
+	return s
+}
+
+func TestEvacuationAtCollector(t *testing.T) {
+	t.Run("a job from a node that has not heard of the evacuation runs elsewhere", func(t *testing.T) {
+		n := withFarZone(t)
+		n.on(ZonesEvacuated{Zones: []string{"z2"}})
+		n.on(JobAsked{Token: 7, Job: chutebatch.Job{
+			Request: "r", Pool: partPool, Shard: "z2", Zone: "z2", Parts: 3, Key: "k",
+			AimAt: n.now.Add(time.Second), Deadline: n.now.Add(2 * time.Second),
+		}})
+		for _, call := range take[RunCall](n) {
+			n.Assert(call.Upstream.Zone, qt.Equals, "z1")
+			n.answer(call)
+		}
+		n.Assert(only[GiveParts](n).Results, qt.HasLen, 3)
+	})
+}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -47,6 +47,11 @@
 	Hold      bool
 }
 
+// ZonesEvacuated reports all zones to whose upstreams the operator wants nothing sent.
+type ZonesEvacuated struct {
+	Zones []string
+}
+
 // PeersListed reports all nodes, this one included.
 type PeersListed struct {
 	Peers []Peer
@@ -205,6 +210,7 @@
 
 func (ConfigAdopted) relayEvent()   {}
 func (UpstreamsListed) relayEvent() {}
+func (ZonesEvacuated) relayEvent()  {}
 func (PeersListed) relayEvent()     {}
 func (Arrived) relayEvent()         {}
 func (CallerLeft) relayEvent()      {}
--- a/internal/chuterelay/note.go
+++ b/internal/chuterelay/note.go
@@ -45,6 +45,8 @@
 	Upstream string
 	Peer     string
 	Zone     string
+	// Evacuated are the zones that get nothing, when the request is admitted.
+	Evacuated []string
 	// Age is the time since the request arrived, Left the time until its deadline.
 	Age  time.Duration
 	Left time.Duration
--- a/internal/chuterelay/probe.go
+++ b/internal/chuterelay/probe.go
@@ -17,7 +17,7 @@
 func (st *step) silent(id string) {
 	st.fleet = st.fleet.WithFailure(id, chutefleet.FailureSilent, st.now)
 	u, ok := st.fleet.Get(id)
-	if _, probed := st.probed.Get(id); ok && !probed {
+	if _, probed := st.probed.Get(id); ok && !probed && !st.fleet.Evacuated(u.Zone) {
 		st.probed = st.probed.Set(id, true)
 		st.do(Probe{Upstream: u, At: st.now.Add(probeEvery)})
 	}
--- a/internal/chuterelay/results.go
+++ b/internal/chuterelay/results.go
@@ -115,7 +115,7 @@
 
 // free tells an upstream which results may go.
 func (st *step) free(f chutebatch.Free) {
-	if u, ok := st.fleet.Get(f.Upstream); ok {
+	if u, ok := st.fleet.Get(f.Upstream); ok && !st.fleet.Evacuated(u.Zone) {
 		st.do(FreeResults{Upstream: u, Refs: f.Refs})
 	}
 }
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -40,7 +40,7 @@
 	if r.begun {
 		job.Priority, job.AimAt = resumePriority, st.now.Add(resumeAim)
 	}
-	job.Zone = st.zones.reachable(job.Zone, st.now)
+	job.Zone = st.placeable(job.Zone)
 	job.Shard = st.shard(job)
 	peer := st.peers.collector(job.Lane(), st.zones.allCutOff(st.now), st.now)
 	a := ask{
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -175,6 +175,8 @@
 		st.adopt(e.Config)
 	case UpstreamsListed:
 		st.listUpstreams(e)
+	case ZonesEvacuated:
+		st.evacuate(e.Zones)
 	case PeersListed:
 		st.peers = st.peers.withListed(e.Peers)
 	case QuarantineHeard:
--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -17,6 +17,8 @@
 	Upstreams []chutefleet.View
 	Peers     []PeerView
 	Lanes     []LaneView
+	// Evacuated are the zones to whose upstreams nothing is sent.
+	Evacuated []string `json:",omitempty"`
 	// Quarantined are the requests that are set aside.
 	Quarantined []chutequarantine.Judgement `json:",omitempty"`
 }
@@ -50,7 +52,7 @@
 func (s State) View(now time.Time) View {
 	v := View{
 		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
-		Quarantined: s.quarantine.Held(now),
+		Quarantined: s.quarantine.Held(now), Evacuated: s.fleet.EvacuatedZones(),
 	}
 	for i := s.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
