Give a zone's nodes up after two that are mute, and ask lost ones ever more seldom

Cause, by reading and by test: a VM without power stays on the list of nodes. A node that needs a collector of its zone asks the dead ones in turn, each silent for half a second; the memory of a silence was 2 s, and signs of the zone's upstreams, which live on, ended it.

--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -1,6 +1,7 @@
 package chuterelay
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -9,9 +10,16 @@
 	"azurechute.example/azurechute/internal/chutebatch"
 )
 
-// peerPause is how long a silent peer is passed over; a frozen or cut off node
-// lasts seconds, and asking it again costs one ask its patience.
-const peerPause = 2 * time.Second
+const (
+	// peerPause is how long a lost peer is passed over at first. The pause doubles up to
+	// longestPeerPause each time it is lost again: asking it costs one ask its patience, a
+	// frozen or cut off node is back in seconds, and one whose VM is gone stays on the list.
+	peerPause        = 2 * time.Second
+	longestPeerPause = 32 * time.Second
+	// mutePeers is how many peers of a zone have to be mute, with none heard since, until
+	// the others of the zone are passed over too.
+	mutePeers = 2
+)
 
 // Peer is a node of the system.
 type Peer struct {
@@ -26,22 +34,31 @@
 	Power float64
 }
 
+// silence is what is known of a peer that was lost and not heard of since.
+type silence struct {
+	// until is when it may be asked again, after a pause.
+	until time.Time
+	pause time.Duration
+	// mute says that nothing came back from it, not even a refused connection.
+	mute bool
+}
+
 // peers is the list of nodes with this node's evidence on them.
 type peers struct {
 	self   Peer
 	all    []Peer
-	silent map[string]time.Time
+	silent map[string]silence
 	// leaving says that this node is shutting down and collects for nobody.
 	leaving bool
 }
 
 // withListed takes in the list of nodes.
 func (p peers) withListed(all []Peer) peers {
-	next := map[string]time.Time{}
+	next := map[string]silence{}
 	for _, peer := range all {
 		was := slices.IndexFunc(p.all, func(o Peer) bool { return o == peer })
-		if until, ok := p.silent[peer.Name]; ok && was >= 0 {
-			next[peer.Name] = until
+		if lost, ok := p.silent[peer.Name]; ok && was >= 0 {
+			next[peer.Name] = lost
 		}
 	}
 	p.all = slices.Clone(all)
@@ -50,20 +67,45 @@
 	return p
 }
 
-// withSilent passes a peer over for a while.
-func (p peers) withSilent(name string, now time.Time) peers {
-	next := make(map[string]time.Time, len(p.silent)+1)
-	for n, until := range p.silent {
-		if now.Before(until) {
-			next[n] = until
-		}
+// withSilent passes a peer over for a while; mute says that nothing at all came back from it.
+func (p peers) withSilent(name string, mute bool, now time.Time) peers {
+	next := maps.Clone(p.silent)
+	if next == nil {
+		next = map[string]silence{}
 	}
-	next[name] = now.Add(peerPause)
+	pause := max(peerPause, min(longestPeerPause, 2*next[name].pause))
+	next[name] = silence{until: now.Add(pause), pause: pause, mute: mute}
 	p.silent = next
 
 	return p
 }
 
+// withHeard forgets that a peer was lost.
+func (p peers) withHeard(name string) peers {
+	if _, lost := p.silent[name]; !lost {
+		return p
+	}
+	p.silent = maps.Clone(p.silent)
+	delete(p.silent, name)
+
+	return p
+}
+
+// muteZone says whether a zone's nodes are taken for gone, whatever its upstreams do.
+//
+// The nodes of a zone can lose power together, and stay on the list. Found out one by one,
+// each of tens of them costs a request a third of its time, at each node anew.
+func (p peers) muteZone(zone string, now time.Time) bool {
+	mute := 0
+	for _, peer := range p.all {
+		if lost := p.silent[peer.Name]; peer.Zone == zone && lost.mute && now.Before(lost.until) {
+			mute++
+		}
+	}
+
+	return mute >= mutePeers
+}
+
 // strongEnough is the part of the strongest node's power that a collector needs:
 // on a weak VM the parts of a whole pool would wait for its processor or its link.
 const strongEnough = 0.5
@@ -108,6 +150,9 @@
 
 // candidates lists the nodes that are not silent, those of the zone if there are any.
 func (p peers) candidates(zone string, unreachable []string, now time.Time) []Peer {
+	if zone != p.self.Zone && p.muteZone(zone, now) {
+		unreachable = append(slices.Clone(unreachable), zone)
+	}
 	var all, near []Peer
 	for _, peer := range p.all {
 		if p.passedOver(peer, now) || slices.Contains(unreachable, peer.Zone) {
@@ -131,7 +176,7 @@
 		return p.leaving
 	}
 
-	return now.Before(p.silent[peer.Name])
+	return now.Before(p.silent[peer.Name].until)
 }
 
 func strongest(peers []Peer) float64 {
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -118,6 +118,7 @@
 		return
 	}
 	st.noteHeard(a.peer.Zone)
+	st.peers = st.peers.withHeard(a.peer.Name)
 	st.hear(e.Loads)
 	st.noteWait(r, a.queue, e.Wait, e.Beyond)
 	s := r.stages[a.stage]
@@ -150,7 +151,7 @@
 	}
 	st.hear(e.Loads)
 	if e.PeerLost {
-		st.peers = st.peers.withSilent(a.peer.Name, st.now)
+		st.peers = st.peers.withSilent(a.peer.Name, e.PeerSilent, st.now)
 	}
 	if e.PeerSilent {
 		st.noteSilent(a.peer.Zone, a.peer.Name)
--- a/internal/chuterelay/stages_test.go
+++ b/internal/chuterelay/stages_test.go
@@ -138,7 +138,7 @@
 		n := withPeer(t)
 		lane := chutebatch.Lane{Pool: partPool}
 		peer := n.state.peers.collector(lane, nil, n.now)
-		n.state.peers = n.state.peers.withSilent(peer.Name, n.now)
+		n.state.peers = n.state.peers.withSilent(peer.Name, false, n.now)
 		n.Assert(n.state.peers.collector(lane, nil, n.now).Name, qt.Equals, self.Name)
 		n.Assert(n.state.peers.collector(lane, nil, n.now.Add(peerPause)).Name, qt.Equals, peer.Name)
 	})
@@ -336,10 +336,45 @@
 		p := peers{self: self}.withListed(append(all, strong))
 		c.Assert(p.collector(lane, nil, start), qt.Equals, strong)
 		// Without the strong one, a weak one of the zone goes before strangers.
-		p = p.withSilent("strong", start)
+		p = p.withSilent("strong", false, start)
 		c.Assert(p.collector(lane, nil, start).Zone, qt.Equals, "z2")
 	})
 
+	t.Run("a zone whose nodes are gone is given up after two, however many it has", func(t *testing.T) {
+		// The zone's nodes lost power, its upstreams did not, and the list keeps them all.
+		// Requests come seldom; each of them would find another two nodes silent.
+		c := qt.New(t)
+		all := []Peer{self}
+		for i := range 100 {
+			all = append(all, Peer{Name: fmt.Sprint("gone", i), Zone: "z2", Power: 1})
+		}
+		p := peers{self: self}.withListed(all)
+		asked := 0
+		now := start
+		for ; now.Before(start.Add(time.Minute)); now = now.Add(3 * time.Second) {
+			for p.collector(lane, nil, now).Zone == "z2" {
+				asked++
+				p = p.withSilent(p.collector(lane, nil, now).Name, true, now)
+			}
+		}
+		// Two at first, and each of them again after 2, 4, 8, 16 and 32 s.
+		c.Assert(asked <= 12, qt.IsTrue, qt.Commentf("%d were asked", asked))
+		// They are back, as processes of their own.
+		for i := range all {
+			all[i].Incarnation = "again"
+		}
+		c.Assert(p.withListed(all).collector(lane, nil, now).Zone, qt.Equals, "z2")
+	})
+
+	t.Run("one that is heard again counts as lost no longer", func(t *testing.T) {
+		c := qt.New(t)
+		far := Peer{Name: "far", Zone: "z2", Power: 1}
+		p := peers{self: self}.withListed([]Peer{self, far})
+		lost := p.withSilent("far", true, start).withSilent("far", true, start)
+		c.Assert(lost.collector(lane, nil, start.Add(peerPause)), qt.Equals, self)
+		c.Assert(lost.withHeard("far").collector(lane, nil, start), qt.Equals, far)
+	})
+
 	t.Run("all nodes with the same list choose the same one", func(t *testing.T) {
 		c := qt.New(t)
 		a, b := Peer{Name: "a", Power: 1}, Peer{Name: "b", Power: 1}
