--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -192,6 +192,14 @@
 	Alive    bool
 }
 
+// RoomTold reports what an upstream said of its room for results.
+type RoomTold struct {
+	Upstream string
+	// Known says that it answered, Free is the room in bytes that is left there.
+	Known bool
+	Free  int64
+}
+
 // QuarantineHeard reports what other nodes tell of crashes and judgements.
 type QuarantineHeard struct {
 	Crashes    []chutequarantine.Crash
@@ -225,6 +233,7 @@
 func (AttemptBegan) relayEvent()    {}
 func (AttemptEnded) relayEvent()    {}
 func (ProbeEnded) relayEvent()      {}
+func (RoomTold) relayEvent()        {}
 func (QuarantineHeard) relayEvent() {}
 func (JudgeDue) relayEvent()        {}
 func (DrainStarted) relayEvent()    {}
