--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -222,8 +222,7 @@
 
 // patience is how long heavy parts wait for an upstream in the zone where their data
 // is, and all parts for a quick upstream before a slow one: a full call, after which it
-// is free again. Against half a call that halves the bytes between zones; with two
-// calls more answers are late than that is worth.
+// is free again. Sooner, data crosses zones that could have stayed; later, the answer is late.
 func (f *filling) patience() time.Duration {
 	return f.batching.FullCall()
 }
@@ -243,8 +242,8 @@
 //
 // Each part fetches all inputs, so several of them outweigh the rest. Results weigh
 // only if the call fetches them: those for another stage are fetched where that stage
-// is then made, beside them. Waiting for a zone with them as well took a tenth of a
-// second from the aim of each request with a chain of stages, for nothing.
+// is then made, beside them. Waiting for a zone with them as well would take time from the
+// aim of each request with a chain of stages, for nothing.
 func (j *job) heavy() bool {
 	last := len(j.Then) == 0
 
--- a/internal/chutebatch/late.go
+++ b/internal/chutebatch/late.go
@@ -7,8 +7,7 @@
 )
 
 // holdShare is the part of a caller's time left for which a late job waits: the other
-// half is left for the stages that follow, or for the caller's other sending. From a
-// third to two thirds nothing else differed by more than its error.
+// half is left for the stages that follow, or for the caller's other sending.
 const holdShare = 1.0 / 2
 
 // WorthEnding is the time up to which an answer is worth waiting for in a queue.
@@ -17,9 +16,7 @@
 // aim alone, callers come back with their aim passed and meet the same queue: in bursts
 // that take a pool to its limit for some seconds callers were refused twice, though the
 // queue was gone long before their deadlines. Held to the deadline, they would have no
-// time for their other sending. Held for a part of their time, 1.3 of 100 requests were
-// refused in place of 3.5 (mean of eight pairs of whole days with bursts of 1.5 to 2.5
-// times the load of one kind).
+// time for their other sending. So they are held for a part of it.
 func WorthEnding(aimAt, deadline time.Time) time.Time {
 	return aimAt.Add(time.Duration(holdShare * float64(max(0, deadline.Sub(aimAt)))))
 }
--- a/internal/chutebatch/queue.go
+++ b/internal/chutebatch/queue.go
@@ -167,9 +167,8 @@
 }
 
 // lateAfter is the start by which a job must begin now to make its aim: under load
-// calls are full. Taken for a small one, jobs were run as timely that ended a tenth of a
-// second late, in the place of others that would have been on time: of a burst of twice
-// a pool's rate 75 in 100 were on time in place of 92 (BenchmarkLoad).
+// calls are full. Taken for a small one, jobs would be run as timely that end
+// just too late, in the place of others that would have been on time.
 func lateAfter(b chuteroute.Batching, now time.Time) int64 {
 	return now.Add(b.FullCall()).UnixNano()
 }
--- a/internal/chutefleet/choose.go
+++ b/internal/chutefleet/choose.go
@@ -11,9 +11,8 @@
 const (
 	// affinityFactor and affinitySlots bound the load up to which prompts stay at the
 	// upstream that holds their prefix: 1.5 times the pool's mean, and a tenth of the
-	// upstream's slots besides. Each running call slows an engine's others by some 2%;
-	// reading a prefix again takes as long as a third of a call. Against a fixed two
-	// calls it reads a quarter fewer tokens again in bursts.
+	// upstream's slots besides. Reading a prefix again takes longer than a few more calls
+	// beside a prompt slow it, and in a burst all upstreams have more calls.
 	affinityFactor = 1.5
 	affinitySlots  = 0.1
 	// failurePenalty is the load that one recent failure counts for.
--- a/internal/chutegate/moves.go
+++ b/internal/chutegate/moves.go
@@ -56,7 +56,7 @@
 // line that counts them where they are many.
 //
 // A node that starts finds thousands of upstreams at once. A line each, at every start
-// of every node, was a third of all lines of a day with 232 nodes.
+// of every node, would drown what else the log tells.
 func (n *Node) logMoves(before, after []chutefleet.Upstream) {
 	m := movesOf(before, after)
 	listed := slices.Concat(m.joined, m.leaving, m.unreadable)
--- a/internal/chutegate/ready.go
+++ b/internal/chutegate/ready.go
@@ -7,9 +7,7 @@
 
 // startHold is how long after its start a node lets requests wait until it knows the
 // configuration and the upstreams. It mostly takes 0.1 s, with thousands of upstreams
-// 0.5 s. Refused at once, their callers went to another node that had started as late.
-// On a day on which all of 195 nodes were killed twice, 38 sendings were answered with 503
-// in place of 217.
+// 0.5 s. Refused at once, their callers go to another node that has started as late.
 const startHold = time.Second
 
 // quarantineHold is how long after its start a node lets requests wait until it knows which
--- a/internal/chuterelay/patience.go
+++ b/internal/chuterelay/patience.go
@@ -8,8 +8,8 @@
 
 const (
 	// backBelow is the part of the usual patience below which a caller is taken for
-	// one that was turned away and has come back: patience as callers state it at
-	// first differs by up to 15%, and whoever was told to come back has used more.
+	// one that was turned away and has come back: what callers state at first
+	// differs somewhat, and whoever was told to come back has used more.
 	backBelow = 0.85
 	// firstShare is where first callers lie on average, between that and the longest.
 	firstShare = (1 + backBelow) / 2
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -84,8 +84,7 @@
 //
 // All of a workspace's requests have its priority. Ordered by their aims alone within
 // it, requests with a long aim that have waited for a while go ahead of urgent ones
-// with a short one, which are turned away: under load the most urgent pipeline had
-// 57% of its worth where a less urgent one had 80%.
+// with a short one, which are turned away, so that the most urgent pipeline is served least.
 func (r request) rank() int {
 	return r.priority()*rankSpan + min(max(0, r.Pipeline.Priority), rankSpan-1)
 }
