--- a/internal/chutebatch/room.go
+++ b/internal/chutebatch/room.go
@@ -79,30 +79,6 @@
 	return int64(float64(s.bytes) * left)
 }
 
-// WithRoomTold takes in an upstream's own word on the room that is left there: what this
-// collector did not have made is others' results.
-func (c Collector) WithRoomTold(pool, upstream string, free int64, now time.Time) Collector {
-	batching := c.pools[pool]
-	own, _ := c.rooms.Get(upstream)
-	others := batching.Room - free - own.at(now).bytes
-	known, ok := c.strangers.Get(upstream)
-	switch {
-	case others <= 0:
-		c.strangers = c.strangers.Delete(upstream)
-	case ok && now.Before(known.until):
-		c.strangers = c.strangers.Set(upstream, stranger{bytes: others, since: now, until: known.until})
-	default:
-		c.strangers = c.strangers.Set(upstream, stranger{bytes: others, since: now, until: now.Add(batching.ResultTTL)})
-	}
-
-	return c
-}
-
-// Crowded says whether others' results are believed to lie at an upstream.
-func (c Collector) Crowded(upstream string, now time.Time) bool {
-	return c.foreign(upstream, now) > 0
-}
-
 // withoutRoom takes in that an upstream had no room for parts that should have fitted.
 //
 // What an earlier collector had made lies there until its time is over, or until
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -58,8 +58,6 @@
 		n.spawn(func(ctx context.Context) { n.runCall(ctx, e) })
 	case chuterelay.FreeResults:
 		n.spawn(func(ctx context.Context) { n.free(ctx, e) })
-	case chuterelay.AskRoom:
-		n.spawn(func(ctx context.Context) { n.askRoom(ctx, e) })
 	case chuterelay.DropConnections:
 		n.upstreams.Forget(e.Address)
 	case chuterelay.Probe:
@@ -215,20 +213,6 @@
 	n.send(chuterelay.ProbeEnded{Upstream: e.Upstream.ID, Alive: n.upstreams.Alive(ctx, e.Upstream.Address)})
 }
 
-// roomTimeout bounds the question for an upstream's room, which is answered without a slot.
-const roomTimeout = 300 * time.Millisecond
-
-// askRoom asks an upstream how much room for results is left there.
-func (n *Node) askRoom(ctx context.Context, e chuterelay.AskRoom) {
-	ctx, cancel := context.WithTimeout(ctx, roomTimeout)
-	defer cancel()
-	free, err := n.upstreams.Room(ctx, e.Upstream)
-	if err != nil {
-		n.log.Debug().Err(err).Str("Upstream", e.Upstream.ID).Msg("room not told; parts find it out")
-	}
-	n.send(chuterelay.RoomTold{Upstream: e.Upstream.ID, Known: err == nil, Free: free})
-}
-
 // free tells an upstream that results may go.
 func (n *Node) free(ctx context.Context, e chuterelay.FreeResults) {
 	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
--- a/internal/chutegate/seams.go
+++ b/internal/chutegate/seams.go
@@ -132,8 +132,6 @@
 	RunParts func(ctx context.Context, u chutefleet.Upstream, parts []PartWork) (PartsAnswer, error)
 	// Free tells an upstream which results nobody needs.
 	Free func(ctx context.Context, u chutefleet.Upstream, refs []string) error
-	// Room returns the bytes of room for results that are left at an upstream.
-	Room func(ctx context.Context, u chutefleet.Upstream) (int64, error)
 	// Ended says whether a process that was at an address has ended: the VM is there and
 	// refuses connections. No answer proves nothing.
 	Ended func(ctx context.Context, address string) bool
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -134,14 +134,13 @@
 		return
 	}
 	var calls []chutebatch.Call
-	st.collector, calls = st.collector.Fill(lane, st.knownRooms(lane, st.seats(lane)), st.now)
+	st.collector, calls = st.collector.Fill(lane, st.seats(lane), st.now)
 	for _, call := range calls {
 		u, ok := st.fleet.Get(call.Upstream)
 		if !ok {
 			continue
 		}
 		st.fleet = st.fleet.WithSent(u.ID, 0, st.now)
-		st.roomUsed(u.ID)
 		st.do(RunCall{Call: call, Upstream: u, Timeout: st.callTimeout(call)})
 	}
 	if st.tickAt.IsZero() && st.collector.Waiting(lane) > 0 {
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -126,11 +126,6 @@
 	At       time.Time
 }
 
-// AskRoom asks an upstream how much room for results is left there.
-type AskRoom struct {
-	Upstream chutefleet.Upstream
-}
-
 // NoteZone tells that another zone is taken for cut off, or was heard from again.
 type NoteZone struct {
 	Zone   string
@@ -207,7 +202,6 @@
 func (FreeResults) relayEffect()     {}
 func (DropConnections) relayEffect() {}
 func (Probe) relayEffect()           {}
-func (AskRoom) relayEffect()         {}
 func (NoteZone) relayEffect()        {}
 func (NoteEvacuation) relayEffect()  {}
 func (TickAt) relayEffect()          {}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -192,14 +192,6 @@
 	Alive    bool
 }
 
-// RoomTold reports what an upstream said of its room for results.
-type RoomTold struct {
-	Upstream string
-	// Known says that it answered, Free is the room in bytes that is left there.
-	Known bool
-	Free  int64
-}
-
 // QuarantineHeard reports what other nodes tell of crashes and judgements.
 type QuarantineHeard struct {
 	Crashes    []chutequarantine.Crash
@@ -233,7 +225,6 @@
 func (AttemptBegan) relayEvent()    {}
 func (AttemptEnded) relayEvent()    {}
 func (ProbeEnded) relayEvent()      {}
-func (RoomTold) relayEvent()        {}
 func (QuarantineHeard) relayEvent() {}
 func (JudgeDue) relayEvent()        {}
 func (DrainStarted) relayEvent()    {}
--- a/internal/chuterelay/harness_test.go
+++ b/internal/chuterelay/harness_test.go
@@ -21,8 +21,6 @@
 	state   State
 	now     time.Time
 	effects []Effect
-	// keepsRooms leaves questions for rooms to the test; else all upstreams have room.
-	keepsRooms bool
 }
 
 const (
@@ -76,13 +74,7 @@
 func (n *node) on(e Event) {
 	var effects []Effect
 	n.state, effects = Reduce(n.state, n.now, e)
-	for _, effect := range effects {
-		if ask, ok := effect.(AskRoom); ok && !n.keepsRooms {
-			n.on(RoomTold{Upstream: ask.Upstream.ID, Known: true, Free: 1 << 20})
-		} else {
-			n.effects = append(n.effects, effect)
-		}
-	}
+	n.effects = append(n.effects, effects...)
 }
 
 // pass lets time go by.
--- a/internal/chuterelay/restart.go
+++ b/internal/chuterelay/restart.go
@@ -29,7 +29,6 @@
 	st.do(DropConnections{Address: u.Address})
 	st.paces = st.paces.Delete(u.ID)
 	st.probed = st.probed.Delete(u.ID)
-	st.roomAsks = st.roomAsks.Delete(u.ID)
 	st.endAttemptsAt(u)
 	st.loseResultsAt(u)
 	if u.State == chutefleet.StateReady {
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -39,8 +39,6 @@
 	budgets *immutable.Map[string, Budget]
 	// paces maps an upstream to how quickly it runs calls with parts.
 	paces *immutable.Map[string, pace]
-	// roomAsks maps an upstream to what this node knows of its room.
-	roomAsks *immutable.Map[string, roomAsk]
 	// zones tells which other zones are cut off from this node.
 	zones zones
 	// probed are the silent upstreams that are asked whether they are back.
@@ -78,7 +76,6 @@
 		budgets:   immutable.NewMap[string, Budget](nil),
 		paces:     immutable.NewMap[string, pace](nil),
 		probed:    immutable.NewMap[string, bool](nil),
-		roomAsks:  immutable.NewMap[string, roomAsk](nil),
 		waits:     immutable.NewMap[queueKey, heardWait](queueHasher{}),
 		ownWaits:  immutable.NewMap[queueKey, heardWait](queueHasher{}),
 		callTimes: newCallTimes(),
@@ -169,8 +166,6 @@
 		st.attemptEnded(e)
 	case ProbeEnded:
 		st.probeEnded(e)
-	case RoomTold:
-		st.roomTold(e)
 	default:
 		st.applyNews(event)
 	}
