--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -25,18 +25,18 @@
 	BarEvacuated Bar = "Evacuated"
 	// BarSetAside: it went silent and has a pause.
 	BarSetAside Bar = "SetAside"
-	// BarCold: it is cold, and this node has sent it its part of the calls that it bears.
-	BarCold Bar = "Cold"
 	// BarTried: its pause is over, and one call is finding out whether it is back.
 	BarTried Bar = "Tried"
+	// BarCold: it is cold, and this node has sent it its part of the calls that it bears.
+	BarCold Bar = "Cold"
 )
 
 // Availability says whether an upstream may get a call.
 type Availability struct {
 	// Bar is BarNone if it may.
-	Bar Bar
+	Bar Bar `json:",omitempty"`
 	// Until is when the bar ends by itself; zero if only news can end it.
-	Until time.Time
+	Until time.Time `json:",omitzero"`
 }
 
 // Open says whether the upstream may get a call.
