--- a/cmd/azurechute/main.go
+++ b/cmd/azurechute/main.go
@@ -42,6 +42,7 @@
 	app.Serve = serve
 	app.Relay = func(ctx context.Context, path string) error { return relay(ctx, path, reload) }
 	app.ReadLedger = chuteplatform.ReadLedger
+	app.ReadZones = chuteplatform.ReadZones
 	app.ReadQuarantine = chuteplatform.ReadQuarantine
 	app.Lift = chuteplatform.Lift
 
--- a/internal/chutecli/app.go
+++ b/internal/chutecli/app.go
@@ -13,12 +13,13 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chutestore"
 	"azurechute.example/azurechute/internal/chutetable"
 )
 
-// App is what the commands run with; New fills in all but Serve, Relay, ReadLedger, ReadQuarantine and Lift.
+// App is what the commands run with; New fills in all but Serve, Relay, ReadLedger, ReadQuarantine, Lift and ReadZones.
 type App struct {
 	// Serve runs the server until ctx ends, with the settings in the named file.
 	Serve func(ctx context.Context, settingsPath string) error
@@ -26,6 +27,8 @@
 	Relay func(ctx context.Context, settingsPath string) error
 	// ReadLedger reads the rows of cost counters from the platform's store at an address.
 	ReadLedger func(ctx context.Context, address string) ([]json.RawMessage, error)
+	// ReadZones reads what the platform's store at an address holds of each zone.
+	ReadZones func(ctx context.Context, address string) ([]chutefleet.ZoneView, error)
 	// ReadQuarantine reads the judgements on requests from the platform's store at an address.
 	ReadQuarantine func(ctx context.Context, address string) ([]chutequarantine.Judgement, error)
 	// Lift sets a request free; it returns an error if it is not set aside.
@@ -85,6 +88,7 @@
 	Cost       costCommand        `cmd:"" help:"Show what each stage cost a team."`
 	Quarantine quarantineCommands `cmd:"" help:"List the requests that are set aside since upstreams end under them, and set one free."`
 
+	Zones   zonesCommand   `cmd:"" help:"Show which availability zones are evacuated, and their upstreams."`
 	State   stateCommand   `cmd:"" help:"Dump a node's whole state."`
 	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request, and why."`
 	Summary summaryCommand `cmd:"" help:"Count from logs how requests ended and why, and how long their steps took."`
--- a/internal/chutecli/quarantine.go
+++ b/internal/chutecli/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"strconv"
 	"strings"
-	"time"
 
 	"azurechute.example/azurechute/internal/chutequarantine"
 )
@@ -14,14 +13,8 @@
 	Lift liftCommand           `cmd:"" help:"Set one request free."`
 }
 
-// quarantineFlags name the store that nodes keep the quarantine in.
-type quarantineFlags struct {
-	Platform string        `env:"AZURECHUTE_PLATFORM" help:"Address of the platform's store." placeholder:"HOST:PORT" required:""`
-	Timeout  time.Duration `default:"10s" help:"How long the command may take."`
-}
-
 type listQuarantineCommand struct {
-	quarantineFlags
+	storeFlags
 
 	All bool `help:"Show requests that were cleared or lifted too."`
 }
@@ -53,7 +46,7 @@
 }
 
 type liftCommand struct {
-	quarantineFlags
+	storeFlags
 
 	Fingerprint string `arg:"" help:"The request's fingerprint, as list and the nodes' logs show it."`
 }
--- a/internal/chutegate/follow.go
+++ b/internal/chutegate/follow.go
@@ -104,7 +104,7 @@
 		if current {
 			w.reached(true, now)
 		}
-		w.setCurrent(current)
+		w.setCurrent(current, now)
 		if w.unsettled(now) {
 			changed()
 		}
@@ -122,7 +122,7 @@
 	if err == nil || ctx.Err() != nil {
 		return followOther
 	}
-	w.setCurrent(false)
+	w.setCurrent(false, n.Now())
 	n.lost.add(source.Name, n.Now())
 	n.log.Info().Str("Table", w.name).Str("Peer", source.Name).AnErr("Cause", err).Msg("the node that was followed is lost")
 	if source.Zone != n.settings.Self.Zone {
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -18,6 +18,14 @@
 		return float64(cfg.Version)
 	})
 	n.meter.Gauge("unreadable_entries_total", func() float64 { return float64(n.unreadable.Load()) })
+	n.meter.Gauge("config_age_seconds", func() float64 {
+		age, known := n.watches[n.settings.Tables.Config].age(n.Now())
+		if !known {
+			return -1
+		}
+
+		return age.Seconds()
+	})
 	n.meter.Gauge("zones_evacuated", func() float64 { return float64(n.evacuated.Load()) })
 	n.meter.Gauge("upstreams_cold", func() float64 {
 		cold := 0
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -170,7 +170,7 @@
 		now := n.Now()
 		n.storeFailedAt.Store(&now)
 	}
-	w.setCurrent(err == nil)
+	w.setCurrent(err == nil, n.Now())
 	if w.reached(err == nil, n.Now()) {
 		n.log.Info().Str("Table", w.name).Bool("Reached", err == nil).AnErr("Cause", err).Msg("store")
 	}
--- a/internal/chutegate/watch.go
+++ b/internal/chutegate/watch.go
@@ -30,6 +30,8 @@
 	// current says that the last word on the store is good: the own read, or that of
 	// the node that is followed.
 	current bool
+	// confirmedAt is when that word was last good; zero if it never was.
+	confirmedAt time.Time
 	// changed is closed and replaced by each change of the rows or of current.
 	changed chan struct{}
 	// returnedAt is when the store answered again after it had been away.
@@ -133,16 +135,27 @@
 }
 
 // setCurrent notes whether the last word on the store is good.
-func (w *watch) setCurrent(current bool) {
+func (w *watch) setCurrent(current bool, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	if current {
+		w.confirmedAt = now
+	}
 	if w.current != current {
 		w.current = current
 		w.wake()
 	}
 }
 
+// age is how long ago the table was last known to be up to date; false if it never was.
+func (w *watch) age(now time.Time) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return now.Sub(w.confirmedAt), !w.confirmedAt.IsZero()
+}
+
 // after returns the version to read on from, and false if everything has to be read.
 func (w *watch) after() (uint64, bool) {
 	w.mu.Lock()
