--- a/internal/chuterelay/evacuate_sim_test.go
+++ b/internal/chuterelay/evacuate_sim_test.go
@@ -108,6 +108,23 @@
 	}
 }
 
+// rounds lets news reach every node.
+func (s *evacSim) rounds() {
+	for range evacHops {
+		s.round()
+	}
+}
+
+// restartSome kills a fifth of the nodes and starts them again.
+func (s *evacSim) restartSome(seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	for _, peer := range s.peers {
+		if random.IntN(5) == 0 {
+			s.begin(peer)
+		}
+	}
+}
+
 // take brings a node's table up to another one, evacuated zones ahead of the configuration.
 func (s *evacSim) take(n *evacNode, from chutefeed.Table) {
 	if from.Version() <= n.table.Version() {
@@ -150,23 +167,14 @@
 	for _, size := range []int{4, 40, 400} {
 		t.Run(fmt.Sprint(size, " nodes"), func(t *testing.T) {
 			s := newEvacSim(t, size)
-			random := rand.New(rand.NewPCG(uint64(size), 3))
-			for range evacHops {
-				s.round()
-			}
+			s.rounds()
 			s.write(evacPrefix+"z1", true)
-			for range evacHops {
-				s.round()
-			}
+			s.rounds()
 			s.expectNothingTo("z1")
 
 			// A fifth of the nodes is killed and starts again, while the store is away.
 			s.away = true
-			for _, peer := range s.peers {
-				if random.IntN(5) == 0 {
-					s.begin(peer)
-				}
-			}
+			s.restartSome(uint64(size))
 			for range evacHops {
 				s.round()
 				s.expectNothingTo("z1")
@@ -178,9 +186,7 @@
 			s.write(evacPrefix+"z1", false)
 			s.write(evacPrefix+"z3", true)
 			s.write(evacPrefix+"z3", false)
-			for range evacHops {
-				s.round()
-			}
+			s.rounds()
 			s.expectNothingTo("z2")
 			for name, n := range s.nodes {
 				s.Assert(n.state.Fleet().EvacuatedZones(), qt.DeepEquals, []string{"z2"}, qt.Commentf("%s", name))
