--- a/internal/chuterelay/warmup_test.go
+++ b/internal/chuterelay/warmup_test.go
@@ -283,3 +283,32 @@
 		qt.Assert(t, float64(s.worst(20)) <= bears, qt.IsTrue, qt.Commentf("%d calls in a second", s.worst(20)))
 	})
 }
+
+func TestWarmupOfStages(t *testing.T) {
+	// An upstream that runs parts has just started and bears one call a second. The collector
+	// gives it one; the other parts go to the warm one, call by call.
+	n := newNode(t)
+	cfg := testConfig(2)
+	pool := cfg.Pools[partPool]
+	pool.Warmup = &chuteroute.Warmup{Time: coldTime, CallsPerSecond: 1}
+	cfg.Pools[partPool] = pool
+	n.on(ConfigAdopted{Config: cfg})
+	list := testUpstreams()
+	for i := range list {
+		if list[i].ID == partPool+"0" {
+			list[i].Cold = coldStep
+		}
+	}
+	n.on(UpstreamsListed{Upstreams: list})
+	n.on(Arrived{Submission: many(1)})
+	calls := map[string]int{}
+	for range 5 {
+		for _, call := range take[RunCall](n) {
+			calls[call.Upstream.ID]++
+			n.pass(100 * time.Millisecond)
+			n.answer(call)
+		}
+	}
+	n.Assert(calls[partPool+"0"], qt.Equals, 1)
+	n.Assert(calls[partPool+"1"] > 1, qt.IsTrue)
+}
