--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -85,6 +85,17 @@
 	return b == BarUnlisted || b == BarLeaving || b == BarUnreadable || b == BarEvacuated
 }
 
+// Empty says whether something that only news can end bars all upstreams of a pool.
+func (f Fleet) Empty(pool string, now time.Time) bool {
+	for _, id := range f.pools[pool] {
+		if m, _ := f.members.Get(id); !f.availability(&m, now).Bar.Lasting() {
+			return false
+		}
+	}
+
+	return true
+}
+
 // Len counts the upstreams of a pool that nothing bars but what passes by itself.
 func (f Fleet) Len(pool string, now time.Time) int {
 	n := 0
--- a/internal/chutefleet/availability_test.go
+++ b/internal/chutefleet/availability_test.go
@@ -73,6 +73,9 @@
 			c := qt.New(t)
 			c.Assert(test.fleet.Availability("a", test.now), qt.Equals, test.want)
 			c.Assert(test.want.Bar.Lasting(), qt.Equals, test.lasting)
+			alone := test.fleet.WithLeaving("b")
+			c.Assert(alone.Empty("p", test.now), qt.Equals, test.lasting)
+			c.Assert(alone.Len("p", test.now) == 0, qt.Equals, test.lasting)
 			expectEverywhere(c, test.fleet, "a", test.now, test.want.Open())
 		})
 	}
--- a/internal/chuterelay/evacuate.go
+++ b/internal/chuterelay/evacuate.go
@@ -52,11 +52,11 @@
 // With a stage's pool gone, the request would wait in a queue that nobody empties until its
 // caller leaves.
 func (st *step) unlisted(r request) string {
-	if st.fleet.Len(r.pool, st.now) == 0 {
+	if st.fleet.Empty(r.pool, st.now) {
 		return r.pool
 	}
 	for i, stage := range r.Pipeline.Stages {
-		if r.parts(i) > 0 && !r.stages[i].done && st.fleet.Len(stage.Pool, st.now) == 0 {
+		if r.parts(i) > 0 && !r.stages[i].done && st.fleet.Empty(stage.Pool, st.now) {
 			return stage.Pool
 		}
 	}
