Log and count repeats with the retry budget that decided them

Cause: no line or metric said how many repeats a node had left, by which counts, or among how many nodes the slack was divided, so a short list could not be told from a window that forgets Change: sent lines of repeats have RepeatOf and Budget, a line where a repeat is refused, counters by pool and cause, the budgets in the state dump, repeats by pool in azurechute summary Measured: nothing yet; no decision changed Tests: TestSummaryOfRepeats, TestRepeats

--- a/internal/chutecli/explain.go
+++ b/internal/chutecli/explain.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // maxLogLine bounds one line of a log.
@@ -31,24 +32,51 @@
 
 // logLine is one decision on a request as nodes log it.
 type logLine struct {
-	Request   string `json:",omitempty"`
-	Node      string
-	Step      string `json:"message"`
-	Workspace string `json:",omitempty"`
-	Pipeline  string `json:",omitempty"`
-	Pool      string `json:",omitempty"`
-	Stage     *int   `json:",omitempty"`
-	Upstream  string `json:",omitempty"`
-	Peer      string `json:",omitempty"`
-	At        string `json:",omitempty"`
-	Reason    string `json:",omitempty"`
-	Attempt   int    `json:",omitempty"`
-	WaitMs    int64  `json:",omitempty"`
-	Parts     int    `json:",omitempty"`
-	AimMs     int64  `json:",omitempty"`
-	AgeMs     int64
-	LeftMs    int64
-	Version   uint64 `json:",omitempty"`
+	Request string `json:",omitempty"`
+	Node    string
+	Step    string `json:"message"`
+	// Time is the node's time of day, to the second.
+	Time      time.Time `json:"time,omitzero"`
+	Workspace string    `json:",omitempty"`
+	Pipeline  string    `json:",omitempty"`
+	Pool      string    `json:",omitempty"`
+	Stage     *int      `json:",omitempty"`
+	Upstream  string    `json:",omitempty"`
+	Peer      string    `json:",omitempty"`
+	At        string    `json:",omitempty"`
+	Reason    string    `json:",omitempty"`
+	// RepeatOf is how the call before ended, Budget the counts that allowed or refused a repeat.
+	RepeatOf string        `json:",omitempty"`
+	Budget   *budgetCounts `json:",omitempty"`
+	Attempt  int           `json:",omitempty"`
+	WaitMs   int64         `json:",omitempty"`
+	Parts    int           `json:",omitempty"`
+	AimMs    int64         `json:",omitempty"`
+	AgeMs    int64
+	LeftMs   int64
+	Version  uint64 `json:",omitempty"`
+}
+
+// budgetCounts are a pool's retry budget at one node.
+type budgetCounts struct {
+	First   int
+	Spent   int
+	Allowed int
+	Nodes   int
+}
+
+// reason is the line's reason with the counts that decided it.
+func (l logLine) reason() string {
+	if l.Budget == nil {
+		return l.Reason
+	}
+	counts := fmt.Sprintf("repeat after %s: %d of %d spent, %d first calls, slack divided among %d nodes",
+		l.RepeatOf, l.Budget.Spent, l.Budget.Allowed, l.Budget.First, l.Budget.Nodes)
+	if l.Reason == "" {
+		return counts
+	}
+
+	return l.Reason + "; " + counts
 }
 
 // explanation is the JSON result of the command.
@@ -148,7 +176,7 @@
 		}
 		rows = append(rows, []string{
 			fmt.Sprint(line.AgeMs, " ms"), fmt.Sprint(line.LeftMs, " ms"), line.Node, line.Step, line.Pool, stage,
-			cmp.Or(line.Upstream, line.Peer), wait, line.Reason,
+			cmp.Or(line.Upstream, line.Peer), wait, line.reason(),
 		})
 	}
 	s.columns(rows)
--- a/internal/chutecli/summary.go
+++ b/internal/chutecli/summary.go
@@ -55,6 +55,8 @@
 	Steps    []stepTime
 	// Workspaces is sorted by requests, the most first.
 	Workspaces []workspaceUse
+	// Repeats is sorted by pool.
+	Repeats []poolRepeats
 }
 
 // Run prints the ends and step times of all requests in the logs.
@@ -135,6 +137,7 @@
 		result.Steps = append(result.Steps, step)
 	}
 	result.Workspaces = useOf(stories)
+	result.Repeats = repeatsOf(stories)
 	slices.SortFunc(result.Ends, func(a, b endCount) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Pipeline, b.Pipeline), cmp.Compare(a.End+a.Cause, b.End+b.Cause))
 	})
@@ -207,4 +210,5 @@
 	if more := len(r.Workspaces) - shownWorkspaces; more > 0 {
 		s.line("and %d workspaces with fewer requests; --output json has them", more)
 	}
+	s.printRepeats(r.Repeats)
 }
--- a/internal/chutecli/summary_test.go
+++ b/internal/chutecli/summary_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -91,3 +92,34 @@
 		c.Assert(runSummary(c, "nothing"), qt.Contains, "0 requests")
 	})
 }
+
+func TestSummaryOfRepeats(t *testing.T) {
+	// A pool fails, and repeats come from several nodes, none of which sees the others'.
+	const log = `{"Node":"n1","Request":"a","Pool":"p","Attempt":1,"time":"2026-12-03T06:00:00Z","message":"sent"}
+{"Node":"n1","Request":"a","Pool":"p","Attempt":2,"RepeatOf":"Refused","time":"2026-12-03T06:00:00Z","message":"sent"}
+{"Node":"n2","Request":"b","Pool":"p","Attempt":1,"time":"2026-12-03T06:00:08Z","message":"sent"}
+{"Node":"n2","Request":"b","Pool":"p","Attempt":2,"RepeatOf":"Refused","time":"2026-12-03T06:00:09Z","message":"sent"}
+{"Node":"n2","Request":"b","Pool":"p","Attempt":3,"RepeatOf":"Refused","time":"2026-12-03T06:00:10Z","message":"sent"}
+{"Node":"n2","Request":"b","Pool":"p","RepeatOf":"Refused","Budget":{"First":4,"Spent":2,"Allowed":2,"Nodes":8},"AgeMs":1,"message":"repeat refused"}
+{"Node":"n2","Request":"c","Pool":"q","Attempt":1,"time":"2026-12-03T06:00:10Z","message":"sent"}
+`
+
+	t.Run("repeats of all nodes are added up by pool", func(t *testing.T) {
+		c := qt.New(t)
+		var result summary
+		c.Assert(json.Unmarshal([]byte(runSummary(c, log, "--output", "json")), &result), qt.IsNil)
+		c.Assert(result.Repeats, qt.DeepEquals, []poolRepeats{{
+			Pool: "p", First: 2, Repeats: 3, Refused: 1,
+			Peak: 2, PeakFirst: 2, PeakAt: time.Date(2026, 12, 3, 6, 0, 0, 0, time.UTC),
+		}})
+	})
+
+	t.Run("explain shows the counts that refused a repeat", func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		app := New("test")
+		app.Stdin, app.Stdout, app.Stderr = strings.NewReader(log), &out, &out
+		c.Assert(app.Run(context.Background(), []string{"explain", "b"}), qt.Equals, exitOK)
+		c.Assert(out.String(), qt.Contains, "repeat after Refused: 2 of 2 spent, 4 first calls, slack divided among 8 nodes")
+	})
+}
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -258,6 +258,12 @@
 			line = line.Str(field.name, field.value)
 		}
 	}
+	if e.RepeatOf != "" {
+		line = line.Str("RepeatOf", string(e.RepeatOf))
+	}
+	if e.Budget != nil {
+		line = line.Object("Budget", budgetFields(*e.Budget))
+	}
 	if len(e.Evacuated) > 0 {
 		line = line.Strs("Evacuated", e.Evacuated)
 	}
--- a/internal/chutemeter/meter.go
+++ b/internal/chutemeter/meter.go
@@ -44,6 +44,7 @@
 	ages   map[series]*hdrhistogram.Histogram
 	// workspaces counts the ends of each workspace's requests.
 	workspaces map[string]map[chuterelay.Step]int64
+	repeats    map[repeatSeries]int64
 	// gauges are read when the figures are written.
 	gauges []gauge
 }
@@ -57,7 +58,7 @@
 func New() *Meter {
 	return &Meter{
 		counts: map[series]int64{}, ages: map[series]*hdrhistogram.Histogram{},
-		workspaces: map[string]map[chuterelay.Step]int64{},
+		workspaces: map[string]map[chuterelay.Step]int64{}, repeats: map[repeatSeries]int64{},
 	}
 }
 
@@ -76,6 +77,7 @@
 	defer m.mu.Unlock()
 
 	m.noteWorkspace(n)
+	m.noteRepeat(n)
 	if _, known := m.counts[s]; !known && len(m.counts) >= maxSeries {
 		s.pipeline, s.pool = other, other
 	}
@@ -119,6 +121,9 @@
 	if err := m.writeWorkspaces(w); err != nil {
 		return err
 	}
+	if err := m.writeRepeats(w); err != nil {
+		return err
+	}
 	for _, g := range m.gauges {
 		if _, err := fmt.Fprintf(w, "azurechute_%s %g\n", g.name, g.read()); err != nil {
 			return err
--- a/internal/chutemeter/meter_test.go
+++ b/internal/chutemeter/meter_test.go
@@ -65,3 +65,14 @@
 		c.Assert(text.String(), qt.Contains, `azurechute_workspace_requests_total{workspace="loud",step="admitted"} 37000`)
 	})
 }
+
+func TestRepeats(t *testing.T) {
+	c := qt.New(t)
+	m := New()
+	m.Note(chuterelay.Note{Step: chuterelay.StepSent, Pool: "p"})
+	m.Note(chuterelay.Note{Step: chuterelay.StepSent, Pool: "p", RepeatOf: chuterelay.EndRefused})
+	m.Note(chuterelay.Note{Step: chuterelay.StepNoRepeat, Pool: "p", RepeatOf: chuterelay.EndBroken})
+	got := text(c, m)
+	c.Assert(got, qt.Contains, `azurechute_repeats_total{pool="p",after="Refused"} 1`)
+	c.Assert(got, qt.Contains, `azurechute_repeats_refused_total{pool="p",after="Broken"} 1`)
+}
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -28,7 +28,12 @@
 	r.current = attempt{id: st.newID(), upstream: u, tokens: r.PromptTokens, sentAt: st.now}
 	st.fleet = st.fleet.WithSent(u.ID, r.PromptTokens, st.now)
 	st.put(r)
-	st.note(StepSent, r, func(n *Note) { n.Upstream, n.Peer, n.Zone = u.ID, u.Address, u.Zone })
+	st.note(StepSent, r, func(n *Note) {
+		n.Upstream, n.Peer, n.Zone = u.ID, u.Address, u.Zone
+		if n.RepeatOf = r.lastEnd; r.lastEnd != "" {
+			n.Budget = st.budgetNow(r.pool)
+		}
+	})
 	st.do(Send{
 		Handle: r.Handle, Attempt: r.current.id, Upstream: u, Workspace: r.Workspace.Name,
 		Deadline: r.Deadline, Inputs: r.refs(r.Pipeline.Leaves()), Resume: r.begun,
@@ -94,6 +99,7 @@
 		r.runs--
 	}
 	r.current = attempt{}
+	r.lastEnd = e.End
 	st.put(r)
 	st.afterFailure(r, e)
 }
@@ -167,6 +173,7 @@
 	case !st.now.Add(r.callTime() / 2).Before(r.Deadline):
 		st.conclude(r, failed("too little time is left to try again"))
 	case !st.mayRepeat(r.pool):
+		st.note(StepNoRepeat, r, func(n *Note) { n.RepeatOf, n.Budget = e.End, st.budgetNow(r.pool) })
 		st.conclude(r, notRun("the retry budget is used up"))
 	default:
 		st.again(r, e)
--- a/internal/chuterelay/budget.go
+++ b/internal/chuterelay/budget.go
@@ -67,3 +67,38 @@
 
 	return b
 }
+
+// BudgetView is a pool's retry budget as one node keeps it.
+type BudgetView struct {
+	Pool string
+	// First and Spent are the first calls and the repeats of the window.
+	First int
+	Spent int
+	// Allowed is how many repeats the window may have, Left how many of them are left.
+	Allowed int
+	Left    int
+	// Nodes is the number of nodes among which the slack is divided.
+	Nodes int
+}
+
+// view returns the budget for the log and the state dump.
+func (b Budget) view(s BudgetSettings, share float64, now time.Time) BudgetView {
+	b = b.moved(now)
+	v := BudgetView{Left: b.Left(s, share, now)}
+	for i := range budgetSlots {
+		v.First += b.first[i]
+		v.Spent += b.spent[i]
+	}
+	v.Allowed = int(s.Ratio*float64(v.First) + s.Slack*share)
+
+	return v
+}
+
+// budget returns a pool's retry budget as this node keeps it.
+func (s State) budget(pool string, now time.Time) BudgetView {
+	budget, _ := s.budgets.Get(pool)
+	v := budget.view(s.settings.Retries, s.peers.share(), now)
+	v.Pool, v.Nodes = pool, len(s.peers.all)
+
+	return v
+}
--- a/internal/chuterelay/note.go
+++ b/internal/chuterelay/note.go
@@ -19,6 +19,8 @@
 	// StepFailed: the caller got the upstream's own word that it failed.
 	StepFailed    Step = "answered with failure"
 	StepCancelled Step = "cancelled"
+	// StepNoRepeat: the call is not sent once more, for want of retry budget.
+	StepNoRepeat Step = "repeat refused"
 )
 
 // Note tells of one decision with what decided it, for the log.
@@ -55,6 +57,10 @@
 	// Wait is the expected wait that counted in the decision.
 	Wait   time.Duration
 	Reason string
+	// RepeatOf is how the call before ended, where a call is sent once more.
+	RepeatOf AttemptEnd
+	// Budget is the pool's retry budget, where it allowed a repeat or refused one.
+	Budget *BudgetView
 	// Version is the configuration's that was in force.
 	Version uint64
 }
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -59,7 +59,9 @@
 	// sends counts calls, runs those among them that may have run.
 	sends int
 	runs  int
-	tried []string
+	// lastEnd is how the last call ended; empty before the first has.
+	lastEnd AttemptEnd
+	tried   []string
 	// current is the call under way; its id is 0 if there is none.
 	current attempt
 	// begun says that the caller has part of the answer.
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -252,6 +252,13 @@
 	return budget.Left(st.settings.Retries, share, st.now)
 }
 
+// budgetNow returns a pool's retry budget for the log.
+func (st *step) budgetNow(pool string) *BudgetView {
+	v := st.budget(pool, st.now)
+
+	return &v
+}
+
 // spendRepeats takes repeats out of the pool's budget.
 func (st *step) spendRepeats(pool string, n int) {
 	budget, _ := st.budgets.Get(pool)
--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -19,6 +19,8 @@
 	Lanes     []LaneView
 	// Evacuated are the zones to whose upstreams nothing is sent.
 	Evacuated []string `json:",omitempty"`
+	// Budgets are the retry budgets by pool.
+	Budgets []BudgetView `json:",omitempty"`
 	// Quarantined are the requests that are set aside.
 	Quarantined []chutequarantine.Judgement `json:",omitempty"`
 }
@@ -64,6 +66,10 @@
 	for _, peer := range s.peers.all {
 		v.Peers = append(v.Peers, PeerView{Peer: peer, Silent: s.peers.passedOver(peer, now)})
 	}
+	for i := s.budgets.Iterator(); !i.Done(); {
+		pool, _, _ := i.Next()
+		v.Budgets = append(v.Budgets, s.budget(pool, now))
+	}
 	for _, lane := range s.collector.Lanes() {
 		v.Lanes = append(v.Lanes, LaneView{Lane: lane, Parts: s.collector.Waiting(lane)})
 	}
