--- a/internal/chuterelay/quarantine_sim_test.go
+++ b/internal/chuterelay/quarantine_sim_test.go
@@ -1,9 +1,7 @@
 package chuterelay
 
 import (
-	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -25,28 +23,6 @@
 	dayLife = 60 * time.Second
 )
 
-// event of the simulated world.
-type simEvent struct {
-	at   time.Time
-	id   int
-	what func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].id < q[j].id
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(e any)   { *q = append(*q, e.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-
-	return last
-}
-
 // simUpstream is one upstream with its present incarnation.
 type simUpstream struct {
 	id    string
@@ -84,11 +60,8 @@
 // simWorld is a pool of upstreams, a store and nodes in simulated time.
 type simWorld struct {
 	*qt.C
+	*simClock
 
-	random    *rand.Rand
-	now       time.Time
-	queue     simQueue
-	events    int
 	nodes     []*simNode
 	upstreams []*simUpstream
 	started   int
@@ -110,7 +83,7 @@
 
 func newSimWorld(t *testing.T, seed uint64, nodes int) *simWorld {
 	w := &simWorld{
-		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 2)), now: start, life: dayLife, byKey: map[string]int{},
+		C: qt.New(t), simClock: newSimClock(seed), life: dayLife, byKey: map[string]int{},
 		crashes: map[string]int{}, thirdAt: map[string]time.Time{}, later: map[string]int{},
 	}
 	for range 12 {
@@ -127,17 +100,6 @@
 	return w
 }
 
-// after does something later.
-func (w *simWorld) after(d time.Duration, what func()) {
-	w.events++
-	heap.Push(&w.queue, simEvent{at: w.now.Add(d), id: w.events, what: what})
-}
-
-// between draws a time.
-func (w *simWorld) between(least, most time.Duration) time.Duration {
-	return least + time.Duration(w.random.Int64N(int64(most-least)))
-}
-
 func (w *simWorld) bear(u *simUpstream) {
 	w.started++
 	u.id, u.down, u.calls = fmt.Sprint("u", w.started), false, map[string]simCall{}
@@ -421,14 +383,6 @@
 	})
 }
 
-// every does something again and again, with pauses of a mean length.
-func (w *simWorld) every(mean time.Duration, what func()) {
-	w.after(w.between(mean/2, mean+mean/2), func() {
-		what()
-		w.every(mean, what)
-	})
-}
-
 // run lets callers come and faults happen, and checks what holds.
 func (w *simWorld) run(faults bool) {
 	sent := 0
@@ -444,11 +398,7 @@
 	if faults {
 		w.every(4*time.Second, w.fault)
 	}
-	for until := start.Add(w.life); len(w.queue) > 0 && w.now.Before(until); {
-		e := heap.Pop(&w.queue).(simEvent)
-		w.now = e.at
-		e.what()
-	}
+	w.runUntil(start.Add(w.life))
 	for f, n := range w.later {
 		w.Check(n <= mostLater, qt.IsTrue, qt.Commentf("%s was sent on %d times when it was long known; %d ended", f, n, w.crashes[f]))
 	}
