Deal whole numbers out to nodes in a package of their own

Change: chutequota has the owners that chutewarmup dealt its calls out with; no behaviour changed Why: the retry budget's slack is to be dealt out the same way

--- a/internal/chutefleet/warmup.go
+++ b/internal/chutefleet/warmup.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"azurechute.example/azurechute/internal/chutequota"
 	"azurechute.example/azurechute/internal/chutewarmup"
 )
 
@@ -18,7 +19,7 @@
 // coldBounds are the bounds by pool with the owners that deal them out; never changed.
 type coldBounds struct {
 	pools  map[string]ColdBound
-	owners chutewarmup.Owners
+	owners chutequota.Owners
 }
 
 // warmup is what is known of an upstream's being cold.
@@ -67,7 +68,7 @@
 
 // WithNodes takes in the names of all nodes, and which of them is this one.
 func (f Fleet) WithNodes(self string, nodes []string) Fleet {
-	f.bounds.owners = chutewarmup.NewOwners(self, nodes)
+	f.bounds.owners = chutequota.NewOwners(self, nodes)
 
 	return f.withQuotas()
 }
