Count repeats for the whole window of the retry budget

Callers saw: nothing; upstreams of a failing pool got two windows' repeats within one Cause: the window was ten slots of a second, the newest of them not full, so a repeat was forgotten after 9.0 to 10 s; and a repeat reaches its upstream up to 0.35 s after it was decided on.

--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"azurechute.example/azurechute/internal/chutebudget"
 	"azurechute.example/azurechute/internal/chutecore"
 	"azurechute.example/azurechute/internal/chutemeter"
 	"azurechute.example/azurechute/internal/chuterelay"
@@ -26,7 +27,7 @@
 // Settings are what a node knows from its start.
 type Settings struct {
 	Self    chuterelay.Peer
-	Retries chuterelay.BudgetSettings
+	Retries chutebudget.Settings
 	// ColdFactor is how many times the stated rate a cold upstream may get; 0 counts as 1.
 	ColdFactor float64
 	Tables     Tables
--- a/internal/chuterelay/attempt_test.go
+++ b/internal/chuterelay/attempt_test.go
@@ -95,15 +95,6 @@
 		n.Assert(repeats, qt.Equals, 5)
 	})
 
-	t.Run("the budget fills up again as the window moves on", func(t *testing.T) {
-		c := qt.New(t)
-		s := BudgetSettings{Ratio: 0, Slack: 3}
-		b := Budget{}.WithSpent(3, start)
-		c.Assert(b.Left(s, 1, start), qt.Equals, 0)
-		c.Assert(b.Left(s, 1, start.Add(budgetWindow-time.Second)), qt.Equals, 0)
-		c.Assert(b.Left(s, 1, start.Add(budgetWindow+time.Second)), qt.Equals, 3)
-	})
-
 	t.Run("an address with another process behind it is given up for good", func(t *testing.T) {
 		n := newNode(t)
 		s := n.sent(plain(1, chuteroute.Repeatable))
--- a/internal/chuterelay/budget_sim_test.go
+++ b/internal/chuterelay/budget_sim_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"azurechute.example/azurechute/internal/chutebudget"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
@@ -40,7 +41,7 @@
 	*qt.C
 	*simClock
 
-	settings BudgetSettings
+	settings chutebudget.Settings
 	nodes    []*budgetNode
 	// listed are the nodes on the platform's list.
 	listed []string
@@ -60,7 +61,7 @@
 func newBudgetWorld(t *testing.T, seed uint64, nodes int, slack float64) *budgetWorld {
 	w := &budgetWorld{
 		C: qt.New(t), simClock: newSimClock(seed), arrived: map[string]bool{},
-		settings: BudgetSettings{Ratio: 0.2, Slack: slack},
+		settings: chutebudget.Settings{Ratio: 0.2, Slack: slack},
 	}
 	for range nodes {
 		w.add()
@@ -157,7 +158,7 @@
 	if n.Step != StepNoRepeat {
 		return
 	}
-	from := w.now.Add(-budgetWindow)
+	from := w.now.Add(-w.settings.Span())
 	if float64(w.count(w.repeats, from)+1) <= w.allowed(from) {
 		w.starved++
 	}
@@ -275,7 +276,7 @@
 // count counts the times of one window.
 func (w *budgetWorld) count(sorted []time.Time, from time.Time) int {
 	first, _ := slices.BinarySearchFunc(sorted, from, time.Time.Compare)
-	last, _ := slices.BinarySearchFunc(sorted, from.Add(budgetWindow), time.Time.Compare)
+	last, _ := slices.BinarySearchFunc(sorted, from.Add(w.settings.Span()), time.Time.Compare)
 
 	return last - first
 }
@@ -284,7 +285,7 @@
 // it, in the one before, or in the one half a window before, and the slack.
 func (w *budgetWorld) allowed(from time.Time) float64 {
 	most := 0
-	for _, earlier := range []time.Duration{0, budgetWindow / 2, budgetWindow} {
+	for _, earlier := range []time.Duration{0, w.settings.Span() / 2, w.settings.Span()} {
 		most = max(most, w.count(w.requests, from.Add(-earlier)))
 	}
 
--- a/internal/chuterelay/harness_test.go
+++ b/internal/chuterelay/harness_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutebudget"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
@@ -35,7 +36,7 @@
 func newNode(t testing.TB) *node {
 	t.Helper()
 	n := &node{C: qt.New(t), now: start, state: NewState(Settings{
-		Self: self, Retries: BudgetSettings{Ratio: 0.2, Slack: 10}, Seed: 1,
+		Self: self, Retries: chutebudget.Settings{Ratio: 0.2, Slack: 10}, Seed: 1,
 	})}
 	n.on(ConfigAdopted{Config: testConfig(1)})
 	n.on(PeersListed{Peers: []Peer{self}})
--- a/internal/chuterelay/quarantine_sim_test.go
+++ b/internal/chuterelay/quarantine_sim_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"azurechute.example/azurechute/internal/chutebudget"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroute"
@@ -110,7 +111,7 @@
 	n.life++
 	n.by, n.unkept, n.writing = map[uint64]Submission{}, nil, false
 	n.state = NewState(Settings{
-		Self: Peer{Name: n.name, Zone: "z1"}, Retries: BudgetSettings{Ratio: 0.2, Slack: 50}, Seed: w.random.Uint64(),
+		Self: Peer{Name: n.name, Zone: "z1"}, Retries: chutebudget.Settings{Ratio: 0.2, Slack: 50}, Seed: w.random.Uint64(),
 	})
 	w.on(n, ConfigAdopted{Config: testConfig(1)})
 	peers := make([]Peer, 0, len(w.nodes))
--- a/internal/chuterelay/restart_test.go
+++ b/internal/chuterelay/restart_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutebudget"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
@@ -72,7 +73,7 @@
 
 	t.Run("they are not made again beyond the retry budget", func(t *testing.T) {
 		n := newNode(t)
-		n.state.settings.Retries = BudgetSettings{}
+		n.state.settings.Retries = chutebudget.Settings{}
 		n.on(Arrived{Submission: stream(1, chuteroute.Resumable)})
 		first := only[RunCall](n)
 		n.answer(first)
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -8,6 +8,7 @@
 	"github.com/benbjohnson/immutable"
 
 	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutebudget"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroute"
@@ -16,7 +17,7 @@
 // Settings are what a node knows from its start.
 type Settings struct {
 	Self    Peer
-	Retries BudgetSettings
+	Retries chutebudget.Settings
 	// ColdFactor is how many times the rate that the operator states for a cold upstream is
 	// sent to it at most; 0 counts as 1.
 	ColdFactor float64
@@ -36,7 +37,7 @@
 	origins *immutable.Map[uint64, origin]
 	// tokens maps a peer's token to its job.
 	tokens  *immutable.Map[uint64, uint64]
-	budgets *immutable.Map[string, Budget]
+	budgets *immutable.Map[string, chutebudget.Budget]
 	// paces maps an upstream to how quickly it runs calls with parts.
 	paces *immutable.Map[string, pace]
 	// zones tells which other zones are cut off from this node.
@@ -73,7 +74,7 @@
 		collector: chutebatch.New(),
 		origins:   immutable.NewMap[uint64, origin](nil),
 		tokens:    immutable.NewMap[uint64, uint64](nil),
-		budgets:   immutable.NewMap[string, Budget](nil),
+		budgets:   immutable.NewMap[string, chutebudget.Budget](nil),
 		paces:     immutable.NewMap[string, pace](nil),
 		probed:    immutable.NewMap[string, bool](nil),
 		waits:     immutable.NewMap[queueKey, heardWait](queueHasher{}),
@@ -232,7 +233,7 @@
 // countFirst tells the pool's budget of first calls.
 func (st *step) countFirst(pool string, n int) {
 	budget, _ := st.budgets.Get(pool)
-	st.budgets = st.budgets.Set(pool, budget.WithFirst(n, st.now))
+	st.budgets = st.budgets.Set(pool, budget.WithFirst(st.settings.Retries, n, st.now))
 }
 
 // mayRepeat takes one repeat out of the pool's budget, if there is one.
@@ -247,9 +248,7 @@
 
 // repeatsLeft is how many repeats a share of the pool's budget allows now.
 func (st *step) repeatsLeft(pool string, share float64) int {
-	budget, _ := st.budgets.Get(pool)
-
-	return budget.Left(st.settings.Retries, share, st.now)
+	return st.counts(pool, share, st.now).Left
 }
 
 // budgetNow returns a pool's retry budget for the log.
@@ -262,7 +261,7 @@
 // spendRepeats takes repeats out of the pool's budget.
 func (st *step) spendRepeats(pool string, n int) {
 	budget, _ := st.budgets.Get(pool)
-	st.budgets = st.budgets.Set(pool, budget.WithSpent(n, st.now))
+	st.budgets = st.budgets.Set(pool, budget.WithSpent(st.settings.Retries, n, st.now))
 }
 
 // Idle says whether no request is in flight and nobody holds a job here.
