Divide the retry budget's slack so that the parts never exceed the whole

Callers saw: a failing pool of the forum got more repeats than its budget; upstreams were loaded by repeats of all nodes just when they failed Cause: each node took its part by the list of nodes that it knew at that moment, and by what its own process had spent. A process that had just started took its part again, though the one before it had spent it within the window. A process has none until what the one before it may have spent no longer counts; who leaves the list keeps the part for two windows, longer than it serves on and its repeats count; who knows no list, or is not on it, has none. Parts are dealt out as whole numbers (chutequota), so nothing is lost to rounding The same cause elsewhere: collectors took half of the slack each, also where a pool has one a zone, and nodes that have lost results made again took a whole one besides. Both share it now Ruled out: repeats that are not counted.

--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -176,6 +176,7 @@
 		st.note(StepNoRepeat, r, func(n *Note) { n.RepeatOf, n.Budget = e.End, st.budgetNow(r.pool) })
 		st.conclude(r, notRun("the retry budget is used up"))
 	default:
+		st.spendRepeats(st.nodeAccount(r.pool, st.now), 1)
 		st.again(r, e)
 	}
 }
--- /dev/null
+++ b/internal/chuterelay/budget_test.go
@@ -0,0 +1,97 @@
+package chuterelay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azurechute.example/azurechute/internal/chutebudget"
+	"azurechute.example/azurechute/internal/chuteroute"
+)
+
+// slackOnly allows eight repeats, and none that first calls have earned.
+var slackOnly = chutebudget.Settings{Slack: 8}
+
+// listOf returns a list of nodes, the first of them the test's own.
+func listOf(size int) []Peer {
+	all := []Peer{self}
+	for i := range size - 1 {
+		all = append(all, Peer{Name: fmt.Sprint("other", i), Zone: "z1"})
+	}
+
+	return all
+}
+
+// repeats sends requests whose first call fails, and counts the repeats.
+func (n *node) repeats(requests int) int {
+	n.Helper()
+	count := 0
+	for range requests {
+		n.handles++
+		s := plain(n.handles, chuteroute.Repeatable)
+		s.Deadline = n.now.Add(3 * time.Second)
+		n.ends(n.sent(s), EndErrored)
+		for _, again := range take[Send](n) {
+			count++
+			n.ends(again, EndAnswered)
+		}
+	}
+
+	return count
+}
+
+// TestSlackOfNodes guards against parts of the slack that add up to more than the whole, by
+// what single nodes don't know of the others and of the process before them.
+func TestSlackOfNodes(t *testing.T) {
+	t.Run("a process that has just started leaves what the one before it may have spent", func(t *testing.T) {
+		n := newNode(t)
+		n.state = NewState(Settings{Self: self, Retries: slackOnly, Seed: 1})
+		n.on(ConfigAdopted{Config: testConfig(1)})
+		n.on(PeersListed{Peers: listOf(2)})
+		n.on(UpstreamsListed{Upstreams: testUpstreams()})
+		n.Assert(n.repeats(10), qt.Equals, 0)
+		n.pass(slackOnly.Memory())
+		n.Assert(n.repeats(10), qt.Equals, 4)
+	})
+
+	t.Run("a node that knows no list, or is not on it, has no part", func(t *testing.T) {
+		n := newNode(t)
+		n.state = NewState(Settings{Self: self, Retries: slackOnly, Seed: 1})
+		n.on(ConfigAdopted{Config: testConfig(1)})
+		n.on(UpstreamsListed{Upstreams: testUpstreams()})
+		n.pass(time.Minute)
+		n.Assert(n.repeats(10), qt.Equals, 0)
+		n.on(PeersListed{Peers: listOf(4)[1:]})
+		n.pass(time.Minute)
+		n.Assert(n.repeats(10), qt.Equals, 0)
+	})
+
+	t.Run("nodes that leave the list keep their parts while they serve on", func(t *testing.T) {
+		n := newNode(t)
+		n.state.settings.Retries = slackOnly
+		n.on(PeersListed{Peers: listOf(4)})
+		n.on(PeersListed{Peers: listOf(1)})
+		n.Assert(n.repeats(10), qt.Equals, 2)
+		n.pass(departedWindows * slackOnly.Span())
+		n.Assert(n.repeats(10), qt.Equals, 8)
+	})
+
+	t.Run("a node that leaves the list itself repeats on with its part", func(t *testing.T) {
+		n := newNode(t)
+		n.state.settings.Retries = slackOnly
+		n.on(PeersListed{Peers: listOf(4)})
+		n.on(DrainStarted{})
+		n.on(PeersListed{Peers: listOf(4)[1:]})
+		n.Assert(n.repeats(10), qt.Equals, 2)
+	})
+
+	t.Run("collectors and nodes share the slack of a batched pool", func(t *testing.T) {
+		n := newNode(t)
+		n.state.settings.Retries = slackOnly
+		slack := n.state.nodeAccount(partPool, n.now).slack
+		slack += collectorsAtOnce * n.state.collectorAccount(partPool, n.now).slack
+		n.Assert(slack, qt.Equals, 8)
+	})
+}
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// collectorShare is the part of a pool's repeats that one collector may spend:
-	// two can be at work while nodes disagree on the list.
-	collectorShare = 0.5
 	// tick is how often waiting parts are looked over when no call ends meanwhile.
 	tick = 20 * time.Millisecond
 	// callPatience and callMargin bound a call with parts: one that takes longer
@@ -95,7 +92,7 @@
 
 		return
 	}
-	st.countFirst(job.Pool, job.Parts)
+	st.countFirst(st.collectorAccount(job.Pool, st.now), job.Parts)
 	st.collector = st.collector.WithJob(job)
 	st.fill(job.Lane())
 }
@@ -206,10 +203,11 @@
 	if e.UpstreamEnded {
 		st.endedUnder(u, call, "a call with parts broke")
 	}
-	allowed := st.repeatsLeft(call.Pool, collectorShare)
+	repeats := st.collectorAccount(call.Pool, st.now)
+	allowed := st.repeatsLeft(repeats)
 	var ended chutebatch.Ended
 	st.collector, ended = st.collector.WithCallEnded(e.ID, e.End, e.Ends, u.Zone, allowed, st.now)
-	st.spendRepeats(call.Pool, ended.Requeued)
+	st.spendRepeats(repeats, ended.Requeued)
 	st.settle(ended)
 	st.fill(call.Lane)
 }
--- a/internal/chuterelay/harness_test.go
+++ b/internal/chuterelay/harness_test.go
@@ -22,6 +22,8 @@
 	state   State
 	now     time.Time
 	effects []Effect
+	// handles counts the requests of repeats.
+	handles uint64
 }
 
 const (
@@ -35,11 +37,12 @@
 // newNode returns a node with a configuration, two upstreams a pool, and itself as the only node.
 func newNode(t testing.TB) *node {
 	t.Helper()
-	n := &node{C: qt.New(t), now: start, state: NewState(Settings{
+	n := &node{C: qt.New(t), now: start.Add(-time.Minute), state: NewState(Settings{
 		Self: self, Retries: chutebudget.Settings{Ratio: 0.2, Slack: 10}, Seed: 1,
 	})}
 	n.on(ConfigAdopted{Config: testConfig(1)})
 	n.on(PeersListed{Peers: []Peer{self}})
+	n.now = start
 	n.on(UpstreamsListed{Upstreams: testUpstreams()})
 	n.effects = nil
 
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutequota"
 )
 
 const (
@@ -48,6 +49,9 @@
 	self   Peer
 	all    []Peer
 	silent map[string]silence
+	// departed are the nodes that have left the list, with the time until which they keep
+	// their part of what all nodes share.
+	departed map[string]time.Time
 	// leaving says that this node is shutting down and collects for nobody.
 	leaving bool
 }
@@ -67,6 +71,39 @@
 	return p
 }
 
+// withDepartures notes which nodes are not on a new list; they keep their part of what all
+// nodes share until then.
+func (p peers) withDepartures(all []Peer, now, until time.Time) peers {
+	departed := map[string]time.Time{}
+	for name, until := range p.departed {
+		if now.Before(until) {
+			departed[name] = until
+		}
+	}
+	for _, was := range p.all {
+		departed[was.Name] = until
+	}
+	for _, peer := range all {
+		delete(departed, peer.Name)
+	}
+	p.departed = departed
+
+	return p
+}
+
+// sharers are the nodes that have a part of what all nodes share: those on the list, and those
+// that have left it and may still be at work.
+func (p peers) sharers(now time.Time) chutequota.Owners {
+	names := p.names()
+	for name, until := range p.departed {
+		if now.Before(until) {
+			names = append(names, name)
+		}
+	}
+
+	return chutequota.NewOwners(p.self.Name, names)
+}
+
 // withSilent passes a peer over for a while; mute says that nothing at all came back from it.
 func (p peers) withSilent(name string, mute bool, now time.Time) peers {
 	next := maps.Clone(p.silent)
@@ -188,9 +225,14 @@
 	return most
 }
 
-// share is this node's part of what all nodes may do together.
-func (p peers) share() float64 {
-	return 1 / float64(max(1, len(p.all)))
+// zones counts the zones of the listed nodes; 1 at least.
+func (p peers) zones() int {
+	zones := map[string]bool{}
+	for _, peer := range p.all {
+		zones[peer.Zone] = true
+	}
+
+	return max(1, len(zones))
 }
 
 // names returns the names of all nodes.
--- a/internal/chuterelay/restart.go
+++ b/internal/chuterelay/restart.go
@@ -36,10 +36,11 @@
 			st.endedUnder(u, call, restartedReason)
 		}
 	}
-	allowed := st.repeatsLeft(u.Pool, collectorShare)
+	repeats := st.collectorAccount(u.Pool, st.now)
+	allowed := st.repeatsLeft(repeats)
 	var ended chutebatch.Ended
 	st.collector, ended = st.collector.WithoutUpstream(u.ID, allowed, st.now)
-	st.spendRepeats(u.Pool, ended.Requeued)
+	st.spendRepeats(repeats, ended.Requeued)
 	st.settle(ended)
 }
 
@@ -104,12 +105,13 @@
 			continue
 		}
 		pool := r.Pipeline.Stages[i].Pool
-		if st.repeatsLeft(pool, st.peers.share()) < r.parts(i) {
+		repeats := st.nodeAccount(pool, st.now)
+		if st.repeatsLeft(repeats) < r.parts(i) {
 			st.giveUp(r, notRun("results were lost and the retry budget is used up: "+restartedReason))
 
 			return
 		}
-		st.spendRepeats(pool, r.parts(i))
+		st.spendRepeats(repeats, r.parts(i))
 	}
 	st.advance(r)
 }
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -36,8 +36,10 @@
 	// origins maps a job of the own collector to who asked for it.
 	origins *immutable.Map[uint64, origin]
 	// tokens maps a peer's token to its job.
-	tokens  *immutable.Map[uint64, uint64]
-	budgets *immutable.Map[string, chutebudget.Budget]
+	tokens *immutable.Map[uint64, uint64]
+	// listedAt is when this process first heard a list of nodes.
+	listedAt time.Time
+	budgets  *immutable.Map[string, chutebudget.Budget]
 	// paces maps an upstream to how quickly it runs calls with parts.
 	paces *immutable.Map[string, pace]
 	// zones tells which other zones are cut off from this node.
@@ -182,7 +184,7 @@
 	case ZonesEvacuated:
 		st.evacuate(e.Zones)
 	case PeersListed:
-		st.peers = st.peers.withListed(e.Peers)
+		st.listPeers(e.Peers)
 		st.fleet = st.fleet.WithNodes(st.settings.Self.Name, st.peers.names())
 	case QuarantineHeard:
 		st.hearQuarantine(e)
@@ -199,6 +201,14 @@
 	}
 }
 
+// listPeers takes in the list of nodes.
+func (st *step) listPeers(all []Peer) {
+	if st.listedAt.IsZero() {
+		st.listedAt = st.now
+	}
+	st.peers = st.peers.withDepartures(all, st.now, st.now.Add(st.departedFor())).withListed(all)
+}
+
 // adopt takes a configuration that is newer than the one in force.
 //
 // A read that was under way during a freeze can bring an older version than the
@@ -230,40 +240,6 @@
 	return float64(st.random.Uint64()>>(64-bits)) / (1 << bits)
 }
 
-// countFirst tells the pool's budget of first calls.
-func (st *step) countFirst(pool string, n int) {
-	budget, _ := st.budgets.Get(pool)
-	st.budgets = st.budgets.Set(pool, budget.WithFirst(st.settings.Retries, n, st.now))
-}
-
-// mayRepeat takes one repeat out of the pool's budget, if there is one.
-func (st *step) mayRepeat(pool string) bool {
-	if st.repeatsLeft(pool, st.peers.share()) == 0 {
-		return false
-	}
-	st.spendRepeats(pool, 1)
-
-	return true
-}
-
-// repeatsLeft is how many repeats a share of the pool's budget allows now.
-func (st *step) repeatsLeft(pool string, share float64) int {
-	return st.counts(pool, share, st.now).Left
-}
-
-// budgetNow returns a pool's retry budget for the log.
-func (st *step) budgetNow(pool string) *BudgetView {
-	v := st.budget(pool, st.now)
-
-	return &v
-}
-
-// spendRepeats takes repeats out of the pool's budget.
-func (st *step) spendRepeats(pool string, n int) {
-	budget, _ := st.budgets.Get(pool)
-	st.budgets = st.budgets.Set(pool, budget.WithSpent(st.settings.Retries, n, st.now))
-}
-
 // Idle says whether no request is in flight and nobody holds a job here.
 func (s State) Idle() bool {
 	return s.requests.Len() == 0 && s.collector.Len() == 0
--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -55,6 +55,7 @@
 	v := View{
 		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
 		Quarantined: s.quarantine.Held(now), Evacuated: s.fleet.EvacuatedZones(),
+		Budgets: s.budgetViews(now),
 	}
 	for i := s.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
@@ -66,10 +67,6 @@
 	for _, peer := range s.peers.all {
 		v.Peers = append(v.Peers, PeerView{Peer: peer, Silent: s.peers.passedOver(peer, now)})
 	}
-	for i := s.budgets.Iterator(); !i.Done(); {
-		pool, _, _ := i.Next()
-		v.Budgets = append(v.Budgets, s.budget(pool, now))
-	}
 	for _, lane := range s.collector.Lanes() {
 		v.Lanes = append(v.Lanes, LaneView{Lane: lane, Parts: s.collector.Waiting(lane)})
 	}
