Pay repeats with credit that is spent once and lasts shortly

Callers saw: as before; where callers move between nodes, these together repeated more than the ratio allows Cause: each node allowed a share of the first calls that it saw in the last window.

--- a/internal/chutebudget/budget.go
+++ b/internal/chutebudget/budget.go
@@ -11,8 +11,12 @@
 	// lateSlots is how many slots later than it was decided on a repeat may reach its
 	// upstream: the time that a new connection takes at most.
 	lateSlots = 2
+	// creditSlots is the number of slots for which a first call's credit lasts.
+	creditSlots = 5
 	// spentSlots is the number of slots in which repeats are counted; the newest is not full.
 	spentSlots = windowSlots + lateSlots + 1
+	// unit is one repeat; credits come in parts of it.
+	unit = 1000
 )
 
 // Settings bound the repeats of all nodes together in any window.
@@ -43,13 +47,27 @@
 	return s.Span() / windowSlots
 }
 
+// earned is the part of its share of a repeat that a first call is given as credit.
+//
+// The repeats of a window are paid with the credit of that window and of the time before it in
+// which credit lasts. It is smaller than one by as much as that is longer.
+const earned = 1 / (1 + float64(creditSlots+lateSlots)/windowSlots)
+
 // slot is what was counted in one step of the window.
 type slot struct {
 	first int32
 	spent int32
+	// credit is what is left of the first calls' credit, slack what was taken of the slack,
+	// both in parts of a unit.
+	credit int32
+	slack  int32
 }
 
 // Budget counts one pool's first calls and repeats of late, by one window length; immutable.
+//
+// Credit is spent once and lasts shortly. Nodes that each allowed a share of their first calls
+// in the last window would together allow more than that share where callers move from one
+// node to another within a window, as they do when nodes are killed.
 type Budget struct {
 	slots  [spentSlots]slot
 	newest int64
@@ -60,12 +78,12 @@
 	// First and Spent are the first calls and the repeats of the window.
 	First int
 	Spent int
-	// Allowed is how many repeats there may be, and Left how many of them are left.
-	Allowed int
-	Left    int
+	// Left is how many repeats may be sent now, Slack the node's part of the slack.
+	Left  int
+	Slack int
 }
 
-// moved empties the slots that the window has left behind.
+// moved begins the slots that have come since, and empties those that the window has left.
 func (b Budget) moved(s Settings, now time.Time) Budget {
 	at := now.UnixNano() / int64(s.slot())
 	for n := max(b.newest+1, at-spentSlots+1); n <= at; n++ {
@@ -84,35 +102,46 @@
 // WithFirst counts n first calls.
 func (b Budget) WithFirst(s Settings, n int, now time.Time) Budget {
 	b = b.moved(s, now)
-	b.aged(0).first += int32(n) //nolint:gosec // calls of a fraction of a second
+	newest := b.aged(0)
+	newest.first += int32(n)                                   //nolint:gosec // calls of a fraction of a second
+	newest.credit += int32(earned * s.Ratio * float64(n*unit)) //nolint:gosec // as above
 
 	return b
 }
 
-// WithSpent counts n repeats.
+// WithSpent counts n repeats. They are paid with credit, the oldest first, and what that lacks
+// with slack, so that parts of a repeat that few calls have earned are of use, too.
 func (b Budget) WithSpent(s Settings, n int, now time.Time) Budget {
 	b = b.moved(s, now)
 	b.aged(0).spent += int32(n) //nolint:gosec // calls of a fraction of a second
+	price := int32(n * unit)    //nolint:gosec // as above
+	for age := int64(creditSlots - 1); age >= 0; age-- {
+		paid := min(price, b.aged(age).credit)
+		b.aged(age).credit -= paid
+		price -= paid
+	}
+	b.aged(0).slack += price
 
 	return b
 }
 
 // Counts returns what the budget allows now, with a part of the slack.
-//
-// The slots are coarser than the window's edge: first calls are counted for the window or
-// somewhat less, repeats for somewhat more.
 func (b Budget) Counts(s Settings, slack int, now time.Time) Counts {
 	b = b.moved(s, now)
-	var c Counts
+	c := Counts{Slack: slack}
+	credit, taken := 0, 0
 	for age := range int64(spentSlots) {
 		at := b.aged(age)
 		c.Spent += int(at.spent)
+		taken += int(at.slack)
 		if age < windowSlots {
 			c.First += int(at.first)
 		}
+		if age < creditSlots {
+			credit += int(at.credit)
+		}
 	}
-	c.Allowed = int(s.Ratio*float64(c.First)) + slack
-	c.Left = max(0, c.Allowed-c.Spent)
+	c.Left = (credit + max(0, slack*unit-taken)) / unit
 
 	return c
 }
--- a/internal/chutecli/explain.go
+++ b/internal/chutecli/explain.go
@@ -59,10 +59,12 @@
 
 // budgetCounts are a pool's retry budget at one node.
 type budgetCounts struct {
-	First   int
-	Spent   int
-	Allowed int
-	Nodes   int
+	First int
+	Spent int
+	Left  int
+	// Slack is the node's part of the slack, which is divided among Nodes.
+	Slack int
+	Nodes int
 }
 
 // reason is the line's reason with the counts that decided it.
@@ -70,8 +72,8 @@
 	if l.Budget == nil {
 		return l.Reason
 	}
-	counts := fmt.Sprintf("repeat after %s: %d of %d spent, %d first calls, slack divided among %d nodes",
-		l.RepeatOf, l.Budget.Spent, l.Budget.Allowed, l.Budget.First, l.Budget.Nodes)
+	counts := fmt.Sprintf("repeat after %s: %d left, %d sent for %d first calls in the window, %d of the slack, divided among %d nodes",
+		l.RepeatOf, l.Budget.Left, l.Budget.Spent, l.Budget.First, l.Budget.Slack, l.Budget.Nodes)
 	if l.Reason == "" {
 		return counts
 	}
--- a/internal/chutegate/budget.go
+++ b/internal/chutegate/budget.go
@@ -11,5 +11,5 @@
 
 // MarshalZerologObject writes the fields.
 func (b budgetFields) MarshalZerologObject(e *zerolog.Event) {
-	e.Int("First", b.First).Int("Spent", b.Spent).Int("Allowed", b.Allowed).Int("Slack", b.Slack).Int("Nodes", b.Nodes)
+	e.Int("First", b.First).Int("Spent", b.Spent).Int("Left", b.Left).Int("Slack", b.Slack).Int("Nodes", b.Nodes)
 }
--- a/internal/chuterelay/budget.go
+++ b/internal/chuterelay/budget.go
@@ -26,9 +26,7 @@
 	Pool string
 	// Collecting says that it is the collector's, for parts that are queued again.
 	Collecting bool `json:",omitempty"`
-	// Slack is this node's part of the slack, Nodes the number of nodes among which that is
-	// divided.
-	Slack int
+	// Nodes is the number of nodes among which the slack is divided.
 	Nodes int
 }
 
@@ -110,7 +108,7 @@
 }
 
 func (s State) view(a account, now time.Time) BudgetView {
-	return BudgetView{Counts: s.counts(a, now), Pool: a.pool, Slack: a.slack, Nodes: s.peers.sharers(now).Len()}
+	return BudgetView{Counts: s.counts(a, now), Pool: a.pool, Nodes: s.peers.sharers(now).Len()}
 }
 
 // budgetNow returns a pool's retry budget for the log.
