Count a repeat when it is sent, and only if a call may have arrived before

Callers saw: refusals for want of retry budget where nothing had reached an upstream yet, as when a zone's upstreams refuse connections Cause: repeats were counted when they were decided on.

--- a/internal/chutecli/repeats.go
+++ b/internal/chutecli/repeats.go
@@ -60,9 +60,9 @@
 	switch {
 	case line.Step == "repeat refused":
 		t.refused++
-	case line.Step == "sent" && line.Attempt > 1:
+	case line.Step == "sent" && line.RepeatOf != "":
 		t.repeats = append(t.repeats, line.Time)
-	case line.Step == "sent":
+	case line.Step == "sent" && line.Attempt == 1:
 		t.first = append(t.first, line.Time)
 	}
 }
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -23,6 +23,14 @@
 
 		return
 	}
+	if r.reached {
+		if !st.mayRepeat(r.pool) {
+			st.refuseRepeat(r)
+
+			return
+		}
+		st.spendRepeats(st.nodeAccount(r.pool, st.now), 1)
+	}
 	r.sends++
 	r.runs++
 	r.current = attempt{id: st.newID(), upstream: u, tokens: r.PromptTokens, sentAt: st.now}
@@ -30,8 +38,8 @@
 	st.put(r)
 	st.note(StepSent, r, func(n *Note) {
 		n.Upstream, n.Peer, n.Zone = u.ID, u.Address, u.Zone
-		if n.RepeatOf = r.lastEnd; r.lastEnd != "" {
-			n.Budget = st.budgetNow(r.pool)
+		if r.reached {
+			n.RepeatOf, n.Budget = r.lastEnd, st.budgetNow(r.pool)
 		}
 	})
 	st.do(Send{
@@ -98,6 +106,7 @@
 	if e.End.notRun() {
 		r.runs--
 	}
+	r.reached = r.reached || e.End != EndUnreachable
 	r.current = attempt{}
 	r.lastEnd = e.End
 	st.put(r)
@@ -172,15 +181,19 @@
 		st.conclude(r, notRun("upstreams refused it: "+string(e.End)))
 	case !st.now.Add(r.callTime() / 2).Before(r.Deadline):
 		st.conclude(r, failed("too little time is left to try again"))
-	case !st.mayRepeat(r.pool):
-		st.note(StepNoRepeat, r, func(n *Note) { n.RepeatOf, n.Budget = e.End, st.budgetNow(r.pool) })
-		st.conclude(r, notRun("the retry budget is used up"))
+	case r.reached && !st.mayRepeat(r.pool):
+		st.refuseRepeat(r)
 	default:
-		st.spendRepeats(st.nodeAccount(r.pool, st.now), 1)
 		st.again(r, e)
 	}
 }
 
+// refuseRepeat ends a request that may not be sent once more for want of retry budget.
+func (st *step) refuseRepeat(r request) {
+	st.note(StepNoRepeat, r, func(n *Note) { n.RepeatOf, n.Budget = r.lastEnd, st.budgetNow(r.pool) })
+	st.conclude(r, notRun("the retry budget is used up"))
+}
+
 // again prepares the next call; results that the last one used up are made anew.
 func (st *step) again(r request, e AttemptEnded) {
 	for _, i := range r.Pipeline.Leaves() {
--- a/internal/chuterelay/budget_test.go
+++ b/internal/chuterelay/budget_test.go
@@ -95,3 +95,41 @@
 		n.Assert(slack, qt.Equals, 8)
 	})
 }
+
+// TestRepeatsCounted guards against repeats that no budget counts, and against first arrivals
+// that are counted as repeats.
+func TestRepeatsCounted(t *testing.T) {
+	t.Run("a call after one that reached nobody is no repeat", func(t *testing.T) {
+		n := newNode(t)
+		n.state.settings.Retries = chutebudget.Settings{}
+		s := n.sent(plain(1, chuteroute.Repeatable))
+		n.ends(s, EndUnreachable)
+		n.ends(only[Send](n), EndAnswered)
+		only[Deliver](n)
+	})
+
+	t.Run("a repeat counts when it is sent, also if its stages are made again before", func(t *testing.T) {
+		// Counted when it was decided on, it would come to the upstream in a later window,
+		// together with all that this one allows.
+		n := newNode(t)
+		s := n.sent(stream(1, chuteroute.Resumable))
+		n.ends(s, EndInputGone)
+		n.Assert(n.state.budget(enginePool, n.now).Spent, qt.Equals, 0)
+		n.pass(time.Second)
+		n.makeParts()
+		n.makeParts()
+		only[Send](n)
+		n.Assert(n.state.budget(enginePool, n.now).Spent, qt.Equals, 1)
+	})
+
+	t.Run("one that may not be sent any more when its stages are made is refused at once", func(t *testing.T) {
+		n := newNode(t)
+		s := n.sent(stream(1, chuteroute.Resumable))
+		n.ends(s, EndInputGone)
+		n.state.settings.Retries = chutebudget.Settings{}
+		n.makeParts()
+		n.makeParts()
+		refusal := n.expectRefused(RefusedNotRun)
+		n.Assert(refusal.Reason, qt.Contains, "the retry budget is used up")
+	})
+}
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -59,6 +59,8 @@
 	// sends counts calls, runs those among them that may have run.
 	sends int
 	runs  int
+	// reached says that a call may have reached an upstream, so that the next one is a repeat.
+	reached bool
 	// lastEnd is how the last call ended; empty before the first has.
 	lastEnd AttemptEnd
 	tried   []string
