Spread the times at which callers without a repeat come back

Callers saw: all callers of a failing pool were told to come back after 0.4 s, and came together Change: 0.2 to 0.6 s, drawn for each, when the retry budget is used up Tests: TestRepeatsCounted, five callers get five times; red before

--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -1,6 +1,8 @@
 package chuterelay
 
 import (
+	"time"
+
 	"azurechute.example/azurechute/internal/chutefleet"
 )
 
@@ -191,7 +193,9 @@
 // refuseRepeat ends a request that may not be sent once more for want of retry budget.
 func (st *step) refuseRepeat(r request) {
 	st.note(StepNoRepeat, r, func(n *Note) { n.RepeatOf, n.Budget = r.lastEnd, st.budgetNow(r.pool) })
-	st.conclude(r, notRun("the retry budget is used up"))
+	refusal := notRun("the retry budget is used up")
+	refusal.RetryAfter = time.Duration((1 - retrySpread + 2*retrySpread*st.draw()) * float64(soonRetry))
+	st.conclude(r, refusal)
 }
 
 // again prepares the next call; results that the last one used up are made anew.
--- a/internal/chuterelay/budget_test.go
+++ b/internal/chuterelay/budget_test.go
@@ -132,4 +132,15 @@
 		refusal := n.expectRefused(RefusedNotRun)
 		n.Assert(refusal.Reason, qt.Contains, "the retry budget is used up")
 	})
+
+	t.Run("callers that get no repeat are told to come back at different times", func(t *testing.T) {
+		n := newNode(t)
+		n.state.settings.Retries = chutebudget.Settings{}
+		times := map[time.Duration]bool{}
+		for handle := range uint64(5) {
+			n.ends(n.sent(plain(handle+1, chuteroute.Repeatable)), EndRefused)
+			times[n.expectRefused(RefusedNotRun).RetryAfter] = true
+		}
+		n.Assert(times, qt.HasLen, 5)
+	})
 }
--- a/internal/chuterelay/refusal.go
+++ b/internal/chuterelay/refusal.go
@@ -36,6 +36,9 @@
 	// soonRetry is when a caller may come back after a passing lack, such as a pool
 	// whose upstreams were all set aside for half a second.
 	soonRetry = 400 * time.Millisecond
+	// retrySpread is the part by which a time to come back is varied, so that the callers of
+	// a pool that fails do not all come back together.
+	retrySpread = 0.5
 )
 
 func notRun(reason string) Refusal {
