--- a/internal/chutebudget/budget.go
+++ b/internal/chutebudget/budget.go
@@ -2,19 +2,24 @@
 
 import "time"
 
-// DefaultWindow is the span of the bound where the settings name none.
-const DefaultWindow = 10 * time.Second
+const (
+	// DefaultWindow is the span of the bound where the settings name none.
+	DefaultWindow = 10 * time.Second
+	// ShortestWindow is the shortest span that a budget can count over.
+	ShortestWindow = time.Second
+)
 
 const (
 	// windowSlots is the number of steps in which a window moves on.
 	windowSlots = 40
-	// lateSlots is how many slots later than it was decided on a repeat may reach its
-	// upstream: the time that a new connection takes at most.
-	lateSlots = 2
 	// creditSlots is the number of slots for which a first call's credit lasts.
 	creditSlots = 5
-	// spentSlots is the number of slots in which repeats are counted; the newest is not full.
-	spentSlots = windowSlots + lateSlots + 1
+	// lateness is how much later than it was decided on a repeat may reach its upstream: the
+	// time that a new connection takes at most, and some for its way.
+	lateness = 500 * time.Millisecond
+	// maxSlots is the number of slots in which repeats are counted for the shortest window;
+	// the newest is not full.
+	maxSlots = windowSlots + int64(lateness*windowSlots/ShortestWindow) + 1
 	// unit is one repeat; credits come in parts of it.
 	unit = 1000
 )
@@ -35,23 +40,35 @@
 		return DefaultWindow
 	}
 
-	return s.Window
+	return max(s.Window, ShortestWindow)
 }
 
 // Memory returns how long a repeat counts at least, on its way to the upstream included.
 func (s Settings) Memory() time.Duration {
-	return s.slot() * spentSlots
+	return s.slot() * time.Duration(s.spentSlots())
+}
+
+// spentSlots is the number of slots in which repeats are counted.
+func (s Settings) spentSlots() int64 {
+	return windowSlots + s.lateSlots() + 1
+}
+
+// lateSlots is the number of slots in which a repeat may reach its upstream late.
+func (s Settings) lateSlots() int64 {
+	return int64((lateness + s.slot() - 1) / s.slot())
 }
 
 func (s Settings) slot() time.Duration {
 	return s.Span() / windowSlots
 }
 
-// earned is the part of its share of a repeat that a first call is given as credit.
+// credit is what one first call earns, in parts of a unit.
 //
 // The repeats of a window are paid with the credit of that window and of the time before it in
-// which credit lasts. It is smaller than one by as much as that is longer.
-const earned = 1 / (1 + float64(creditSlots+lateSlots)/windowSlots)
+// which credit lasts. It is smaller than the ratio by as much as that is longer.
+func (s Settings) credit() float64 {
+	return s.Ratio * unit / (1 + float64(creditSlots+s.lateSlots())/windowSlots)
+}
 
 // slot is what was counted in one step of the window.
 type slot struct {
@@ -69,7 +86,7 @@
 // in the last window would together allow more than that share where callers move from one
 // node to another within a window, as they do when nodes are killed.
 type Budget struct {
-	slots  [spentSlots]slot
+	slots  [maxSlots]slot
 	newest int64
 }
 
@@ -86,8 +103,8 @@
 // moved begins the slots that have come since, and empties those that the window has left.
 func (b Budget) moved(s Settings, now time.Time) Budget {
 	at := now.UnixNano() / int64(s.slot())
-	for n := max(b.newest+1, at-spentSlots+1); n <= at; n++ {
-		b.slots[n%spentSlots] = slot{}
+	for n := max(b.newest+1, at-maxSlots+1); n <= at; n++ {
+		b.slots[n%maxSlots] = slot{}
 	}
 	b.newest = max(b.newest, at)
 
@@ -96,15 +113,15 @@
 
 // aged returns the slot of an age in slots, 0 for the newest.
 func (b *Budget) aged(age int64) *slot {
-	return &b.slots[(b.newest-age+spentSlots)%spentSlots]
+	return &b.slots[(b.newest-age+maxSlots)%maxSlots]
 }
 
 // WithFirst counts n first calls.
 func (b Budget) WithFirst(s Settings, n int, now time.Time) Budget {
 	b = b.moved(s, now)
 	newest := b.aged(0)
-	newest.first += int32(n)                                   //nolint:gosec // calls of a fraction of a second
-	newest.credit += int32(earned * s.Ratio * float64(n*unit)) //nolint:gosec // as above
+	newest.first += int32(n)                        //nolint:gosec // calls of a fraction of a second
+	newest.credit += int32(s.credit() * float64(n)) //nolint:gosec // as above
 
 	return b
 }
@@ -130,7 +147,7 @@
 	b = b.moved(s, now)
 	c := Counts{Slack: slack}
 	credit, taken := 0, 0
-	for age := range int64(spentSlots) {
+	for age := range s.spentSlots() {
 		at := b.aged(age)
 		c.Spent += int(at.spent)
 		taken += int(at.slack)
