Work out a node's part of the slack only where a repeat is decided on

Cause: each arrival worked out the part, which hashes the names of all nodes; it is not needed to count a first call Change: budgets have a key of their own, and an account is a budget with the part of the slack Measured: no decision changed; the tests of chuterelay pass. The time was not measured

--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -19,7 +19,7 @@
 	}
 	r.stages = make([]stageState, len(e.Pipeline.Stages))
 	r.pool = e.Pipeline.Target(st.draw())
-	st.countFirst(st.nodeAccount(r.pool, st.now), 1)
+	st.countFirst(budgetKey{pool: r.pool}, 1)
 	if refusal, refused := st.refusal(r); refused {
 		st.giveUp(r, refusal)
 
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -31,7 +31,7 @@
 
 			return
 		}
-		st.spendRepeats(st.nodeAccount(r.pool, st.now), 1)
+		st.spendRepeats(budgetKey{pool: r.pool}, 1)
 	}
 	r.sends++
 	r.runs++
--- a/internal/chuterelay/budget.go
+++ b/internal/chuterelay/budget.go
@@ -1,9 +1,9 @@
 package chuterelay
 
 import (
-	"strings"
 	"time"
 
+	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutebudget"
 )
 
@@ -30,10 +30,28 @@
 	Nodes int
 }
 
-// account is one budget of a pool at this node, with the node's part of the slack.
+// budgetKey names one budget of a pool at this node.
+type budgetKey struct {
+	pool string
+	// collecting says that it is the collector's.
+	collecting bool
+}
+
+// budgetKeyHasher hashes keys for the library's map.
+type budgetKeyHasher struct{}
+
+func (budgetKeyHasher) Hash(k budgetKey) uint32 {
+	return chutebatch.HashLane(chutebatch.Lane{Pool: k.pool})
+}
+
+func (budgetKeyHasher) Equal(a, b budgetKey) bool {
+	return a == b
+}
+
+// account is a budget with this node's part of the slack.
 type account struct {
-	key   string
-	pool  string
+	budgetKey
+
 	slack int
 }
 
@@ -44,7 +62,7 @@
 		whole *= 1 - collectorPart
 	}
 
-	return account{key: pool, pool: pool, slack: s.knownSlack(s.peers.sharers(now).Quota(pool, int(whole)), now)}
+	return account{budgetKey: budgetKey{pool: pool}, slack: s.knownSlack(s.peers.sharers(now).Quota(pool, int(whole)), now)}
 }
 
 // collectorAccount pays for the parts that this node's collector queues again.
@@ -55,7 +73,7 @@
 	}
 	part := int(s.settings.Retries.Slack * collectorPart / float64(collectors))
 
-	return account{key: collecting + pool, pool: pool, slack: s.knownSlack(part, now)}
+	return account{budgetKey: budgetKey{pool: pool, collecting: true}, slack: s.knownSlack(part, now)}
 }
 
 // knownSlack is a part of the slack, or nothing while this process does not know what the one
@@ -74,15 +92,15 @@
 }
 
 // countFirst counts first calls.
-func (st *step) countFirst(a account, n int) {
-	budget, _ := st.budgets.Get(a.key)
-	st.budgets = st.budgets.Set(a.key, budget.WithFirst(st.settings.Retries, n, st.now))
+func (st *step) countFirst(key budgetKey, n int) {
+	budget, _ := st.budgets.Get(key)
+	st.budgets = st.budgets.Set(key, budget.WithFirst(st.settings.Retries, n, st.now))
 }
 
 // spendRepeats counts repeats.
-func (st *step) spendRepeats(a account, n int) {
-	budget, _ := st.budgets.Get(a.key)
-	st.budgets = st.budgets.Set(a.key, budget.WithSpent(st.settings.Retries, n, st.now))
+func (st *step) spendRepeats(key budgetKey, n int) {
+	budget, _ := st.budgets.Get(key)
+	st.budgets = st.budgets.Set(key, budget.WithSpent(st.settings.Retries, n, st.now))
 }
 
 // repeatsLeft is how many repeats an account allows now.
@@ -92,7 +110,7 @@
 
 // counts returns what an account holds.
 func (s State) counts(a account, now time.Time) chutebudget.Counts {
-	budget, _ := s.budgets.Get(a.key)
+	budget, _ := s.budgets.Get(a.budgetKey)
 
 	return budget.Counts(s.settings.Retries, a.slack, now)
 }
@@ -108,7 +126,7 @@
 }
 
 func (s State) view(a account, now time.Time) BudgetView {
-	return BudgetView{Counts: s.counts(a, now), Pool: a.pool, Nodes: s.peers.sharers(now).Len()}
+	return BudgetView{Counts: s.counts(a, now), Pool: a.pool, Collecting: a.collecting, Nodes: s.peers.sharers(now).Len()}
 }
 
 // budgetNow returns a pool's retry budget for the log.
@@ -123,14 +141,11 @@
 	var views []BudgetView
 	for i := s.budgets.Iterator(); !i.Done(); {
 		key, _, _ := i.Next()
-		a := s.nodeAccount(key, now)
-		pool, collects := strings.CutPrefix(key, collecting)
-		if collects {
-			a = s.collectorAccount(pool, now)
+		a := s.nodeAccount(key.pool, now)
+		if key.collecting {
+			a = s.collectorAccount(key.pool, now)
 		}
-		v := s.view(a, now)
-		v.Collecting = collects
-		views = append(views, v)
+		views = append(views, s.view(a, now))
 	}
 
 	return views
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -92,7 +92,7 @@
 
 		return
 	}
-	st.countFirst(st.collectorAccount(job.Pool, st.now), job.Parts)
+	st.countFirst(budgetKey{pool: job.Pool, collecting: true}, job.Parts)
 	st.collector = st.collector.WithJob(job)
 	st.fill(job.Lane())
 }
@@ -207,7 +207,7 @@
 	allowed := st.repeatsLeft(repeats)
 	var ended chutebatch.Ended
 	st.collector, ended = st.collector.WithCallEnded(e.ID, e.End, e.Ends, u.Zone, allowed, st.now)
-	st.spendRepeats(repeats, ended.Requeued)
+	st.spendRepeats(repeats.budgetKey, ended.Requeued)
 	st.settle(ended)
 	st.fill(call.Lane)
 }
--- a/internal/chuterelay/restart.go
+++ b/internal/chuterelay/restart.go
@@ -40,7 +40,7 @@
 	allowed := st.repeatsLeft(repeats)
 	var ended chutebatch.Ended
 	st.collector, ended = st.collector.WithoutUpstream(u.ID, allowed, st.now)
-	st.spendRepeats(repeats, ended.Requeued)
+	st.spendRepeats(repeats.budgetKey, ended.Requeued)
 	st.settle(ended)
 }
 
@@ -111,7 +111,7 @@
 
 			return
 		}
-		st.spendRepeats(repeats, r.parts(i))
+		st.spendRepeats(repeats.budgetKey, r.parts(i))
 	}
 	st.advance(r)
 }
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -39,7 +39,7 @@
 	tokens *immutable.Map[uint64, uint64]
 	// listedAt is when this process first heard a list of nodes.
 	listedAt time.Time
-	budgets  *immutable.Map[string, chutebudget.Budget]
+	budgets  *immutable.Map[budgetKey, chutebudget.Budget]
 	// paces maps an upstream to how quickly it runs calls with parts.
 	paces *immutable.Map[string, pace]
 	// zones tells which other zones are cut off from this node.
@@ -76,7 +76,7 @@
 		collector: chutebatch.New(),
 		origins:   immutable.NewMap[uint64, origin](nil),
 		tokens:    immutable.NewMap[uint64, uint64](nil),
-		budgets:   immutable.NewMap[string, chutebudget.Budget](nil),
+		budgets:   immutable.NewMap[budgetKey, chutebudget.Budget](budgetKeyHasher{}),
 		paces:     immutable.NewMap[string, pace](nil),
 		probed:    immutable.NewMap[string, bool](nil),
 		waits:     immutable.NewMap[queueKey, heardWait](queueHasher{}),
