--- a/internal/chutemeter/repeats.go
+++ b/internal/chutemeter/repeats.go
@@ -34,11 +34,7 @@
 // writeRepeats writes the repeats by pool and by how the call before ended.
 func (m *Meter) writeRepeats(w io.Writer) error {
 	for _, s := range slices.SortedFunc(maps.Keys(m.repeats), compareRepeats) {
-		name := "repeats_total"
-		if s.refused {
-			name = "repeats_refused_total"
-		}
-		if _, err := fmt.Fprintf(w, "azurechute_%s{pool=%q,after=%q} %d\n", name, s.pool, s.after, m.repeats[s]); err != nil {
+		if _, err := fmt.Fprintf(w, "azurechute_%s{pool=%q,after=%q} %d\n", s.name(), s.pool, s.after, m.repeats[s]); err != nil {
 			return err
 		}
 	}
@@ -46,6 +42,15 @@
 	return nil
 }
 
+// name is the figure that the counter belongs to.
+func (s repeatSeries) name() string {
+	if s.refused {
+		return "repeats_refused_total"
+	}
+
+	return "repeats_total"
+}
+
 func compareRepeats(a, b repeatSeries) int {
-	return cmp.Or(cmp.Compare(a.pool, b.pool), cmp.Compare(a.after, b.after))
+	return cmp.Or(cmp.Compare(a.name(), b.name()), cmp.Compare(a.pool, b.pool), cmp.Compare(a.after, b.after))
 }
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -71,13 +71,13 @@
 	return p
 }
 
-// withDepartures notes which nodes are not on a new list; they keep their part of what all
-// nodes share until then.
+// withDepartures notes which nodes are missing from a new list; until a given time they keep
+// their part of what all nodes share.
 func (p peers) withDepartures(all []Peer, now, until time.Time) peers {
 	departed := map[string]time.Time{}
-	for name, until := range p.departed {
-		if now.Before(until) {
-			departed[name] = until
+	for name, earlier := range p.departed {
+		if now.Before(earlier) {
+			departed[name] = earlier
 		}
 	}
 	for _, was := range p.all {
