--- a/internal/chuterelay/budget.go
+++ b/internal/chuterelay/budget.go
@@ -14,6 +14,10 @@
 	// collectorsAtOnce is how many collectors of one shard may be at work while nodes disagree
 	// on the list.
 	collectorsAtOnce = 2
+	// startPart is the part of a node's slack that a process leaves to the next one, an eighth,
+	// and leastShared the smallest slack of which it leaves any.
+	startPart   = 8
+	leastShared = 4
 	// departedWindows is how many windows a node that left the list keeps its part of the
 	// slack: it serves on for less than one of them, and its last repeats count for another.
 	departedWindows = 2
@@ -76,14 +80,23 @@
 	return account{budgetKey: budgetKey{pool: pool, collecting: true}, slack: s.knownSlack(part, now)}
 }
 
-// knownSlack is a part of the slack, or nothing while this process does not know what the one
-// before it has spent of it.
+// knownSlack is what this process may spend of a part of the slack.
+//
+// It does not know what the process before it has spent until that no longer counts. Until
+// then it has what each process leaves to the next one, and one repeat before it knows the list
+// of nodes, so that callers of a node that has just started get some repeats.
 func (s State) knownSlack(part int, now time.Time) int {
-	if s.listedAt.IsZero() || now.Sub(s.listedAt) < s.settings.Retries.Memory() {
+	start := max(1, part/startPart)
+	switch {
+	case s.settings.Retries.Slack < 1:
 		return 0
+	case s.listedAt.IsZero() || now.Sub(s.listedAt) < s.settings.Retries.Memory():
+		return start
+	case part < leastShared:
+		return part
+	default:
+		return part - start
 	}
-
-	return part
 }
 
 // departedFor is how long a node that has left the list keeps its part of the slack.
