--- a/internal/chutecli/explain.go
+++ b/internal/chutecli/explain.go
@@ -55,8 +55,15 @@
 	AgeMs    int64
 	LeftMs   int64
 	Version  uint64 `json:",omitempty"`
+	// ConfigAgeMs is how long before a refusal the configuration was known to be the newest
+	// one, From the node that it was heard from; absent for the store.
+	ConfigAgeMs *int64 `json:",omitempty"`
+	From        string `json:",omitempty"`
 }
 
+// adopted is the message of a configuration that a node puts in force.
+const adopted = "configuration in force"
+
 // budgetCounts are a pool's retry budget at one node.
 type budgetCounts struct {
 	First int
@@ -69,6 +76,10 @@
 
 // reason is the line's reason with the counts that decided it.
 func (l logLine) reason() string {
+	if l.ConfigAgeMs != nil {
+		return fmt.Sprintf("%s; by version %d, heard from %s, confirmed %d ms before",
+			l.Reason, l.Version, cmp.Or(l.From, "the store"), *l.ConfigAgeMs)
+	}
 	if l.Budget == nil {
 		return l.Reason
 	}
@@ -91,12 +102,15 @@
 
 // Run prints one request's story.
 func (c explainCommand) Run(ctx context.Context, s session) error {
-	var lines []logLine
-	wanted := []byte(strconv.Quote(c.Request))
+	var lines, adoptions []logLine
+	wanted := [][]byte{[]byte(strconv.Quote(c.Request)), []byte(strconv.Quote(adopted))}
 	for _, open := range sources(s, c.Files) {
 		err := readLog(ctx, open, wanted, func(line logLine) {
-			if line.Request == c.Request {
+			switch {
+			case line.Request == c.Request:
 				lines = append(lines, line)
+			case line.Step == adopted:
+				adoptions = append(adoptions, line)
 			}
 		})
 		if err != nil {
@@ -109,11 +123,25 @@
 	// One node decides on a request, by its own clock; a time of day that jumped
 	// does not disturb the order.
 	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
-	result := explanation{Request: c.Request, Lines: lines, Cause: causeOf(lines)}
+	result := explanation{Request: c.Request, Lines: lines, Cause: causeOf(lines) + nextConfig(lines[len(lines)-1], adoptions)}
 
 	return s.print(result, func() { s.printExplanation(result) })
 }
 
+// nextConfig says when a node that refused a request by its configuration heard of the next one.
+func nextConfig(refusal logLine, adoptions []logLine) string {
+	if refusal.ConfigAgeMs == nil {
+		return ""
+	}
+	for _, a := range adoptions {
+		if a.Node == refusal.Node && a.Version > refusal.Version && !a.Time.Before(refusal.Time) {
+			return fmt.Sprintf("; version %d came into force there %v after that, to the second", a.Version, a.Time.Sub(refusal.Time))
+		}
+	}
+
+	return "; no newer version came into force there in these logs"
+}
+
 // sources returns what to read: a function each that opens a file, or standard input.
 func sources(s session, files []string) []func() (io.ReadCloser, error) {
 	if len(files) == 0 {
@@ -151,7 +179,7 @@
 	}
 	end := fmt.Sprintf("%s after %d ms", last.Step, last.AgeMs)
 	if last.Reason != "" {
-		end += ": " + last.Reason
+		end += ": " + last.reason()
 	}
 	switch last.Step {
 	case "answered", "answered with failure", "refused", "cancelled":
--- a/internal/chutecli/explain_test.go
+++ b/internal/chutecli/explain_test.go
@@ -14,6 +14,9 @@
 not JSON at all "r1"
 {"Node":"n1","Request":"r2","AgeMs":5,"message":"admitted"}
 {"Node":"n1","Request":"r1","Pool":"parts","Stage":0,"Reason":"Late","AgeMs":80,"LeftMs":20,"message":"stage not made"}
+{"Node":"n1","Request":"r4","Reason":"no pipeline","Version":6,"ConfigAgeMs":1400,"From":"n2","time":"2026-06-25T16:11:43Z","message":"refused"}
+{"Node":"n3","Version":16,"time":"2026-06-25T16:11:44Z","message":"configuration in force"}
+{"Node":"n1","Version":16,"time":"2026-06-25T16:11:45Z","message":"configuration in force"}
 {"Node":"n1","Request":"r1","AgeMs":
 `
 
@@ -42,6 +45,13 @@
 		c.Assert(out, qt.Contains, "no end is logged")
 	})
 
+	t.Run("a refusal by an old configuration says which one, and when the next came", func(t *testing.T) {
+		c := qt.New(t)
+		_, out, _ := runExplain("r4")
+		c.Assert(out, qt.Contains, "by version 6, heard from n2, confirmed 1400 ms before")
+		c.Assert(out, qt.Contains, "version 16 came into force there 2s after that")
+	})
+
 	t.Run("an unknown id is an error that says where to look", func(t *testing.T) {
 		c := qt.New(t)
 		code, _, errors := runExplain("r3")
--- a/internal/chutecli/summary.go
+++ b/internal/chutecli/summary.go
@@ -64,7 +64,9 @@
 	stories := map[string][]logLine{}
 	for _, open := range sources(s, c.Files) {
 		err := readLog(ctx, open, nil, func(line logLine) {
-			stories[line.Request] = append(stories[line.Request], line)
+			if line.Request != "" {
+				stories[line.Request] = append(stories[line.Request], line)
+			}
 		})
 		if err != nil {
 			return err
@@ -75,8 +77,11 @@
 	return s.print(result, func() { s.printSummary(result) })
 }
 
-// readLog hands each line that names a request to take; lines without the wanted text are left out.
-func readLog(ctx context.Context, open func() (io.ReadCloser, error), wanted []byte, take func(line logLine)) error {
+// readLog hands each line to take that has one of the wanted texts, or every line if there is none.
+func readLog(ctx context.Context, open func() (io.ReadCloser, error), wanted [][]byte, take func(line logLine)) error {
+	isWanted := func(text []byte) bool {
+		return len(wanted) == 0 || slices.ContainsFunc(wanted, func(w []byte) bool { return bytes.Contains(text, w) })
+	}
 	r, err := open()
 	if err != nil {
 		return err
@@ -87,12 +92,12 @@
 	for scanner.Scan() && ctx.Err() == nil {
 		text := scanner.Bytes()
 		start := bytes.IndexByte(text, '{')
-		if start < 0 || !bytes.Contains(text, wanted) {
+		if start < 0 || !isWanted(text) {
 			continue
 		}
 		var line logLine
 		// A line that was cut off, as at a kill, can't be read; the others can.
-		if err := json.Unmarshal(text[start:], &line); err == nil && line.Request != "" {
+		if err := json.Unmarshal(text[start:], &line); err == nil {
 			take(line)
 		}
 	}
--- a/internal/chutegate/follow.go
+++ b/internal/chutegate/follow.go
@@ -94,7 +94,7 @@
 		stale.patience = zonePatience
 	}
 	take := func(c chutefeed.Change) {
-		if w.take(c) {
+		if w.takeFrom(source.Name, c) {
 			changed()
 		}
 	}
@@ -104,7 +104,9 @@
 		if current {
 			w.reached(true, now)
 		}
-		w.setCurrent(current, now)
+		if w.setCurrent(current, now) && !current {
+			n.log.Info().Str("Table", w.name).Str("Peer", source.Name).Msg("the node that is followed is out of date")
+		}
 		if w.unsettled(now) {
 			changed()
 		}
@@ -112,6 +114,8 @@
 		if asking.ended() {
 			*stale = n.afterQuestion(w, *stale, asking.answered, current, source)
 		} else if stale.due(now) && !asking.underWay {
+			n.log.Info().Str("Table", w.name).Str("Peer", source.Name).Dur("WaitMs", now.Sub(stale.since)).
+				Msg("the store is asked in place of the node that is followed")
 			asking.start(n, func(ctx context.Context) bool { return n.readInPlace(ctx, w, changed) })
 		}
 		chosen, ok := n.source()
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -80,7 +80,7 @@
 	n.send(chuterelay.ConfigAdopted{Config: cfg})
 	n.noteKnown()
 	n.log.Info().Uint64("Version", cfg.Version).Int("Pipelines", len(cfg.Pipelines)).
-		Int("Keys", len(cfg.Workspaces)).Msg("configuration in force")
+		Int("Keys", len(cfg.Workspaces)).Str("From", w.heard()).Msg("configuration in force")
 }
 
 // watchUpstreams keeps the list of upstreams up to date.
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -196,7 +196,7 @@
 		}
 		n.log.Info().Str("Table", w.name).Str("Peer", peer.Name).Uint64("Version", change.Version).Msg("read from a peer")
 
-		return w.take(change)
+		return w.takeFrom(peer.Name, change)
 	}
 
 	return false
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -75,7 +75,7 @@
 	}
 	submission, refusal := n.submission(cfg, in)
 	if refusal != nil {
-		n.logRefusal(in, *refusal)
+		n.logRefusal(in, *refusal, cfg)
 		out.Refuse(*refusal)
 
 		return
@@ -177,7 +177,12 @@
 	}
 }
 
-func (n *Node) logRefusal(in *Incoming, r chuterelay.Refusal) {
+// logRefusal logs a refusal with the configuration that it follows from: its version, how long
+// ago it was known to be the newest one, and the node that it was heard from, empty for the store.
+func (n *Node) logRefusal(in *Incoming, r chuterelay.Refusal, cfg chuteroute.Config) {
+	w := n.watches[n.settings.Tables.Config]
+	age, _ := w.age(n.Now())
 	n.log.Info().Str("Request", in.ID).Str("Kind", string(r.Kind)).Str("Reason", r.Reason).
-		Dur("RetryAfter", r.RetryAfter).Msg("refused")
+		Dur("RetryAfter", r.RetryAfter).Uint64("Version", cfg.Version).Int64("ConfigAgeMs", age.Milliseconds()).
+		Str("From", w.heard()).Msg("refused")
 }
--- a/internal/chutegate/watch.go
+++ b/internal/chutegate/watch.go
@@ -32,6 +32,8 @@
 	current bool
 	// confirmedAt is when that word was last good; zero if it never was.
 	confirmedAt time.Time
+	// heardFrom is the node that had the last change; empty if the store did.
+	heardFrom string
 	// changed is closed and replaced by each change of the rows or of current.
 	changed chan struct{}
 	// returnedAt is when the store answered again after it had been away.
@@ -58,7 +60,7 @@
 // The store may answer with rows of some seconds ago. Taking them would bring
 // back an upstream that is leaving, or a configuration that was replaced.
 func (w *watch) replace(p Page) bool {
-	return w.take(chutefeed.Change{Version: p.Version, Whole: true, Rows: w.rowsOf(p)})
+	return w.takeStored(chutefeed.Change{Version: p.Version, Whole: true, Rows: w.rowsOf(p)})
 }
 
 // merge takes changes in and says whether any of them matters.
@@ -71,7 +73,7 @@
 		}
 	}
 
-	return w.take(c)
+	return w.takeStored(c)
 }
 
 // lastOfEach returns the last change of each row. The store lists every change, and one
@@ -105,6 +107,31 @@
 	return rows
 }
 
+// takeFrom takes a change of another node in, as take does.
+func (w *watch) takeFrom(node string, c chutefeed.Change) bool {
+	if !w.take(c) {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heardFrom = node
+
+	return true
+}
+
+// takeStored takes a change of the store in, as take does.
+func (w *watch) takeStored(c chutefeed.Change) bool {
+	return w.takeFrom("", c)
+}
+
+// heard returns the node that had the last change; empty if the store did.
+func (w *watch) heard() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.heardFrom
+}
+
 // take takes a change in, unless it is older than what is known, and says whether there
 // is something to look at: rows that changed, or the first state of the table.
 func (w *watch) take(c chutefeed.Change) bool {
@@ -134,18 +161,21 @@
 	w.changed = make(chan struct{})
 }
 
-// setCurrent notes whether the last word on the store is good.
-func (w *watch) setCurrent(current bool, now time.Time) {
+// setCurrent notes whether the last word on the store is good, and says whether that is news.
+func (w *watch) setCurrent(current bool, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	if current {
 		w.confirmedAt = now
 	}
-	if w.current != current {
-		w.current = current
-		w.wake()
+	if w.current == current {
+		return false
 	}
+	w.current = current
+	w.wake()
+
+	return true
 }
 
 // age is how long ago the table was last known to be up to date; false if it never was.
