--- /dev/null
+++ b/internal/chutegate/staleness_sim_test.go
@@ -0,0 +1,195 @@
+package chutegate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc/test/bufconn"
+
+	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteshare"
+)
+
+// simNet connects nodes in memory. A connection between two nodes that are cut off from each
+// other carries nothing any more, and a new one does not come about.
+type simNet struct {
+	mu        sync.Mutex
+	listeners map[string]*bufconn.Listener
+	cut       func(from, to string) bool
+}
+
+var errNoListener = errors.New("connection refused")
+
+func (s *simNet) cutOff(from, to string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.cut != nil && s.cut(from, to)
+}
+
+func (s *simNet) dial(from string) func(ctx context.Context, to string) (net.Conn, error) {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		if s.cutOff(from, to) {
+			<-ctx.Done()
+
+			return nil, ctx.Err()
+		}
+		s.mu.Lock()
+		l := s.listeners[to]
+		s.mu.Unlock()
+		if l == nil {
+			return nil, errNoListener
+		}
+		conn, err := l.DialContext(ctx)
+
+		return &simConn{Conn: conn, silent: func() bool { return s.cutOff(from, to) }}, err
+	}
+}
+
+// simConn is a connection that goes silent for good once its ends are cut off.
+type simConn struct {
+	net.Conn
+
+	silent func() bool
+	lost   bool
+}
+
+func (c *simConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if c.lost = c.lost || c.silent(); !c.lost || err != nil {
+			return n, err
+		}
+	}
+}
+
+func (c *simConn) Write(p []byte) (int, error) {
+	if c.silent() {
+		return len(p), nil
+	}
+
+	return c.Conn.Write(p)
+}
+
+// simFleet is nodes on a simulated clock with their store.
+type simFleet struct {
+	*qt.C
+
+	net   *simNet
+	store *memoryStore
+	nodes map[string]*Node
+	peers []chuterelay.Peer
+	stops map[string]func()
+}
+
+// newSimFleet starts nodes in zones of one region, all at once; it is called in a bubble of synctest.
+func newSimFleet(t *testing.T, size, zones int) *simFleet {
+	f := &simFleet{
+		C: qt.New(t), net: &simNet{listeners: map[string]*bufconn.Listener{}}, store: newMemoryStore(),
+		nodes: map[string]*Node{}, stops: map[string]func(){},
+	}
+	f.store.put("config", "c", "1")
+	f.store.put("upstreams", "u", "ready")
+	for i := range size {
+		name := fmt.Sprint("n", i)
+		peer := chuterelay.Peer{Name: name, Zone: fmt.Sprint("z", i%zones), Region: "r", Address: name, Power: 1}
+		f.peers = append(f.peers, peer)
+		f.start(peer)
+	}
+
+	return f
+}
+
+func (f *simFleet) start(self chuterelay.Peer) {
+	n := New(Settings{Self: self, Tables: testTables}, clockwork.NewRealClock(), zerolog.Nop(), f.store.seam(self.Name), testDecoders(), Upstreams{Trim: func() {}})
+	n.peers.Dial = f.net.dial(self.Name)
+	server := chuteshare.NewServer(n.Handlers())
+	l := bufconn.Listen(1 << 16)
+	f.net.mu.Lock()
+	f.net.listeners[self.Name] = l
+	f.net.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(l)
+	}()
+	n.Start()
+	f.nodes[self.Name] = n
+	f.stops[self.Name] = sync.OnceFunc(func() {
+		f.net.mu.Lock()
+		delete(f.net.listeners, self.Name)
+		f.net.mu.Unlock()
+		server.Stop()
+		n.Stop()
+		<-done
+	})
+}
+
+func (f *simFleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+}
+
+// applyBound is how long a configuration may take to be in force.
+const applyBound = 2 * time.Second
+
+// expectInTime changes the configuration and checks that each of the nodes has it within the bound.
+func (f *simFleet) expectInTime(version uint64, among []chuterelay.Peer) {
+	f.store.put("config", "c", fmt.Sprint(version))
+	began := time.Now()
+	for _, p := range among {
+		for {
+			if cfg, _ := f.nodes[p.Name].Config(); cfg.Version >= version {
+				break
+			}
+			f.Assert(time.Since(began) <= applyBound, qt.IsTrue, qt.Commentf("%s has no version %d after %v", p.Name, version, time.Since(began)))
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// Guards against a node that decides by an old configuration because the node that it follows
+// has lost the store, although it reaches the store itself.
+func TestStoreLostByReaders(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				f := newSimFleet(t, 8+4*int(seed%3), 4)
+				defer f.stop()
+				time.Sleep(10*time.Second + time.Duration(random.IntN(3000))*time.Millisecond)
+				reach := f.cutSome(random)
+				time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
+				f.expectInTime(2, reach)
+			})
+		})
+	}
+}
+
+// cutSome cuts the node that reads for the others off from the store, and some others, and
+// returns those that are left.
+func (f *simFleet) cutSome(random *rand.Rand) []chuterelay.Peer {
+	var left []chuterelay.Peer
+	for _, p := range f.peers {
+		_, follows := f.nodes[p.Name].source()
+		if follows && random.IntN(2) == 0 {
+			left = append(left, p)
+
+			continue
+		}
+		f.store.setCut(p.Name, true)
+	}
+
+	return left
+}
--- a/internal/chutegate/zone_test.go
+++ b/internal/chutegate/zone_test.go
@@ -29,12 +29,14 @@
 	away    map[string]bool
 	// silent holds back the answers to a node until its channel is closed.
 	silent map[string]chan struct{}
+	// cut is the nodes whose questions, open ones too, are never answered.
+	cut map[string]bool
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{
 		rows: map[string]map[string]Row{}, changes: map[string][]Row{}, changed: make(chan struct{}), away: map[string]bool{},
-		silent: map[string]chan struct{}{},
+		silent: map[string]chan struct{}{}, cut: map[string]bool{},
 	}
 }
 
@@ -63,6 +65,27 @@
 	s.away[node] = away
 }
 
+// setCut cuts a node off from the store, or ends that.
+func (s *memoryStore) setCut(node string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.cut[node] = cut
+}
+
+// lose waits until a question of a node that is cut off is given up.
+func (s *memoryStore) lose(ctx context.Context, node string) error {
+	s.mu.Lock()
+	cut := s.cut[node]
+	s.mu.Unlock()
+	if !cut {
+		return nil
+	}
+	<-ctx.Done()
+
+	return ctx.Err()
+}
+
 // silence holds back all answers to a node, and returns what ends that.
 func (s *memoryStore) silence(node string) func() {
 	held := make(chan struct{})
@@ -109,6 +132,9 @@
 			s.awaitAnswer(node)
 			until := time.After(wait)
 			for {
+				if err := s.lose(ctx, node); err != nil {
+					return Page{}, err
+				}
 				page, changed, err := s.since(node, table, after)
 				if err != nil || len(page.Rows) > 0 {
 					return page, err
@@ -116,14 +142,17 @@
 				select {
 				case <-changed:
 				case <-until:
-					return page, nil
+					return page, s.lose(ctx, node)
 				case <-ctx.Done():
 					return Page{}, ctx.Err()
 				}
 			}
 		},
-		All: func(_ context.Context, table string) (Page, error) {
+		All: func(ctx context.Context, table string) (Page, error) {
 			s.awaitAnswer(node)
+			if err := s.lose(ctx, node); err != nil {
+				return Page{}, err
+			}
 			page, _, err := s.since(node, table, 0)
 			whole := map[string]Row{}
 			for _, row := range page.Rows {
@@ -203,21 +232,8 @@
 
 func (z *zone) start(t *testing.T, self chuterelay.Peer, l net.Listener) {
 	n := New(
-		Settings{Self: self, Tables: Tables{Config: "config", ConfigKey: "c", Upstreams: "upstreams", Peers: "peers", Ledger: "ledger", Quarantine: "quarantine"}},
-		clockwork.NewRealClock(), zerolog.Nop(), z.store.seam(self.Name),
-		Decoders{
-			Config: func(value []byte) (chuteroute.Config, error) {
-				var version uint64
-				_, err := fmt.Sscan(string(value), &version)
-
-				return chuteroute.Config{Version: version}, err
-			},
-			EvacuatedZone: evacuatedZone,
-			Upstream: func(key string, value []byte) (chutefleet.Upstream, error) {
-				return chutefleet.Upstream{ID: key, Name: key, State: chutefleet.State(value)}, nil
-			},
-		},
-		Upstreams{Trim: func() {}},
+		Settings{Self: self, Tables: testTables},
+		clockwork.NewRealClock(), zerolog.Nop(), z.store.seam(self.Name), testDecoders(), Upstreams{Trim: func() {}},
 	)
 	server := chuteshare.NewServer(n.Handlers())
 	done := make(chan struct{})
@@ -238,6 +254,27 @@
 	t.Cleanup(z.stops[self.Name])
 }
 
+// testTables names the tables of a memoryStore.
+var testTables = Tables{
+	Config: "config", ConfigKey: "c", Upstreams: "upstreams", Peers: "peers", Ledger: "ledger", Quarantine: "quarantine",
+}
+
+// testDecoders read rows of a memoryStore: a configuration is its version, an upstream its state.
+func testDecoders() Decoders {
+	return Decoders{
+		Config: func(value []byte) (chuteroute.Config, error) {
+			var version uint64
+			_, err := fmt.Sscan(string(value), &version)
+
+			return chuteroute.Config{Version: version}, err
+		},
+		EvacuatedZone: evacuatedZone,
+		Upstream: func(key string, value []byte) (chutefleet.Upstream, error) {
+			return chutefleet.Upstream{ID: key, Name: key, State: chutefleet.State(value)}, nil
+		},
+	}
+}
+
 // evacuatedZone reads the keys of evacuated zones in tests.
 func evacuatedZone(key string) (string, bool) {
 	return strings.CutPrefix(key, "evacuate/")
--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 
 // Client asks other nodes; it keeps one connection an address.
 type Client struct {
+	// Dial connects to an address, by TCP if it is nil; it is set before the first call.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	mu     sync.Mutex
 	byAddr map[string]*grpc.ClientConn
 }
@@ -59,7 +63,7 @@
 	if conn, ok := c.byAddr[address]; ok {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxReply)),
@@ -68,7 +72,11 @@
 			MinConnectTimeout: connectTimeout,
 		}),
 		grpc.WithDisableServiceConfig(),
-	)
+	}
+	if c.Dial != nil {
+		options = append(options, grpc.WithContextDialer(c.Dial))
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, oops.In("share").With("step", "connect", "peer", address).Wrap(err)
 	}
