--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -1,6 +1,7 @@
 package chutegate
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,11 @@
 type Settings struct {
 	Self    chuterelay.Peer
 	Retries chutebudget.Settings
+	// ConfigWithin is the time within which a confirmed configuration has to be in force at
+	// every node, LeaveWithin that within which a leaving upstream gets no more calls;
+	// DefaultWithin if they are 0.
+	ConfigWithin time.Duration
+	LeaveWithin  time.Duration
 	// ColdFactor is how many times the stated rate a cold upstream may get; 0 counts as 1.
 	ColdFactor float64
 	Tables     Tables
@@ -104,6 +110,8 @@
 func New(
 	settings Settings, clock clockwork.Clock, log zerolog.Logger, store Store, decode Decoders, upstreams Upstreams,
 ) *Node {
+	settings.ConfigWithin = cmp.Or(settings.ConfigWithin, DefaultWithin)
+	settings.LeaveWithin = cmp.Or(settings.LeaveWithin, DefaultWithin)
 	running, stop := context.WithCancel(context.Background())
 	n := &Node{
 		settings: settings, clock: clock, started: clock.Now(),
@@ -126,12 +134,16 @@
 	})
 	n.state = chutecore.NewState(identity, settings.Seed, n.Now()).WithRelay(relay)
 	n.addGauges()
-	for _, table := range []string{
-		settings.Tables.Config, settings.Tables.Upstreams, settings.Tables.Peers, settings.Tables.Quarantine,
+	for table, stale := range map[string]time.Duration{
+		settings.Tables.Config:     staleAfter(settings.ConfigWithin),
+		settings.Tables.Upstreams:  staleAfter(settings.LeaveWithin),
+		settings.Tables.Peers:      unboundStale,
+		settings.Tables.Quarantine: unboundStale,
 	} {
-		n.watches[table] = newWatch(table)
+		n.watches[table] = newWatch(table, stale)
 	}
 	n.watches[settings.Tables.Upstreams].essence = decode.UpstreamEssence
+	n.watches[settings.Tables.Peers].signs = chuteshare.SlowFollowEvery
 	n.watches[settings.Tables.Quarantine].signs = chuteshare.SlowFollowEvery
 
 	return n
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -14,19 +14,6 @@
 	"azurechute.example/azurechute/internal/chuterelay"
 )
 
-func noWait() time.Duration {
-	return 0
-}
-
-// configWait is how long a question for a newer configuration stays open.
-func (n *Node) configWait() time.Duration {
-	if len(n.listedPeers()) > followAbove {
-		return followedWait
-	}
-
-	return configWait
-}
-
 // watchConfig keeps the configuration and the evacuations up to date, which lie in one table.
 //
 // A node that starts learns of both at once, and of evacuations first: before it knows a
@@ -35,7 +22,7 @@
 func (n *Node) watchConfig(ctx context.Context) {
 	w := n.watches[n.settings.Tables.Config]
 	var evacuated []string
-	n.keep(ctx, w, n.configWait, 0, func() {
+	n.keep(ctx, w, configWait, 0, func() {
 		if zones := n.evacuatedZones(w.snapshot()); !slices.Equal(zones, evacuated) {
 			evacuated = zones
 			n.evacuated.Store(int64(len(zones)))
@@ -89,7 +76,7 @@
 	var last []chutefleet.Upstream
 	lastHold := false
 	entries := map[string]entryRead{}
-	n.keep(ctx, w, noWait, upstreamsEvery, func() {
+	n.keep(ctx, w, 0, upstreamsEvery, func() {
 		list, ok := n.upstreamsOf(w.snapshot(), entries)
 		hold := w.settling(n.Now())
 		if !ok || slices.Equal(list, last) && hold == lastHold && n.listed.Load() {
@@ -155,7 +142,7 @@
 // watchPeers keeps the list of nodes up to date.
 func (n *Node) watchPeers(ctx context.Context) {
 	w := n.watches[n.settings.Tables.Peers]
-	n.keep(ctx, w, func() time.Duration { return peersWait }, peersEvery, func() {
+	n.keep(ctx, w, peersWait, peersEvery, func() {
 		peers := n.decodePeers(w)
 		n.nodes.Store(&peers)
 		n.nodesListed.Do(func() { close(n.nodesKnown) })
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -204,7 +204,7 @@
 	n.spawn(func(ctx context.Context) { n.purgeQuarantine(ctx, w) })
 	var last chutefeed.Table
 	known := sync.OnceFunc(func() { close(n.quarantineKnown) })
-	n.keep(ctx, w, func() time.Duration { return peersWait }, quarantineEvery, func() {
+	n.keep(ctx, w, peersWait, quarantineEvery, func() {
 		table := w.snapshot()
 		news := table.Since(last).Rows
 		last = table
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -13,9 +13,9 @@
 
 const (
 	// configWait and peersWait are how long one question for changes stays open. A
-	// connection that went silent is noticed a margin later, and a change has to be
-	// in force within 2 s of being in touch with the store again.
-	configWait = 1500 * time.Millisecond
+	// connection that went silent is noticed waitMargin later; until then the node that
+	// asked, and those that follow it, can't tell how old the table is.
+	configWait = 700 * time.Millisecond
 	peersWait  = 3 * time.Second
 	// peersEvery is the least time between two reads of the list of nodes. When all
 	// nodes restart in turn it changes many times a second; whoever asks a node that is
@@ -26,9 +26,6 @@
 	// zone that starts at once would have the store send them to each.
 	nodesPatience = 500 * time.Millisecond
 	waitMargin    = 500 * time.Millisecond
-	// followedWait is configWait for a node that others follow: their 2 s run while
-	// it has not noticed yet that it is cut off.
-	followedWait = 700 * time.Millisecond
 	// upstreamsEvery is how often the upstreams' changes are read: their heartbeats
 	// change rows many times a second, so a question that waits would not wait. An
 	// upstream that is leaving has to be known within 2 s.
@@ -43,6 +40,9 @@
 	longestRetryPause = 1500 * time.Millisecond
 )
 
+// errOld is the error of an answer that is older than what is known.
+var errOld = errors.New("the store's answer is older than what is known")
+
 // read brings the watch up to date once, and says whether its rows may have changed.
 func (n *Node) read(ctx context.Context, w *watch, wait time.Duration, why callReason) (bool, error) {
 	after, synced := w.after()
@@ -53,13 +53,18 @@
 		}
 	}
 	n.storeCalls.add(why)
+	began := n.Now()
 	if !synced {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		page, err := n.store.All(ctx, w.name)
+		if err == nil && page.Version < after {
+			err = errOld
+		}
 		if err != nil {
 			return false, err
 		}
+		defer w.confirm(began)
 
 		return w.replace(page), nil
 	}
@@ -76,16 +81,21 @@
 
 		return false, nil
 	}
+	if err == nil && page.Version < after {
+		err = errOld
+	}
 	if err != nil {
 		return false, err
 	}
+	// The store may have looked as early as the question was sent, or as its wait was over.
+	defer w.confirm(began.Add(min(n.Now().Sub(began), wait)))
 
 	return w.merge(page), nil
 }
 
 // keep keeps one table up to date until the node stops, and calls changed after
 // each read that may have changed it.
-func (n *Node) keep(ctx context.Context, w *watch, wait func() time.Duration, every time.Duration, changed func()) {
+func (n *Node) keep(ctx context.Context, w *watch, wait, every time.Duration, changed func()) {
 	if w != n.watches[n.settings.Tables.Peers] {
 		n.awaitNodes(ctx)
 	}
@@ -97,12 +107,15 @@
 		defer mu.Unlock()
 		look()
 	}
+	n.spawn(func(ctx context.Context) { n.refresh(ctx, w, changed) })
 	var direct time.Time
-	var stale staleness
 	failed, lost := 0, 0
+	// told says that the last question was answered, and by the store.
+	told := false
 	for ctx.Err() == nil {
 		if n.Now().After(direct) {
-			end := n.follow(ctx, w, &stale, changed)
+			end := n.follow(ctx, w, changed)
+			told = told && end == followNobody
 			switch end {
 			case followOther:
 				lost = 0
@@ -124,7 +137,8 @@
 		if failed > 0 {
 			why = callRetry
 		}
-		err := n.readOnce(ctx, w, waitAfter(failed, wait()), why, changed)
+		err := n.readOnce(ctx, w, waitAfter(told, wait), why, changed)
+		told = err == nil
 		pause := every - n.Now().Sub(began)
 		if err == nil {
 			failed = 0
@@ -147,13 +161,14 @@
 	}
 }
 
-// waitAfter is how long a question for changes stays open after some that failed.
+// waitAfter is how long a question for changes stays open; told says that the store has
+// answered the one before.
 //
-// The first one after a failure is to tell at once whether the store is back: until
-// it is answered this node counts as out of date, and all who follow it would ask
-// the store themselves.
-func waitAfter(failed int, wait time.Duration) time.Duration {
-	if failed > 0 {
+// The first one after a failure, and of a node that followed another until now, is to tell
+// at once: until it is answered this node counts as out of date, and all who follow it
+// would ask the store themselves.
+func waitAfter(told bool, wait time.Duration) time.Duration {
+	if !told {
 		return 0
 	}
 
@@ -170,7 +185,7 @@
 		now := n.Now()
 		n.storeFailedAt.Store(&now)
 	}
-	w.setCurrent(err == nil, n.Now())
+	w.setCurrent(err == nil)
 	if w.reached(err == nil, n.Now()) {
 		n.log.Info().Str("Table", w.name).Bool("Reached", err == nil).AnErr("Cause", err).Msg("store")
 	}
@@ -190,10 +205,16 @@
 // and leaving upstreams have to be known to all.
 func (n *Node) askPeers(ctx context.Context, w *watch) bool {
 	for _, peer := range n.somePeers() {
-		change, ok, err := n.peers.ReadTable(ctx, peer.Address, w.name, w.snapshot())
-		if err != nil || !ok {
+		change, word, err := n.peers.ReadTable(ctx, peer.Address, w.name, w.snapshot())
+		if err != nil {
+			continue
+		}
+		if change.Version == 0 {
+			w.hearSay(word, n.Now())
+
 			continue
 		}
+		defer w.hearSay(word, n.Now())
 		n.log.Info().Str("Table", w.name).Str("Peer", peer.Name).Uint64("Version", change.Version).Msg("read from a peer")
 
 		return w.takeFrom(peer.Name, change)
--- a/internal/chutegate/share.go
+++ b/internal/chutegate/share.go
@@ -118,7 +118,7 @@
 		return chuteshare.Followed{}
 	}
 
-	followed := w.followed()
+	followed := w.followed(n.Now())
 	followed.Leaving = n.draining.Load()
 
 	return followed
--- a/internal/chutegate/watch.go
+++ b/internal/chutegate/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteshare"
 )
 
@@ -20,6 +21,9 @@
 	essence func(value []byte) []byte
 	// signs is how often a node that is followed shows that it lives.
 	signs time.Duration
+	// staleAfter is how long after it was known to be up to date a node that follows another
+	// takes the table for stale and asks the store itself.
+	staleAfter time.Duration
 
 	mu    sync.Mutex
 	table chutefeed.Table
@@ -30,11 +34,16 @@
 	// current says that the last word on the store is good: the own read, or that of
 	// the node that is followed.
 	current bool
-	// confirmedAt is when that word was last good; zero if it never was.
+	// confirmedAt is the time as of which the table was last known to be up to date; zero
+	// if it never was.
 	confirmedAt time.Time
+	// source is the node that is followed, empty if there is none; sourceAt is
+	// confirmedAt by its word alone.
+	source   chuterelay.Peer
+	sourceAt time.Time
 	// heardFrom is the node that had the last change; empty if the store did.
 	heardFrom string
-	// changed is closed and replaced by each change of the rows or of current.
+	// changed is closed and replaced by each change of the rows, of current and of confirmedAt.
 	changed chan struct{}
 	// returnedAt is when the store answered again after it had been away.
 	returnedAt time.Time
@@ -43,8 +52,8 @@
 	held bool
 }
 
-func newWatch(name string) *watch {
-	return &watch{name: name, signs: chuteshare.FollowEvery, changed: make(chan struct{})}
+func newWatch(name string, staleAfter time.Duration) *watch {
+	return &watch{name: name, signs: chuteshare.FollowEvery, staleAfter: staleAfter, changed: make(chan struct{})}
 }
 
 // snapshot returns the table as it is known.
@@ -161,14 +170,15 @@
 	w.changed = make(chan struct{})
 }
 
+// confirmStep is the least time by which confirmedAt moves on; followers hear of each step at
+// once. A sign of life repeats the same time, give or take the way that it took.
+const confirmStep = 100 * time.Millisecond
+
 // setCurrent notes whether the last word on the store is good, and says whether that is news.
-func (w *watch) setCurrent(current bool, now time.Time) bool {
+func (w *watch) setCurrent(current bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if current {
-		w.confirmedAt = now
-	}
 	if w.current == current {
 		return false
 	}
@@ -178,6 +188,60 @@
 	return true
 }
 
+// confirm notes that the table was up to date with the store as of a time.
+func (w *watch) confirm(asOf time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if asOf.Sub(w.confirmedAt) >= confirmStep {
+		w.confirmedAt = asOf
+		w.wake()
+	}
+}
+
+// follow notes which node is followed from now on; none if its name is empty.
+func (w *watch) follow(source chuterelay.Peer, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.source, w.sourceAt = source, now
+}
+
+// hear takes in a word of the node that is followed, and says whether it is news that this
+// one has lost the store.
+func (w *watch) hear(word chuteshare.Word, now time.Time) bool {
+	if asOf, known := w.hearSay(word, now); known {
+		w.mu.Lock()
+		if asOf.After(w.sourceAt) {
+			w.sourceAt = asOf
+		}
+		w.mu.Unlock()
+	}
+
+	return w.setCurrent(word.Current) && !word.Current
+}
+
+// hearSay takes in the word of any node whose table this one has by now, and returns the time as
+// of which it was up to date there.
+func (w *watch) hearSay(word chuteshare.Word, now time.Time) (time.Time, bool) {
+	asOf := now.Add(-word.Age)
+	if !word.Known() {
+		return time.Time{}, false
+	}
+	w.confirm(asOf)
+
+	return asOf, true
+}
+
+// sourceAge returns the node that is followed, false if there is none, and how long ago the
+// table was known to be up to date by its word.
+func (w *watch) sourceAge(now time.Time) (chuterelay.Peer, time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.source, now.Sub(w.sourceAt), w.source.Name != ""
+}
+
 // age is how long ago the table was last known to be up to date; false if it never was.
 func (w *watch) age(now time.Time) (time.Duration, bool) {
 	w.mu.Lock()
@@ -186,6 +250,19 @@
 	return now.Sub(w.confirmedAt), !w.confirmedAt.IsZero()
 }
 
+// confirmed is the time as of which the table was last known to be up to date, the node's start
+// if it never was.
+func (w *watch) confirmed() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.confirmedAt.IsZero() {
+		return epoch
+	}
+
+	return w.confirmedAt
+}
+
 // after returns the version to read on from, and false if everything has to be read.
 func (w *watch) after() (uint64, bool) {
 	w.mu.Lock()
@@ -217,11 +294,22 @@
 }
 
 // followed returns what followers get.
-func (w *watch) followed() chuteshare.Followed {
+func (w *watch) followed(now time.Time) chuteshare.Followed {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	return chuteshare.Followed{Table: w.table, Current: w.synced && w.current, Changed: w.changed}
+	return chuteshare.Followed{
+		Table: w.table, Current: w.synced && w.current, Age: w.ageAt(now), Changed: w.changed,
+	}
+}
+
+// ageAt is how long ago the table was known to be up to date, 0 if it never was; the caller holds mu.
+func (w *watch) ageAt(now time.Time) time.Duration {
+	if w.confirmedAt.IsZero() {
+		return 0
+	}
+
+	return max(now.Sub(w.confirmedAt), time.Millisecond)
 }
 
 // unsettled says whether the rows have to be looked at although none has changed:
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -67,9 +67,12 @@
 // Followed is a table as a node knows it.
 type Followed struct {
 	Table chutefeed.Table
-	// Current says that the node, and the one that it follows, are up to date with the store.
+	// Current says that the node, and the one that it follows, reach the store.
 	Current bool
-	// Changed is closed by the next change of the rows or of Current.
+	// Age is how long ago the table was known to be up to date with the store.
+	Age time.Duration
+	// Changed is closed by the next change of the rows or of Current, and when the table is
+	// known to be up to date anew.
 	Changed <-chan struct{}
 	// Leaving says that the node is shutting down: it serves no followers any more. It
 	// may follow a node that follows it, and both would take old rows for current.
--- a/internal/chuteshare/tables.go
+++ b/internal/chuteshare/tables.go
@@ -33,7 +33,8 @@
 	if every <= 0 {
 		every = FollowEvery
 	}
-	alive := time.NewTicker(max(FollowEvery, every))
+	every = max(FollowEvery, every)
+	alive := time.NewTicker(every)
 	defer alive.Stop()
 
 	feed := chutefeed.NewFeed(m.GetKnown().GetVersion(), m.GetKnown().GetDigests())
@@ -42,7 +43,7 @@
 		if followed.Leaving {
 			return status.Error(codes.Unavailable, "this VM is shutting down")
 		}
-		update := &chutesharepb.FollowTableUpdate{Current: followed.Current}
+		update := &chutesharepb.FollowTableUpdate{Current: followed.Current, AgeMs: followed.Age.Milliseconds()}
 		change, ok := feed.Next(followed.Table)
 		if ok {
 			var err error
@@ -53,6 +54,7 @@
 		if err := stream.Send(update); err != nil {
 			return err
 		}
+		alive.Reset(every)
 		select {
 		case <-followed.Changed:
 		case <-alive.C:
@@ -64,20 +66,23 @@
 
 // ReadTable hands out what a caller lacks of a table as this node knows it.
 func (s service) ReadTable(_ context.Context, m *chutesharepb.ReadTableRequest) (*chutesharepb.ReadTableReply, error) {
-	table := s.handlers.OnTable(m.GetTable()).Table
-	if table.Version() <= m.GetKnown().GetVersion() {
-		return &chutesharepb.ReadTableReply{}, nil
+	followed := s.handlers.OnTable(m.GetTable())
+	reply := &chutesharepb.ReadTableReply{Current: followed.Current, AgeMs: followed.Age.Milliseconds()}
+	if followed.Table.Version() <= m.GetKnown().GetVersion() {
+		return reply, nil
 	}
-	change, err := s.packs.encode(m.GetTable(), table.Missing(m.GetKnown().GetDigests()))
+	var err error
+	reply.Change, err = s.packs.encode(m.GetTable(), followed.Table.Missing(m.GetKnown().GetDigests()))
 
-	return &chutesharepb.ReadTableReply{Change: change}, err
+	return reply, err
 }
 
-// ReadTable asks a peer for what is missing of a table; ok is false if the peer has nothing newer.
-func (c *Client) ReadTable(ctx context.Context, address, table string, known chutefeed.Table) (change chutefeed.Change, ok bool, err error) {
+// ReadTable asks a peer for what is missing of a table; the change is empty and without a version
+// if the peer has nothing newer.
+func (c *Client) ReadTable(ctx context.Context, address, table string, known chutefeed.Table) (chutefeed.Change, Word, error) {
 	conn, err := c.connection(address)
 	if err != nil {
-		return chutefeed.Change{}, false, err
+		return chutefeed.Change{}, Word{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTableTimeout)
 	defer cancel()
@@ -90,25 +95,48 @@
 			c.forget(address, conn)
 		}
 
-		return chutefeed.Change{}, false, fault.Wrap(err)
+		return chutefeed.Change{}, Word{}, fault.Wrap(err)
 	}
+	word := wordOf(reply)
 	if reply.GetChange() == nil {
-		return chutefeed.Change{}, false, nil
+		return chutefeed.Change{}, word, nil
 	}
-	change, err = decodeChange(reply.GetChange(), len(known.Digests()))
+	change, err := decodeChange(reply.GetChange(), len(known.Digests()))
 	if err != nil {
-		return chutefeed.Change{}, false, fault.Wrap(err)
+		return chutefeed.Change{}, Word{}, fault.Wrap(err)
 	}
 
-	return change, true, nil
+	return change, word, nil
+}
+
+// Word is what a peer says of a table as it knows it.
+type Word struct {
+	// Current says that the peer, and those that it follows, reach the store.
+	Current bool
+	// Age is how long ago the table was known to be up to date with the store.
+	Age time.Duration
+}
+
+// Known says whether the peer's table was ever known to be up to date.
+func (w Word) Known() bool {
+	return w.Current || w.Age > 0
+}
+
+// wordOf decodes what a peer says of a table.
+func wordOf(m interface {
+	GetCurrent() bool
+	GetAgeMs() int64
+},
+) Word {
+	return Word{Current: m.GetCurrent(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
 }
 
 // FollowTable reads a table from a peer until the peer is gone or silent, or more returns
-// false; every is how often the peer shows that it lives. It calls take with each change, beginning with what known lacks, and more after
-// each word of the peer with whether the peer is up to date with the store.
+// false; every is how often the peer shows that it lives. It calls take with each change,
+// beginning with what known lacks, and more after each word of the peer.
 func (c *Client) FollowTable(
 	ctx context.Context, address, table string, known chutefeed.Table, every time.Duration,
-	take func(chutefeed.Change), more func(current bool) bool,
+	take func(chutefeed.Change), more func(word Word) bool,
 ) error {
 	conn, err := c.connection(address)
 	if err != nil {
@@ -138,7 +166,7 @@
 			}
 			take(change)
 		}
-		if !more(update.GetCurrent()) {
+		if !more(wordOf(update)) {
 			return nil
 		}
 	}
