--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -74,6 +74,9 @@
 	handles  atomic.Uint64
 	// unreadable counts the entries of upstreams that have become unreadable.
 	unreadable atomic.Int64
+	// staleRefusals counts the requests that a configuration did not allow which may not be
+	// the newest one.
+	staleRefusals atomic.Int64
 	// evacuated counts the zones that are evacuated.
 	evacuated  atomic.Int64
 	storeCalls storeCalls
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -26,6 +26,7 @@
 
 		return age.Seconds()
 	})
+	n.meter.Gauge("refused_by_stale_config_total", func() float64 { return float64(n.staleRefusals.Load()) })
 	n.meter.Gauge("zones_evacuated", func() float64 { return float64(n.evacuated.Load()) })
 	n.meter.Gauge("upstreams_cold", func() float64 {
 		cold := 0
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -75,6 +75,7 @@
 	}
 	submission, refusal := n.submission(cfg, in)
 	if refusal != nil {
+		*refusal = n.unlessStale(*refusal)
 		n.logRefusal(in, *refusal, cfg)
 		out.Refuse(*refusal)
 
@@ -88,6 +89,21 @@
 	n.await(ctx, submission.Handle, e, out)
 }
 
+// unlessStale returns the refusal of a request that the configuration does not allow, or a
+// refusal that sends the caller to another node if a newer configuration may allow it by now.
+func (n *Node) unlessStale(r chuterelay.Refusal) chuterelay.Refusal {
+	age, known := n.watches[n.settings.Tables.Config].age(n.Now())
+	if known && age <= n.settings.ConfigWithin {
+		return r
+	}
+	n.staleRefusals.Add(1)
+
+	return chuterelay.Refusal{
+		Kind: chuterelay.RefusedNotRun, Reason: r.Reason + ", but this VM has lost the store and may lack a newer configuration",
+		RetryAfter: unreadyRetry,
+	}
+}
+
 // submission works out what the reducer needs to know, or why the request is refused.
 func (n *Node) submission(cfg chuteroute.Config, in *Incoming) (chuterelay.Submission, *chuterelay.Refusal) {
 	pipeline, ok := cfg.Match(in.Host, in.Path)
--- a/internal/chutegate/watch_test.go
+++ b/internal/chutegate/watch_test.go
@@ -239,3 +239,31 @@
 	c.Assert(age, qt.Equals, time.Second)
 	c.Assert(w.followed(n.Now()).Age, qt.Equals, time.Second)
 }
+
+// Guards against an unknown pipeline or key that is refused for good by a node whose
+// configuration may not be the newest one.
+func TestStaleConfigurationRefusesNobodyForGood(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := New(Settings{Tables: testTables, ConfigWithin: 3 * time.Second}, clock, zerolog.Nop(), Store{}, testDecoders(), Upstreams{})
+	unknown := chuterelay.Refusal{Kind: chuterelay.RefusedNoPipeline, Reason: "no pipeline"}
+
+	t.Run("while it was never known to be the newest", func(t *testing.T) {
+		qt.Assert(t, n.unlessStale(unknown).Kind, qt.Equals, chuterelay.RefusedNotRun)
+	})
+
+	n.watches[testTables.Config].confirm(n.Now())
+	clock.Advance(3 * time.Second)
+
+	t.Run("a change within the bound may be missing", func(t *testing.T) {
+		qt.Assert(t, n.unlessStale(unknown), qt.Equals, unknown)
+	})
+
+	clock.Advance(time.Millisecond)
+
+	t.Run("a change may be missing that should be in force", func(t *testing.T) {
+		c := qt.New(t)
+		r := n.unlessStale(unknown)
+		c.Assert(r.Kind, qt.Equals, chuterelay.RefusedNotRun)
+		c.Assert(r.RetryAfter > 0, qt.IsTrue)
+	})
+}
