--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -82,9 +82,9 @@
 		if !ok || slices.Equal(list, last) && hold == lastHold && n.listed.Load() {
 			return
 		}
+		n.send(chuterelay.UpstreamsListed{Upstreams: list, Hold: hold})
 		n.logMoves(last, list)
 		last, lastHold = list, hold
-		n.send(chuterelay.UpstreamsListed{Upstreams: list, Hold: hold})
 		n.listed.Store(true)
 		n.noteKnown()
 	})
