--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -93,6 +93,7 @@
 	others     int
 	reportedAt time.Time
 	warmup     warmup
+	limit      limit
 }
 
 // Fleet is one node's view of all upstreams.
@@ -211,6 +212,8 @@
 	Upstream
 	InFlight int
 	Failing  float64
+	// Limit is what it says of the requests that it takes; nil if it names none.
+	Limit *Limit `json:",omitempty"`
 	// Availability tells why it gets no calls now; its Bar is empty if it does.
 	Availability
 }
@@ -220,10 +223,14 @@
 	var views []View
 	for i := f.members.Iterator(); !i.Done(); {
 		_, m, _ := i.Next()
-		views = append(views, View{
+		view := View{
 			Upstream: m.Upstream, InFlight: m.inFlight,
 			Failing: m.evidence(now), Availability: f.availability(&m, now),
-		})
+		}
+		if m.limit.named {
+			view.Limit = &m.limit.Limit
+		}
+		views = append(views, view)
 	}
 	slices.SortFunc(views, func(a, b View) int {
 		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.ID, b.ID))
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -34,6 +34,12 @@
 
 		return float64(cold)
 	})
+	n.meter.Gauge("upstreams_limited", func() float64 {
+		limited := 0
+		n.Query(func(s chutecore.State) { limited = s.Relay().Fleet().Limited() })
+
+		return float64(limited)
+	})
 	n.storeCalls.addGauges(n.meter.Gauge)
 	n.meter.Gauge("upstreams_ended_under_requests_total", func() float64 { return float64(n.crashes.Load()) })
 	n.meter.Gauge("requests_quarantined", func() float64 {
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -64,9 +64,21 @@
 		n.spawn(func(ctx context.Context) { n.probe(ctx, e) })
 	case chuterelay.TickAt:
 		n.after(e.At, chuterelay.Ticked{})
+	case chuterelay.NoteLimit:
+		n.logLimit(e)
 	}
 }
 
+// logLimit writes one line for each change of an upstream's limit.
+func (n *Node) logLimit(e chuterelay.NoteLimit) {
+	line := n.log.Info()
+	if e.Unreadable != "" {
+		line = n.log.Warn().Str("Unreadable", e.Unreadable)
+	}
+	line.Str("Upstream", e.Upstream.ID).Str("Pool", e.Upstream.Pool).Str("Peer", e.Upstream.Address).
+		Bool("Limited", e.Limited).Float64("PerSecond", e.Limit.PerSecond).Msg("upstream's limit")
+}
+
 func (n *Node) setDeadline(e chuterelay.SetDeadline) {
 	if entry, ok := n.entries[e.Handle]; ok {
 		entry.deadline = n.after(e.At, chuterelay.DeadlinePassed{Handle: e.Handle})
@@ -176,7 +188,7 @@
 	answer, err := n.upstreams.RunParts(ctx, e.Upstream, parts)
 	ended := chuterelay.CallEnded{
 		ID: e.Call.ID, End: chutebatch.CallAnswered, Ends: answer.Ends,
-		Took: n.Now().Sub(now), Leaving: answer.Leaving,
+		Took: n.Now().Sub(now), Leaving: answer.Leaving, Limit: answer.Limit,
 	}
 	switch {
 	case err != nil:
--- a/internal/chutegate/seams.go
+++ b/internal/chutegate/seams.go
@@ -86,7 +86,9 @@
 	Load    *chuterelay.Load
 	// Cold is how much longer the upstream says that it stays cold; 0 if it does not say.
 	Cold time.Duration
-	Body io.ReadCloser
+	// Limit is the upstream's word on the requests that it takes; nil if it has none.
+	Limit *chuterelay.Limit
+	Body  io.ReadCloser
 }
 
 // SendError says how a call failed before there was an answer.
@@ -112,6 +114,8 @@
 	Ends    []chutebatch.PartEnd
 	Refused bool
 	Leaving bool
+	// Limit is the upstream's word on the requests that it takes; nil if it has none.
+	Limit *chuterelay.Limit
 }
 
 // PartWork is one part as an upstream is asked for it.
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -80,10 +80,14 @@
 	a.touch()
 	defer func() { _ = answer.Body.Close() }()
 	ended.Leaving = answer.Leaving
-	ended.Load, ended.Cold = answer.Load, answer.Cold
+	ended.Load, ended.Cold, ended.Limit = answer.Load, answer.Cold, answer.Limit
+	if answer.Misaddressed {
+		// Another incarnation has the address; its limit is none of this one.
+		ended.Limit = nil
+	}
 	if s.Streams && answer.Status == http.StatusOK && answer.Signed && answer.Events && !answer.Altered {
-		// The load was told with the first event; by its end it is old.
-		ended.Load = nil
+		// Load and limit were told with the first event; by its end they are old.
+		ended.Load, ended.Limit = nil, nil
 		ended.Events, err = a.pass(ctx, answer)
 		ended.End = chuterelay.EndAnswered
 		if err != nil {
@@ -191,7 +195,9 @@
 		}
 		a.entry.lastEvent = event.id
 		if count == 0 {
-			a.node.send(chuterelay.AttemptBegan{Handle: a.send.Handle, Attempt: a.send.Attempt, Load: answer.Load})
+			a.node.send(chuterelay.AttemptBegan{
+				Handle: a.send.Handle, Attempt: a.send.Attempt, Load: answer.Load, Limit: answer.Limit,
+			})
 		}
 		count++
 	}
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -63,6 +63,7 @@
 	}
 	r.begun = true
 	st.noteLoad(r.current.upstream.ID, e.Load)
+	st.noteLimit(r.current.upstream, e.Limit, r.current.sentAt)
 	st.noteHeard(r.current.upstream.Zone)
 	st.fleet = st.fleet.WithRead(r.current.upstream.ID, r.current.tokens).WithSuccess(r.current.upstream.ID, st.now)
 	r.current.tokens = 0
@@ -160,6 +161,7 @@
 		st.fleet = st.fleet.WithCold(id, e.Cold, st.now)
 	}
 	st.noteLoad(id, e.Load)
+	st.noteLimit(r.current.upstream, e.Limit, r.current.sentAt)
 }
 
 // noteLoad takes in an upstream's own word on its load, if there is one.
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -248,6 +248,9 @@
 	if e.Leaving {
 		st.fleet = st.fleet.WithLeaving(call.Upstream)
 	}
+	if u, ok := st.fleet.Get(call.Upstream); ok {
+		st.noteLimit(u, e.Limit, st.now.Add(-e.Took))
+	}
 	pace, _ := st.paces.Get(call.Upstream)
 	st.paces = st.paces.Set(call.Upstream, pace.with(e, st.expected(call)))
 }
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -178,6 +178,16 @@
 	Heard     bool
 }
 
+// NoteLimit is a change of what an upstream says of the requests that it takes, for the log.
+type NoteLimit struct {
+	Upstream chutefleet.Upstream
+	// Limited says that it names a limit by now.
+	Limited bool
+	Limit   chutefleet.Limit
+	// Unreadable is its word if that is no rate.
+	Unreadable string
+}
+
 // JudgeAt asks for a JudgeDue event.
 type JudgeAt struct {
 	At time.Time
@@ -187,6 +197,7 @@
 func (TellJudgement) relayEffect()   {}
 func (NoteCrash) relayEffect()       {}
 func (NoteJudgement) relayEffect()   {}
+func (NoteLimit) relayEffect()       {}
 func (JudgeAt) relayEffect()         {}
 func (SetDeadline) relayEffect()     {}
 func (Send) relayEffect()            {}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -126,6 +126,8 @@
 	Leaving bool
 	// UpstreamEnded says that the upstream's process has ended, not just the connection.
 	UpstreamEnded bool
+	// Limit is the upstream's word on the requests that it takes; nil if it has none.
+	Limit *Limit
 }
 
 // AttemptBegan reports that the first event of a stream is on its way to the caller.
@@ -134,6 +136,8 @@
 	Attempt uint64
 	// Load is the upstream's own word on its load, or nil.
 	Load *Load
+	// Limit is the upstream's word on the requests that it takes; nil if it has none.
+	Limit *Limit
 }
 
 // AttemptEnd is how a relayed call ended.
@@ -176,6 +180,8 @@
 	Load          *Load
 	// Cold is how much longer the upstream says that it stays cold; 0 if it does not say.
 	Cold time.Duration
+	// Limit is the upstream's word on the requests that it takes; nil if it has none.
+	Limit *Limit
 	// Detail is what the log shows of a failure.
 	Detail string
 }
@@ -186,6 +192,15 @@
 	Waiting int
 }
 
+// Limit is what an answer says of the requests a second that its upstream takes from all nodes together.
+type Limit struct {
+	// Named says that it names a limit; an answer that names none says that there is none.
+	Named     bool
+	PerSecond float64
+	// Unreadable is a word that is no rate.
+	Unreadable string
+}
+
 // ProbeEnded reports whether a silent upstream accepts connections again.
 type ProbeEnded struct {
 	Upstream string
