--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -133,7 +133,7 @@
 	return f.with(id, func(m *member) {
 		m.inFlight++
 		if m.warmup.cold(now) {
-			m.warmup.sent = m.warmup.sent.With(now)
+			m.warmup.sent = m.warmup.sent.With(coldSpan, now)
 		}
 		m.tokens += tokens
 	})
--- a/internal/chutefleet/warmup.go
+++ b/internal/chutefleet/warmup.go
@@ -5,9 +5,12 @@
 	"time"
 
 	"azurechute.example/azurechute/internal/chutequota"
-	"azurechute.example/azurechute/internal/chutewarmup"
 )
 
+// coldSpan is a second, and a fifth besides: calls go out somewhat later than they are decided
+// on, each by another time.
+const coldSpan = 1200 * time.Millisecond
+
 // ColdBound is what the operator says of a pool's upstreams while they are cold.
 type ColdBound struct {
 	// Calls is the number of calls a second that one bears from all nodes together.
@@ -23,6 +26,10 @@
 }
 
 // warmup is what is known of an upstream's being cold.
+//
+// An upstream that has just started is empty, so by its load it is the best choice of every
+// node at once, and more calls than it bears while cold end it. Each node works out alone
+// which nodes own its calls while it is cold; to all others a cold upstream is not there.
 type warmup struct {
 	// until is when it is warm, by the platform's list or its own word.
 	until time.Time
@@ -33,7 +40,7 @@
 	bounded bool
 	quota   int
 	// sent are the calls that this node has sent it.
-	sent chutewarmup.Window
+	sent chutequota.Window
 }
 
 // cold says whether the upstream is taken for cold.
@@ -51,7 +58,7 @@
 
 		return Availability{Bar: BarCold, Until: until}
 	}
-	if next := w.sent.Next(w.quota, now); next.After(now) {
+	if next := w.sent.Next(w.quota, coldSpan, now); next.After(now) {
 		return Availability{Bar: BarCold, Until: next}
 	}
 
--- a/internal/chutewarmup/window_test.go
+++ b/internal/chutequota/window_test.go
@@ -1,4 +1,4 @@
-package chutewarmup
+package chutequota
 
 import (
 	"testing"
@@ -9,32 +9,33 @@
 )
 
 func TestWindow(t *testing.T) {
+	const span = 1200 * time.Millisecond
 	start := time.Unix(1000, 0)
 
-	t.Run("no second holds more than the quota, whenever calls are wanted", rapid.MakeCheck(func(t *rapid.T) {
+	t.Run("no span holds more than the quota, whenever calls are wanted", rapid.MakeCheck(func(t *rapid.T) {
 		quota := rapid.IntRange(1, 4).Draw(t, "quota")
 		var w Window
 		var sent []time.Time
 		now := start
 		for range rapid.IntRange(1, 200).Draw(t, "wanted") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
-			if w.Next(quota, now).After(now) {
+			if w.Next(quota, span, now).After(now) {
 				continue
 			}
-			w = w.With(now)
+			w = w.With(span, now)
 			sent = append(sent, now)
 		}
 		for i := quota; i < len(sent); i++ {
-			if sent[i].Sub(sent[i-quota]) <= time.Second {
-				t.Fatalf("more than %d calls in the second up to %v", quota, sent[i])
+			if sent[i].Sub(sent[i-quota]) < span {
+				t.Fatalf("more than %d units in the span up to %v", quota, sent[i])
 			}
 		}
 	}))
 
 	t.Run("the time of the next call is told", func(t *testing.T) {
 		c := qt.New(t)
-		w := Window{}.With(start)
-		c.Assert(w.Next(2, start), qt.Equals, start)
-		c.Assert(w.With(start.Add(time.Millisecond)).Next(2, start), qt.Equals, start.Add(span))
+		w := Window{}.With(span, start)
+		c.Assert(w.Next(2, span, start), qt.Equals, start)
+		c.Assert(w.With(span, start.Add(time.Millisecond)).Next(2, span, start), qt.Equals, start.Add(span))
 	})
 }
