--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -29,6 +29,8 @@
 	BarTried Bar = "Tried"
 	// BarCold: it is cold, and this node has sent it its part of the calls that it bears.
 	BarCold Bar = "Cold"
+	// BarLimited: it takes so many requests a second, and this node has sent it its part of them.
+	BarLimited Bar = "Limited"
 )
 
 // Availability says whether an upstream may get a call.
@@ -73,8 +75,14 @@
 		// A fleet of nodes that all sent their next requests to one that was silent
 		// would lose them all if it is silent still.
 		return Availability{Bar: BarTried}
-	case m.warmup.cold(now):
-		return m.warmup.availability(now)
+	}
+	if m.warmup.cold(now) {
+		if a := m.warmup.availability(now); !a.Open() {
+			return a
+		}
+	}
+	if m.limit.named {
+		return f.limitAvailability(m, now)
 	}
 
 	return Availability{}
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/benbjohnson/immutable"
+
+	"azurechute.example/azurechute/internal/chutequota"
 )
 
 // State is what the platform's list says of an upstream.
@@ -109,6 +111,8 @@
 	// evacuated are the zones whose upstreams get nothing; it is replaced, never changed.
 	evacuated map[string]bool
 	bounds    coldBounds
+	// sharers are the nodes among which the limits of upstreams are dealt out.
+	sharers chutequota.Owners
 }
 
 // New returns an empty fleet as seen from a zone.
@@ -135,6 +139,9 @@
 		if m.warmup.cold(now) {
 			m.warmup.sent = m.warmup.sent.With(coldSpan, now)
 		}
+		if m.limit.named {
+			m.limit = m.limit.withSent(now)
+		}
 		m.tokens += tokens
 	})
 }
--- a/internal/chutefleet/limit.go
+++ b/internal/chutefleet/limit.go
@@ -1,13 +1,35 @@
 package chutefleet
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"azurechute.example/azurechute/internal/chutequota"
+)
 
 // Limit is what an upstream says of the requests that it takes from all nodes together.
 type Limit struct {
 	// PerSecond is the number that it takes in a second.
 	PerSecond float64
+	// Quota is the number of calls that this node may send it in any Span.
+	Quota int
+	Span  time.Duration
 }
 
+const (
+	// limitSpan is the span over which a limit is dealt out to nodes. A longer one gives more
+	// nodes a part, and lets them send more of it at once.
+	limitSpan = 4 * time.Second
+	// lowestLimit is the rate, a second, that is sent to an upstream that takes less: without
+	// any answer it could not say that it takes more again.
+	lowestLimit = 0.1
+	// trialPause is how long a node that owns nothing of a limit waits for a word on it before
+	// it sends one call to find out whether it still holds, or longer, so that the trials of
+	// all nodes take no more than trialPart of the limit.
+	trialPause = 30 * time.Second
+	trialPart  = 0.25
+)
+
 // limit is a member's limit with how it was heard.
 type limit struct {
 	Limit
@@ -15,6 +37,17 @@
 	named bool
 	// heardAt is when an answer last named it.
 	heardAt time.Time
+	// sent are the calls that this node has sent since it was named, lastAt the last of them.
+	sent   chutequota.Window
+	lastAt time.Time
+}
+
+// withSent counts a call on its way to a member that names a limit.
+func (l limit) withSent(now time.Time) limit {
+	l.sent = l.sent.With(l.Span, now)
+	l.lastAt = now
+
+	return l
 }
 
 // Limit returns the limit that an upstream names; false if it names none.
@@ -36,6 +69,28 @@
 	return n
 }
 
+// WithSharers takes in the nodes among which limits are dealt out: those that may send calls.
+func (f Fleet) WithSharers(sharers chutequota.Owners) Fleet {
+	f.sharers = sharers
+	for _, id := range f.ids() {
+		if m, _ := f.members.Get(id); m.limit.named {
+			f.members = f.members.Set(id, f.withQuota(m))
+		}
+	}
+
+	return f
+}
+
+// withQuota works out what this node may send a member that names a limit.
+func (f Fleet) withQuota(m member) member {
+	perSecond := max(lowestLimit, m.limit.PerSecond)
+	m.limit.Span = max(limitSpan, time.Duration(float64(time.Second)/perSecond))
+	whole := math.Min(math.MaxInt32, perSecond*m.limit.Span.Seconds())
+	m.limit.Quota = f.sharers.Quota(m.ID, int(whole))
+
+	return m
+}
+
 // WithLimit takes in that the answer to a call that was sent at a time names a limit.
 //
 // Answers overtake each other. A lower limit counts at once, a higher one only if the call
@@ -46,6 +101,7 @@
 			return
 		}
 		m.limit.PerSecond, m.limit.named, m.limit.heardAt = perSecond, true, now
+		*m = f.withQuota(*m)
 	})
 }
 
@@ -58,3 +114,28 @@
 
 	return f.with(id, func(m *member) { m.limit = limit{} })
 }
+
+// limitAvailability says whether this node may send a call to a member that names a limit.
+func (f Fleet) limitAvailability(m *member, now time.Time) Availability {
+	next := f.trialAt(m)
+	if m.limit.Quota > 0 {
+		next = m.limit.sent.Next(m.limit.Quota, m.limit.Span, now)
+	}
+	if next.After(now) {
+		return Availability{Bar: BarLimited, Until: next}
+	}
+
+	return Availability{}
+}
+
+// trialAt is when a node that owns nothing of a member's limit may send a call to find out whether
+// the limit still holds.
+func (f Fleet) trialAt(m *member) time.Time {
+	perSecond := trialPart * max(lowestLimit, m.limit.PerSecond)
+	pause := max(trialPause, time.Duration(float64(f.sharers.Len())/perSecond*float64(time.Second)))
+	if m.limit.lastAt.After(m.limit.heardAt) {
+		return m.limit.lastAt.Add(pause)
+	}
+
+	return m.limit.heardAt.Add(pause)
+}
--- a/internal/chuterelay/limit_sim_test.go
+++ b/internal/chuterelay/limit_sim_test.go
@@ -262,7 +262,21 @@
 	}
 }
 
-// Guards against a bound that is lost when limits come, change and go while nodes are restarted.
+// listWithout has each node hear, one after the other, of a list of nodes that lacks one.
+func (w *limitWorld) listWithout(missing int) {
+	var listed []Peer
+	for i, p := range w.peers {
+		if i != missing {
+			listed = append(listed, p)
+		}
+	}
+	for i := range w.nodes {
+		w.after(w.between(0, 2*time.Second), func() { w.on(i, PeersListed{Peers: listed}) })
+	}
+}
+
+// Guards against a bound that is lost when limits come, change and go while nodes are restarted,
+// leave the list and come back to it.
 func TestLimitThroughChanges(t *testing.T) {
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -284,6 +298,7 @@
 					delete(u.told, i)
 				}
 			})
+			w.every(6*time.Second, func() { w.listWithout(w.random.IntN(2 * len(w.nodes))) })
 			w.runUntil(start.Add(2 * limitLife))
 			t.Logf("served %d, refused %d", w.served, w.refused)
 		})
--- a/internal/chuterelay/limits.go
+++ b/internal/chuterelay/limits.go
@@ -16,6 +16,10 @@
 		return
 	}
 	before, limited := st.fleet.Limit(u.ID)
+	if limited || limit.Named {
+		// Nodes that have left the list lose their part some time after that.
+		st.fleet = st.fleet.WithSharers(st.peers.sharers(st.now))
+	}
 	switch {
 	case limit.Named:
 		st.fleet = st.fleet.WithLimit(u.ID, limit.PerSecond, sentAt, st.now)
