--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -76,7 +76,8 @@
 		line = n.log.Warn().Str("Unreadable", e.Unreadable)
 	}
 	line.Str("Upstream", e.Upstream.ID).Str("Pool", e.Upstream.Pool).Str("Peer", e.Upstream.Address).
-		Bool("Limited", e.Limited).Float64("PerSecond", e.Limit.PerSecond).Msg("upstream's limit")
+		Bool("Limited", e.Limited).Float64("PerSecond", e.Limit.PerSecond).Int("Quota", e.Limit.Quota).
+		Dur("SpanMs", e.Limit.Span).Str("From", e.Teller).Msg("upstream's limit")
 }
 
 func (n *Node) setDeadline(e chuterelay.SetDeadline) {
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -59,6 +59,8 @@
 		n.report(chutequarantine.CrashKey(e.Crash.Upstream, n.settings.Self.Name), e.Crash)
 	case chuterelay.TellJudgement:
 		n.report(chutequarantine.JudgementKey(e.Judgement.Fingerprint), e.Judgement)
+	case chuterelay.TellLimit:
+		n.report(chutefleet.LimitKey(e.Word.Upstream), e.Word)
 	case chuterelay.NoteCrash:
 		n.crashes.Add(1)
 		n.logCrash(e)
@@ -198,7 +200,7 @@
 	}
 }
 
-// watchQuarantine keeps up with the crashes and judgements that the store has.
+// watchQuarantine keeps up with what the store has of crashes, judgements and limits.
 func (n *Node) watchQuarantine(ctx context.Context) {
 	w := n.watches[n.settings.Tables.Quarantine]
 	n.spawn(func(ctx context.Context) { n.purgeQuarantine(ctx, w) })
@@ -223,7 +225,12 @@
 // takeRows hands rows to the loop; one that can't be read is left out.
 func (n *Node) takeRows(rows []chutefeed.Row) {
 	var heard chuterelay.QuarantineHeard
+	var limits chuterelay.LimitsHeard
 	for _, row := range rows {
+		limit, isLimit, err3 := chutefleet.ReadLimitWord(row.Key, row.Value)
+		if isLimit {
+			limits.Words = append(limits.Words, limit)
+		}
 		crash, isCrash, err := chutequarantine.ReadCrash(row.Key, row.Value)
 		judgement, isJudgement, err2 := chutequarantine.ReadJudgement(row.Key, row.Value)
 		if isCrash {
@@ -232,11 +239,16 @@
 		if isJudgement {
 			heard.Judgements = append(heard.Judgements, judgement)
 		}
-		if err := errors.Join(err, err2); err != nil {
-			n.log.Error().Err(err).Str("Key", row.Key).Msg("a crash or judgement can't be read; it is left out")
+		if err := errors.Join(err, err2, err3); err != nil {
+			n.log.Error().Err(err).Str("Key", row.Key).Msg("what another node tells of an upstream can't be read; it is left out")
 		}
 	}
-	n.send(heard)
+	if len(limits.Words) > 0 {
+		n.send(limits)
+	}
+	if len(heard.Crashes)+len(heard.Judgements) > 0 {
+		n.send(heard)
+	}
 }
 
 // purgeQuarantine removes old rows, where this node reads the store for the others.
--- a/internal/chutegate/seams.go
+++ b/internal/chutegate/seams.go
@@ -199,7 +199,7 @@
 	ConfigKey string
 	Upstreams string
 	// Peers is the project's own table of nodes, Ledger that of cost counters.
-	// Quarantine is that of crashes and of the requests that are set aside.
+	// Quarantine is that of crashes, of the requests that are set aside, and of upstreams' limits.
 	Peers      string
 	Ledger     string
 	Quarantine string
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -186,6 +186,13 @@
 	Limit   chutefleet.Limit
 	// Unreadable is its word if that is no rate.
 	Unreadable string
+	// Teller is the node that told of it; empty if an answer to this one did.
+	Teller string
+}
+
+// TellLimit tells the other nodes of a change of an upstream's limit.
+type TellLimit struct {
+	Word chutefleet.LimitWord
 }
 
 // JudgeAt asks for a JudgeDue event.
@@ -198,6 +205,7 @@
 func (NoteCrash) relayEffect()       {}
 func (NoteJudgement) relayEffect()   {}
 func (NoteLimit) relayEffect()       {}
+func (TellLimit) relayEffect()       {}
 func (JudgeAt) relayEffect()         {}
 func (SetDeadline) relayEffect()     {}
 func (Send) relayEffect()            {}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -207,6 +207,11 @@
 	Alive    bool
 }
 
+// LimitsHeard reports what other nodes tell of upstreams' limits.
+type LimitsHeard struct {
+	Words []chutefleet.LimitWord
+}
+
 // QuarantineHeard reports what other nodes tell of crashes and judgements.
 type QuarantineHeard struct {
 	Crashes    []chutequarantine.Crash
@@ -242,6 +247,7 @@
 func (ProbeEnded) relayEvent()      {}
 func (QuarantineHeard) relayEvent() {}
 func (JudgeDue) relayEvent()        {}
+func (LimitsHeard) relayEvent()     {}
 func (DrainStarted) relayEvent()    {}
 func (DrainEnding) relayEvent()     {}
 func (Ticked) relayEvent()          {}
--- a/internal/chuterelay/limit_sim_test.go
+++ b/internal/chuterelay/limit_sim_test.go
@@ -39,7 +39,7 @@
 	// arrivals are the calls that came from nodes that were told, all those from any node since
 	// the bound holds.
 	arrivals []time.Time
-	all      int
+	all      []time.Time
 	told     map[int]time.Time
 }
 
@@ -74,9 +74,15 @@
 	excused map[int]time.Time
 	// weights is the part of the callers that each node has.
 	weights []float64
-	handles uint64
-	refused int
-	served  int
+	// silent says that nodes do not hear each other, words counts what they would tell.
+	silent bool
+	words  int
+	// judgeAll says that the bound is to hold for the calls of all nodes, also of those that no
+	// answer has told.
+	judgeAll bool
+	handles  uint64
+	refused  int
+	served   int
 	// callers are those of the requests under way, by node and handle.
 	callers map[uint64]int
 }
@@ -122,21 +128,38 @@
 		case Send:
 			// A call reaches its upstream some time after it was decided on.
 			w.after(w.between(time.Millisecond, 100*time.Millisecond), func() { w.reach(i, e) })
+		case TellLimit:
+			w.tell(i, e)
 		case Refuse:
 			w.refuse(e)
 		}
 	}
 }
 
+// tell brings a node's word to the others, unless nodes are silent to each other.
+func (w *limitWorld) tell(from int, e TellLimit) {
+	w.words++
+	for i := range w.nodes {
+		if i != from && !w.silent {
+			w.after(w.between(time.Millisecond, 50*time.Millisecond), func() {
+				w.on(i, LimitsHeard{Words: []chutefleet.LimitWord{e.Word}})
+			})
+		}
+	}
+}
+
 // reach has a call arrive at its upstream, which answers it after a while.
 func (w *limitWorld) reach(i int, s Send) {
 	u := w.upstreams[s.Upstream.ID]
 	told, isTold := u.told[i]
 	if !u.since.IsZero() && w.now.Sub(u.since) >= limitGrace {
-		u.all++
+		u.all = append(u.all, w.now)
+		if w.judgeAll {
+			w.judge(u, u.all)
+		}
 		if isTold && w.now.Sub(told) >= toldAfter && !w.now.Before(w.excused[i]) {
 			u.arrivals = append(u.arrivals, w.now)
-			w.judge(u)
+			w.judge(u, u.arrivals)
 		}
 	}
 	limit := &Limit{Named: u.limit >= 0, PerSecond: max(0, u.limit)}
@@ -153,9 +176,9 @@
 }
 
 // judge checks the window that ends now.
-func (w *limitWorld) judge(u *limitedUpstream) {
+func (w *limitWorld) judge(u *limitedUpstream, arrivals []time.Time) {
 	count := 0
-	for j := len(u.arrivals) - 1; j >= 0 && w.now.Sub(u.arrivals[j]) < limitWindow; j-- {
+	for j := len(arrivals) - 1; j >= 0 && w.now.Sub(arrivals[j]) < limitWindow; j-- {
 		count++
 	}
 	allowed := limitFactor*u.most(w.now)*limitWindow.Seconds() + limitSlack
@@ -171,7 +194,7 @@
 		return
 	}
 	if u.since.IsZero() {
-		u.since, u.arrivals, u.all = w.now, nil, 0
+		u.since, u.arrivals, u.all = w.now, nil, nil
 	}
 	u.named = append(u.named, namedLimit{at: w.now, perSecond: limit})
 }
@@ -212,7 +235,7 @@
 
 // used is the part of what its limit allows that an upstream has got since the bound holds.
 func (w *limitWorld) used(u *limitedUpstream) float64 {
-	return float64(u.all) / (u.most(w.now) * (w.now.Sub(u.since) - limitGrace).Seconds())
+	return float64(len(u.all)) / (u.most(w.now) * (w.now.Sub(u.since) - limitGrace).Seconds())
 }
 
 // limitLoad is a pool whose upstreams name limits.
@@ -240,28 +263,36 @@
 func TestLimitAcrossNodes(t *testing.T) {
 	for _, size := range []int{8, 65, 195} {
 		for _, load := range limitLoads {
-			t.Run(fmt.Sprintf("%s, %d nodes", load.name, size), func(t *testing.T) {
-				w := newLimitWorld(t, 1, size, load.upstreams)
-				for i := 0; load.skew > 0 && i < size; i += 8 {
-					w.weights[i] = load.skew
-				}
-				w.comeAt(load.perSecond * float64(size))
-				w.runUntil(start.Add(2 * time.Second))
-				for i := range load.limited {
-					w.name(fmt.Sprint("e", i), load.rate)
-				}
-				w.runUntil(start.Add(limitLife))
-				least, most := math.Inf(1), 0.0
-				for i := range load.limited {
-					u := w.used(w.upstreams[fmt.Sprint("e", i)])
-					least, most = min(least, u), max(most, u)
-				}
-				t.Logf("served %d, refused %d, used %.2f to %.2f of the limits", w.served, w.refused, least, most)
-			})
+			for _, silent := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %d nodes, that hear each other: %v", load.name, size, !silent), func(t *testing.T) {
+					playLimits(t, load, size, silent)
+				})
+			}
 		}
 	}
 }
 
+// playLimits runs one load and tells how much of the limits was used.
+func playLimits(t *testing.T, load limitLoad, size int, silent bool) {
+	w := newLimitWorld(t, 1, size, load.upstreams)
+	w.silent, w.judgeAll = silent, !silent
+	for i := 0; load.skew > 0 && i < size; i += 8 {
+		w.weights[i] = load.skew
+	}
+	w.comeAt(load.perSecond * float64(size))
+	w.runUntil(start.Add(2 * time.Second))
+	for i := range load.limited {
+		w.name(fmt.Sprint("e", i), load.rate)
+	}
+	w.runUntil(start.Add(limitLife))
+	least, most := math.Inf(1), 0.0
+	for i := range load.limited {
+		u := w.used(w.upstreams[fmt.Sprint("e", i)])
+		least, most = min(least, u), max(most, u)
+	}
+	t.Logf("served %d, refused %d, used %.2f to %.2f of the limits, %d words", w.served, w.refused, least, most, w.words)
+}
+
 // listWithout has each node hear, one after the other, of a list of nodes that lacks one.
 func (w *limitWorld) listWithout(missing int) {
 	var listed []Peer
--- a/internal/chuterelay/limits.go
+++ b/internal/chuterelay/limits.go
@@ -1,14 +1,33 @@
 package chuterelay
 
 import (
+	"math"
 	"time"
 
+	"github.com/benbjohnson/immutable"
+
 	"azurechute.example/azurechute/internal/chutefleet"
 )
 
-// unreadableLimit is the rate, a second, that counts for an upstream that names a limit for the first
-// time and in a way that can't be read: it is in need.
-const unreadableLimit = 1.0
+const (
+	// unreadableLimit is the rate, a second, that counts for an upstream that names a limit for
+	// the first time and in a way that can't be read: it is in need.
+	unreadableLimit = 1.0
+	// tellLimitEvery is the least time between two words of this node on one upstream's limit,
+	// and tellLimitStep the part by which it has to change: an upstream may name another
+	// one in each answer.
+	tellLimitEvery = time.Second
+	tellLimitStep  = 0.25
+	// maxLimitsTold bounds the words that are remembered; beyond, all are forgotten and told anew.
+	maxLimitsTold = 8192
+)
+
+// toldLimit is a word on an upstream's limit and when it was told or heard.
+type toldLimit struct {
+	chutefleet.LimitWord
+
+	at time.Time
+}
 
 // noteLimit takes in what the answer to a call says of its upstream's limit.
 func (st *step) noteLimit(u chutefleet.Upstream, limit *Limit, sentAt time.Time) {
@@ -28,8 +47,77 @@
 	case !limited:
 		st.fleet = st.fleet.WithLimit(u.ID, unreadableLimit, sentAt, st.now)
 	}
-	after, limitedNow := st.fleet.Limit(u.ID)
-	if limited != limitedNow || before.PerSecond != after.PerSecond {
-		st.do(NoteLimit{Upstream: u, Limited: limitedNow, Limit: after, Unreadable: limit.Unreadable})
+	st.noteLimitChange(u, before, limited, NoteLimit{Unreadable: limit.Unreadable})
+	st.tellLimit(u)
+}
+
+// noteLimitChange logs an upstream's limit if it is another one than before.
+func (st *step) noteLimitChange(u chutefleet.Upstream, before chutefleet.Limit, limited bool, note NoteLimit) {
+	note.Upstream = u
+	note.Limit, note.Limited = st.fleet.Limit(u.ID)
+	if limited != note.Limited || before.PerSecond != note.Limit.PerSecond {
+		st.do(note)
+	}
+}
+
+// tellLimit tells the other nodes of an upstream's limit, if it differs from the last word on it.
+//
+// A node learns of a limit from answers only. Without a word from others each of hundreds sends
+// an upstream in need one call to find out, and those that send it nothing take the limit for
+// lasting when it is over.
+func (st *step) tellLimit(u chutefleet.Upstream) {
+	limit, limited := st.fleet.Limit(u.ID)
+	last, told := st.limitsTold.Get(u.ID)
+	news := limited != last.Limited || math.Abs(limit.PerSecond-last.PerSecond) > tellLimitStep*last.PerSecond
+	if !news || told && st.now.Sub(last.at) < tellLimitEvery {
+		return
+	}
+	word := chutefleet.LimitWord{
+		Upstream: u.ID, Limited: limited, PerSecond: limit.PerSecond, Teller: st.settings.Self.Name, At: st.now.UnixMilli(),
+	}
+	st.rememberLimit(word)
+	st.do(TellLimit{Word: word})
+}
+
+func (st *step) rememberLimit(word chutefleet.LimitWord) {
+	if st.limitsTold.Len() >= maxLimitsTold {
+		st.limitsTold = immutable.NewMap[string, toldLimit](nil)
+	}
+	st.limitsTold = st.limitsTold.Set(word.Upstream, toldLimit{LimitWord: word, at: st.now})
+}
+
+// hearLimits takes in what other nodes tell of upstreams' limits.
+func (st *step) hearLimits(words []chutefleet.LimitWord) {
+	for _, word := range words {
+		if word.Teller == st.settings.Self.Name {
+			continue
+		}
+		st.rememberLimit(word)
+		st.takeLimitWord(word)
+	}
+}
+
+// takeLimitWord takes in a word on the limit of an upstream, if that is listed.
+func (st *step) takeLimitWord(word chutefleet.LimitWord) {
+	u, listed := st.fleet.Get(word.Upstream)
+	if !listed {
+		return
+	}
+	before, limited := st.fleet.Limit(u.ID)
+	if word.Limited {
+		st.fleet = st.fleet.WithLimit(u.ID, word.PerSecond, st.now, st.now)
+	} else {
+		st.fleet = st.fleet.WithoutLimit(u.ID, st.now)
+	}
+	st.noteLimitChange(u, before, limited, NoteLimit{Teller: word.Teller})
+}
+
+// recallLimits takes in what was told of the limits of upstreams that were not listed before.
+func (st *step) recallLimits(before chutefleet.Fleet) {
+	for i := st.limitsTold.Iterator(); !i.Done(); {
+		id, told, _ := i.Next()
+		if _, known := before.Get(id); !known {
+			st.takeLimitWord(told.LimitWord)
+		}
 	}
 }
--- /dev/null
+++ b/internal/chuterelay/limits_test.go
@@ -0,0 +1,84 @@
+package chuterelay
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutefleet"
+)
+
+// answerLimited answers a call of the only request with a limit.
+func (n *node) answerLimited(s Send, limit Limit) {
+	n.on(AttemptEnded{Handle: s.Handle, Attempt: s.Attempt, End: EndAnswered, HasAnswer: true, Limit: &limit})
+}
+
+func TestLimitTold(t *testing.T) {
+	// Guards against hundreds of nodes that each find out about a limit by a call of their own.
+	n := newNode(t)
+	n.on(Arrived{Submission: plain(1, "Repeatable")})
+	sent := only[Send](n)
+	n.answerLimited(sent, Limit{Named: true, PerSecond: 2})
+	told := only[TellLimit](n).Word
+
+	t.Run("a limit that an answer names is told", func(t *testing.T) {
+		c := qt.New(t)
+		c.Assert(told.Upstream, qt.Equals, sent.Upstream.ID)
+		c.Assert(told.Limited, qt.IsTrue)
+		c.Assert(told.PerSecond, qt.Equals, 2.0)
+	})
+
+	t.Run("a node that hears it keeps to it without a call", func(t *testing.T) {
+		c := qt.New(t)
+		other := newNode(t)
+		told.Teller = "n2"
+		other.on(LimitsHeard{Words: []chutefleet.LimitWord{told}})
+		limit, limited := other.state.Fleet().Limit(told.Upstream)
+		c.Assert(limited, qt.IsTrue)
+		c.Assert(limit.PerSecond, qt.Equals, 2.0)
+		c.Assert(take[TellLimit](other), qt.HasLen, 0)
+
+		told.Limited = false
+		other.on(LimitsHeard{Words: []chutefleet.LimitWord{told}})
+		_, limited = other.state.Fleet().Limit(told.Upstream)
+		c.Assert(limited, qt.IsFalse)
+	})
+
+	t.Run("a word on an upstream that is not listed yet counts once it is", func(t *testing.T) {
+		c := qt.New(t)
+		other := newNode(t)
+		told := told
+		told.Upstream, told.Limited = "late", true
+		other.on(LimitsHeard{Words: []chutefleet.LimitWord{told}})
+		list := append(testUpstreams(), chutefleet.Upstream{ID: "late", Name: "late", Pool: plainPool, State: chutefleet.StateReady})
+		other.on(UpstreamsListed{Upstreams: list})
+		_, limited := other.state.Fleet().Limit("late")
+		c.Assert(limited, qt.IsTrue)
+	})
+}
+
+func TestLimitOfStages(t *testing.T) {
+	// Guards against calls with parts beyond the limit of an upstream that runs stages.
+	n := newNode(t)
+	n.on(Arrived{Submission: many(1)})
+	calls := map[string]int{}
+	for range 5 {
+		for _, call := range take[RunCall](n) {
+			calls[call.Upstream.ID]++
+			n.pass(100 * time.Millisecond)
+			limit := &Limit{}
+			if call.Upstream.ID == partPool+"0" {
+				limit = &Limit{Named: true, PerSecond: 0.25}
+			}
+			ends := make([]chutebatch.PartEnd, len(call.Call.Parts))
+			for i := range ends {
+				ends[i].Ref = "made"
+			}
+			n.on(CallEnded{ID: call.Call.ID, End: chutebatch.CallAnswered, Ends: ends, Limit: limit})
+		}
+	}
+	n.Assert(calls[partPool+"0"] <= 2, qt.IsTrue, qt.Commentf("%d calls", calls[partPool+"0"]))
+	n.Assert(calls[partPool+"1"] > 2, qt.IsTrue, qt.Commentf("%d calls", calls[partPool+"1"]))
+}
--- a/internal/chuterelay/restart.go
+++ b/internal/chuterelay/restart.go
@@ -17,6 +17,7 @@
 	for _, u := range st.fleet.Replaced(before) {
 		st.restarted(u)
 	}
+	st.recallLimits(before)
 	st.fillAll()
 }
 
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -54,7 +54,9 @@
 	// callTimes is how long calls take until their first event.
 	callTimes callTimes
 	// patiences tells callers that come back from new ones.
-	patiences  patiences
+	patiences patiences
+	// limitsTold maps an upstream to the last word on its limit among nodes.
+	limitsTold *immutable.Map[string, toldLimit]
 	quarantine chutequarantine.Quarantine
 	// judgeAt is when the next JudgeDue event is due; zero if none is.
 	judgeAt time.Time
@@ -85,6 +87,8 @@
 		patiences: newPatiences(),
 		zones:     newZones(s.Self.Zone),
 
+		limitsTold: immutable.NewMap[string, toldLimit](nil),
+
 		quarantine: chutequarantine.New(),
 		random:     *rand.NewPCG(s.Seed, s.Seed),
 	}
@@ -188,6 +192,8 @@
 		st.fleet = st.fleet.WithNodes(st.settings.Self.Name, st.peers.names()).WithSharers(st.peers.sharers(st.now))
 	case QuarantineHeard:
 		st.hearQuarantine(e)
+	case LimitsHeard:
+		st.hearLimits(e.Words)
 	case JudgeDue:
 		st.judgeAt = time.Time{}
 		st.judge()
