--- a/internal/chutefleet/limit.go
+++ b/internal/chutefleet/limit.go
@@ -128,6 +128,26 @@
 	return Availability{}
 }
 
+// OpensAt is when the first of a pool's upstreams may get a call again, if all that are not barred for
+// good name limits and have had what this node may send; false if any may get one now, or is
+// barred otherwise.
+func (f Fleet) OpensAt(pool string, now time.Time) (time.Time, bool) {
+	var first time.Time
+	for _, id := range f.pools[pool] {
+		m, _ := f.members.Get(id)
+		a := f.availability(&m, now)
+		switch {
+		case a.Bar.Lasting():
+		case a.Bar != BarLimited:
+			return time.Time{}, false
+		case first.IsZero() || a.Until.Before(first):
+			first = a.Until
+		}
+	}
+
+	return first, !first.IsZero()
+}
+
 // trialAt is when a node that owns nothing of a member's limit may send a call to find out whether
 // the limit still holds.
 func (f Fleet) trialAt(m *member) time.Time {
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -29,6 +29,11 @@
 		// A stage without parts for this request is left out.
 		r.stages[i].done = r.parts(i) == 0
 	}
+	if st.limitedAtCall(r) {
+		st.giveUp(r, st.noneUsable(r.pool))
+
+		return
+	}
 	if planned, ok := st.choose(r); ok {
 		r.zone = planned.Zone
 	}
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -21,7 +21,7 @@
 		u, ok = st.choose(again)
 	}
 	if !ok {
-		st.giveUp(r, notRun("no upstream of pool "+r.pool+" can be used now: "+st.fleet.Barred(r.pool, st.now)))
+		st.giveUp(r, st.noneUsable(r.pool))
 
 		return
 	}
--- a/internal/chuterelay/limits.go
+++ b/internal/chuterelay/limits.go
@@ -18,6 +18,9 @@
 	// one in each answer.
 	tellLimitEvery = time.Second
 	tellLimitStep  = 0.25
+	// longestLimitWait bounds the time after which a caller comes back to a pool whose upstreams
+	// are at their limits: by then other nodes may send again what they own of them.
+	longestLimitWait = 2 * time.Second
 	// maxLimitsTold bounds the words that are remembered; beyond, all are forgotten and told anew.
 	maxLimitsTold = 8192
 )
@@ -121,3 +124,29 @@
 		}
 	}
 }
+
+// limitedAtCall says whether all upstreams of the request's pool will be at their limits, as far as
+// this node may send them calls, when its stages are done: what those made would be for nothing.
+func (st *step) limitedAtCall(r request) bool {
+	opens, limited := st.fleet.OpensAt(r.pool, st.now)
+	stages := time.Duration(0)
+	for i := range r.stages {
+		if !r.stages[i].done {
+			stages += st.stageTime(r, i)
+		}
+	}
+
+	return limited && opens.After(st.now.Add(stages))
+}
+
+// noneUsable refuses a request for want of an upstream. Where only limits are in the way, its caller
+// may come back when this node may send the next call; another node may have one left.
+func (st *step) noneUsable(pool string) Refusal {
+	refusal := notRun("no upstream of pool " + pool + " can be used now: " + st.fleet.Barred(pool, st.now))
+	if opens, limited := st.fleet.OpensAt(pool, st.now); limited {
+		wait := min(longestLimitWait, max(soonRetry, opens.Sub(st.now)))
+		refusal.RetryAfter = time.Duration((1 - retrySpread + 2*retrySpread*st.draw()) * float64(wait))
+	}
+
+	return refusal
+}
--- a/internal/chuterelay/limits_test.go
+++ b/internal/chuterelay/limits_test.go
@@ -1,6 +1,7 @@
 package chuterelay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuteroute"
 )
 
 // answerLimited answers a call of the only request with a limit.
@@ -18,7 +20,7 @@
 func TestLimitTold(t *testing.T) {
 	// Guards against hundreds of nodes that each find out about a limit by a call of their own.
 	n := newNode(t)
-	n.on(Arrived{Submission: plain(1, "Repeatable")})
+	n.on(Arrived{Submission: plain(1, chuteroute.Repeatable)})
 	sent := only[Send](n)
 	n.answerLimited(sent, Limit{Named: true, PerSecond: 2})
 	told := only[TellLimit](n).Word
@@ -82,3 +84,24 @@
 	n.Assert(calls[partPool+"0"] <= 2, qt.IsTrue, qt.Commentf("%d calls", calls[partPool+"0"]))
 	n.Assert(calls[partPool+"1"] > 2, qt.IsTrue, qt.Commentf("%d calls", calls[partPool+"1"]))
 }
+
+// Guards against requests whose stages are made although no upstream may take their call, and
+// against callers who come back before one may.
+func TestLimitRefusesAtOnce(t *testing.T) {
+	n := newNode(t)
+	n.on(ConfigAdopted{Config: testConfig(2)})
+	for i := range 2 {
+		n.on(LimitsHeard{Words: []chutefleet.LimitWord{{
+			Upstream: fmt.Sprint(enginePool, i), Limited: true, PerSecond: 0.25, Teller: "n2",
+		}}})
+	}
+	for handle := range uint64(2) {
+		n.sent(stream(handle+1, chuteroute.Repeatable))
+	}
+	n.on(Arrived{Submission: stream(3, chuteroute.Repeatable)})
+	refusal := only[Refuse](n).Refusal
+	n.Assert(take[AskParts](n), qt.HasLen, 0)
+	n.Assert(refusal.Kind, qt.Equals, RefusedNotRun)
+	n.Assert(refusal.Reason, qt.Contains, "2 Limited")
+	n.Assert(refusal.RetryAfter >= longestLimitWait/2, qt.IsTrue, qt.Commentf("%v", refusal.RetryAfter))
+}
