--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -64,9 +64,10 @@
 		if err != nil {
 			return false, err
 		}
-		defer w.confirm(began)
+		news := w.replace(page)
+		w.confirm(began)
 
-		return w.replace(page), nil
+		return news, nil
 	}
 	limit := readTimeout
 	if wait > 0 {
@@ -87,10 +88,11 @@
 	if err != nil {
 		return false, err
 	}
+	news := w.merge(page)
 	// The store may have looked as early as the question was sent, or as its wait was over.
-	defer w.confirm(began.Add(min(n.Now().Sub(began), wait)))
+	w.confirm(began.Add(min(n.Now().Sub(began), wait)))
 
-	return w.merge(page), nil
+	return news, nil
 }
 
 // keep keeps one table up to date until the node stops, and calls changed after
--- a/internal/chuterelay/limits.go
+++ b/internal/chuterelay/limits.go
@@ -54,7 +54,7 @@
 	st.tellLimit(u)
 }
 
-// noteLimitChange logs an upstream's limit if it is another one than before.
+// noteLimitChange logs an upstream's limit if it has changed.
 func (st *step) noteLimitChange(u chutefleet.Upstream, before chutefleet.Limit, limited bool, note NoteLimit) {
 	note.Upstream = u
 	note.Limit, note.Limited = st.fleet.Limit(u.ID)
