Show tables that are taken for newer than they are

What callers saw: 404 for a pipeline that had been confirmed over 2 s before.

Evidence: TestVouchedTables plays nodes on a simulated clock while signs of sources and answers of the store arrive late (up to 0.85 and 0.45 s) and nodes lose the store. It compares the time as of which each node takes its tables for up to date with what the store had confirmed by then.

Not covered: with -race the simulation is left out, as the others are.

--- a/internal/chutegate/cluster_sim_test.go
+++ b/internal/chutegate/cluster_sim_test.go
@@ -26,11 +26,46 @@
 )
 
 // simNetwork connects nodes in memory. A connection between two nodes that are cut off from each
-// other stops carrying data, and new ones can't be opened.
+// other stops carrying data, and new ones can't be opened. A connection that is held up delivers
+// late what its node is sent.
 type simNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*bufconn.Listener
 	isCut     func(from, to string) bool
+	// held is the set of nodes whose connections are held up; released is closed when it changes.
+	held     map[string]bool
+	released chan struct{}
+}
+
+func newSimNetwork() *simNetwork {
+	return &simNetwork{listeners: map[string]*bufconn.Listener{}, released: make(chan struct{})}
+}
+
+// setHeld sets the nodes whose connections are held up.
+func (network *simNetwork) setHeld(held map[string]bool) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+
+	network.held = held
+	close(network.released)
+	network.released = make(chan struct{})
+}
+
+// waitWhileHeld returns once the connections of neither node are held up, or this one is closed.
+func (network *simNetwork) waitWhileHeld(from, to string, closed <-chan struct{}) {
+	for {
+		network.mu.Lock()
+		held, released := network.held[from] || network.held[to], network.released
+		network.mu.Unlock()
+		if !held {
+			return
+		}
+		select {
+		case <-released:
+		case <-closed:
+			return
+		}
+	}
 }
 
 var errNoListener = errors.New("connection refused")
@@ -65,7 +100,13 @@
 		}
 		conn, err := l.DialContext(ctx)
 
-		return &simConn{Conn: conn, silent: func() bool { return network.cutOff(from, to) }}, err
+		closed := make(chan struct{})
+
+		return &simConn{
+			Conn: conn, silent: func() bool { return network.cutOff(from, to) },
+			waitWhileHeld: func() { network.waitWhileHeld(from, to, closed) },
+			closeOnce:     sync.OnceFunc(func() { close(closed) }),
+		}, err
 	}
 }
 
@@ -74,19 +115,29 @@
 type simConn struct {
 	net.Conn
 
-	silent func() bool
-	lost   bool
+	silent        func() bool
+	waitWhileHeld func()
+	closeOnce     func()
+	lost          bool
 }
 
 func (c *simConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		c.waitWhileHeld()
 		if c.lost = c.lost || c.silent(); !c.lost || err != nil {
 			return n, err
 		}
 	}
 }
 
+// Close closes the connection, and ends the wait of a reader that is held up.
+func (c *simConn) Close() error {
+	c.closeOnce()
+
+	return c.Conn.Close()
+}
+
 func (c *simConn) Write(p []byte) (int, error) {
 	if c.silent() {
 		return len(p), nil
@@ -138,7 +189,7 @@
 // synctest bubble.
 func newSimCluster(t *testing.T, size, zones int) *simCluster {
 	cluster := &simCluster{
-		C: qt.New(t), network: &simNetwork{listeners: map[string]*bufconn.Listener{}}, store: newMemoryStore(),
+		C: qt.New(t), network: newSimNetwork(), store: newMemoryStore(),
 		nodes: map[string]*Node{}, stops: map[string]func(){}, logs: map[string]*simLog{},
 	}
 	cluster.store.put("config", "c", "1")
--- a/internal/chutegate/region_test.go
+++ b/internal/chutegate/region_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
@@ -34,12 +35,14 @@
 	staleVersion map[string]uint64
 	// cutOff is the set of nodes whose calls, including open ones, are never answered.
 	cutOff map[string]bool
+	// answerDelay is how long the answers to a node are on their way.
+	answerDelay map[string]time.Duration
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{
 		rows: map[string]map[string]Row{}, changes: map[string][]Row{}, changed: make(chan struct{}), unavailable: map[string]bool{},
-		blocked: map[string]chan struct{}{}, cutOff: map[string]bool{}, staleVersion: map[string]uint64{},
+		blocked: map[string]chan struct{}{}, cutOff: map[string]bool{}, staleVersion: map[string]uint64{}, answerDelay: map[string]time.Duration{},
 	}
 }
 
@@ -76,6 +79,30 @@
 	s.cutOff[node] = cutOff
 }
 
+// setAnswerDelay sets how long the answers to a node are on their way.
+func (s *memoryStore) setAnswerDelay(node string, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.answerDelay[node] = delay
+}
+
+// waitForTransit waits as long as an answer to the node is on its way.
+func (s *memoryStore) waitForTransit(ctx context.Context, node string) error {
+	s.mu.Lock()
+	delay := s.answerDelay[node]
+	s.mu.Unlock()
+	if delay <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // staleBy is the number of changes that a stale answer is behind, more than any node that asks is
 // behind.
 const staleBy = 40
@@ -194,10 +221,14 @@
 func (s *memoryStore) storeFor(node string) Store {
 	return Store{
 		AwaitChanges: func(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
-			return s.changesFor(ctx, node, table, after, wait)
+			page, err := s.changesFor(ctx, node, table, after, wait)
+
+			return page, errors.Join(err, s.waitForTransit(ctx, node))
 		},
 		ReadAll: func(ctx context.Context, table string) (Page, error) {
-			return s.wholeFor(ctx, node, table)
+			page, err := s.wholeFor(ctx, node, table)
+
+			return page, errors.Join(err, s.waitForTransit(ctx, node))
 		},
 		Put: func(_ context.Context, table, key string, value []byte) error {
 			s.put(table, key, string(value))
