Count the way of a source's sign as age of the table

What callers saw: 404 for a pipeline that had been confirmed over 2 s before, from a node that follows one which has lost the store.

Cause: the age of a table travelled as a duration and was subtracted from the time at which the message was read. Whatever the message spent on its way, in a buffer or in a process that did not run made the table newer by that much, at each hop.

Change: the source says when on the stream each sign was sent; the follower counts that from when it opened the stream, so that the time as of which the table was up to date can only be too early, by what the first sign took. A reply to ReadTable counts from when it was asked for. The client hands on a time in place of an age, so that nothing between receipt and use makes it later. A stream whose first sign was slow by more than 50 ms is opened anew after 5 s: its tables would count as stale ahead of time.

Why it works: the source accepts the stream after it was opened here, so no sign can have been sent earlier than its distance from the opening says; two monotonic clocks are compared by distances only.

--- a/internal/chutegate/follow.go
+++ b/internal/chutegate/follow.go
@@ -22,6 +22,11 @@
 	maxLostInRow = 2
 	// delayedStatusLogged is the transit time from which a source's status is logged as delayed.
 	delayedStatusLogged = 100 * time.Millisecond
+	// maxTransitUncertainty is how much older than it is a table may be taken for because the first
+	// message of its source was slow. Beyond it the source is followed anew after
+	// uncertainFollowPeriod, since the table would count as stale ahead of time.
+	maxTransitUncertainty = 50 * time.Millisecond
+	uncertainFollowPeriod = 5 * time.Second
 )
 
 // stopReason is why a node stopped following its source.
@@ -57,6 +62,7 @@
 			onChange()
 		}
 	}
+	openedAt := n.Now()
 	keepFollowing := func(status chuteshare.TableStatus) bool {
 		now := n.Now()
 		if status.Current {
@@ -64,14 +70,17 @@
 		}
 		if status.Transit.Min >= delayedStatusLogged {
 			n.log.Info().Str("Table", local.name).Str("Peer", source.Name).Int64("DelayMs", status.Transit.Min.Milliseconds()).
-				Int64("TableAgeMs", status.Age.Milliseconds()).Msg("a status of the node that is followed was delayed")
+				Msg("a status of the node that is followed was delayed")
 		}
-		if local.recordSourceStatus(status, now) {
+		if local.recordSourceStatus(status.Current, n.ownTime(status.ConfirmedAt)) {
 			n.log.Info().Str("Table", local.name).Str("Peer", source.Name).Msg("the node that is followed is out of date")
 		}
 		if local.needsReview(now) {
 			onChange()
 		}
+		if status.Transit.Uncertainty() > maxTransitUncertainty && now.Sub(openedAt) >= uncertainFollowPeriod {
+			return false
+		}
 		chosen, ok := n.source()
 
 		return ok && chosen.Name == source.Name
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -168,6 +168,15 @@
 	return epoch.Add(n.clock.Since(n.started))
 }
 
+// ownTime converts a time of the node's clock to the node's own time; a zero time stays zero.
+func (n *Node) ownTime(at time.Time) time.Time {
+	if at.IsZero() {
+		return time.Time{}
+	}
+
+	return epoch.Add(at.Sub(n.started))
+}
+
 // Start starts the event loop and the background tasks.
 func (n *Node) Start() {
 	n.spawn(n.runEventLoop)
--- a/internal/chutegate/localtable.go
+++ b/internal/chutegate/localtable.go
@@ -174,8 +174,7 @@
 }
 
 // minConfirmStep is the smallest step by which confirmedAt advances; followers are told of each
-// step at once. Keepalives repeat the same time, which differs only by the time that they took to
-// arrive.
+// step at once. Keepalives repeat the same time, which differs only by rounding.
 const minConfirmStep = 100 * time.Millisecond
 
 // setCurrent sets whether the last sign of the store was good, and reports whether that is a
@@ -213,29 +212,19 @@
 }
 
 // recordSourceStatus records the status that the source reported, and reports whether the source
-// has just lost the store.
-func (local *localTable) recordSourceStatus(status chuteshare.TableStatus, now time.Time) bool {
-	if asOf, known := local.recordPeerStatus(status, now); known {
+// has just lost the store. confirmedAt is the status's time by the node's own clock, zero if it has
+// none.
+func (local *localTable) recordSourceStatus(current bool, confirmedAt time.Time) bool {
+	if !confirmedAt.IsZero() {
+		local.confirmAt(confirmedAt)
 		local.mu.Lock()
-		if asOf.After(local.sourceConfirmedAt) {
-			local.sourceConfirmedAt = asOf
+		if confirmedAt.After(local.sourceConfirmedAt) {
+			local.sourceConfirmedAt = confirmedAt
 		}
 		local.mu.Unlock()
 	}
 
-	return local.setCurrent(status.Current) && !status.Current
-}
-
-// recordPeerStatus records the status reported by any node whose table this node has received, and
-// returns the time as of which the table was up to date there. It returns false if it never was.
-func (local *localTable) recordPeerStatus(status chuteshare.TableStatus, now time.Time) (time.Time, bool) {
-	asOf := now.Add(-status.Age)
-	if !status.HasBeenCurrent() {
-		return time.Time{}, false
-	}
-	local.confirmAt(asOf)
-
-	return asOf, true
+	return local.setCurrent(current) && !current
 }
 
 // sourceAge returns the node that is followed, the time since the table was up to date by its
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteshare"
 )
 
 const (
@@ -217,11 +218,11 @@
 			continue
 		}
 		if change.Version == 0 {
-			local.recordPeerStatus(status, n.Now())
+			n.confirmByPeer(local, status)
 
 			continue
 		}
-		defer local.recordPeerStatus(status, n.Now())
+		defer n.confirmByPeer(local, status)
 		n.log.Info().Str("Table", local.name).Str("Peer", peer.Name).Uint64("Version", change.Version).Msg("read from a peer")
 
 		return local.applyFromNode(peer.Name, change)
@@ -230,6 +231,13 @@
 	return false
 }
 
+// confirmByPeer records how current the table of a peer is that this node has received.
+func (n *Node) confirmByPeer(local *localTable, status chuteshare.TableStatus) {
+	if confirmedAt := n.ownTime(status.ConfirmedAt); !confirmedAt.IsZero() {
+		local.confirmAt(confirmedAt)
+	}
+}
+
 // peersPerFailedRead is the number of peers asked after a failed read. If half of the nodes are cut
 // off from the store, three random peers are all among them once in eight reads.
 const peersPerFailedRead = 3
--- a/internal/chuteshare/tables.go
+++ b/internal/chuteshare/tables.go
@@ -48,7 +48,7 @@
 		if state.Leaving {
 			return status.Error(codes.Unavailable, "this VM is shutting down")
 		}
-		update := &chutesharepb.FollowTableUpdate{Current: state.Current, AgeMs: state.Age.Milliseconds(), SentMs: sentMs}
+		update := &chutesharepb.FollowTableUpdate{Current: state.Current, AgeMs: encodeAge(state.Age), SentMs: sentMs}
 		change, ok := feed.NextChange(state.Table)
 		if ok {
 			var err error
@@ -72,7 +72,7 @@
 // ReadTable returns the rows of this node's copy of a table that the caller lacks.
 func (s service) ReadTable(_ context.Context, request *chutesharepb.ReadTableRequest) (*chutesharepb.ReadTableReply, error) {
 	state := s.handlers.OnTable(request.GetTable())
-	reply := &chutesharepb.ReadTableReply{Current: state.Current, AgeMs: state.Age.Milliseconds()}
+	reply := &chutesharepb.ReadTableReply{Current: state.Current, AgeMs: encodeAge(state.Age)}
 	if state.Table.Version() <= request.GetKnown().GetVersion() {
 		return reply, nil
 	}
@@ -93,6 +93,7 @@
 	defer cancel()
 
 	errorContext := oops.In("share").With("step", "read table", "peer", address)
+	askedAt := c.Clock.Now()
 	reply, err := chutesharepb.NewShareClient(conn).ReadTable(ctx, &chutesharepb.ReadTableRequest{Table: table, Known: encodeKnown(known)})
 	if err != nil {
 		if ctx.Err() != nil {
@@ -102,7 +103,7 @@
 
 		return chutefeed.Change{}, TableStatus{}, errorContext.Wrap(err)
 	}
-	tableStatus := decodeTableStatus(reply)
+	tableStatus := decodeTableStatus(reply, askedAt)
 	if reply.GetChange() == nil {
 		return chutefeed.Change{}, tableStatus, nil
 	}
@@ -118,24 +119,31 @@
 type TableStatus struct {
 	// Current says that the peer, and the source that it follows if any, reach the store.
 	Current bool
-	// Age is the time since the copy was last known to be up to date with the store.
-	Age time.Duration
+	// ConfirmedAt is the time, by the client's clock, as of which the copy is proven to have been up
+	// to date with the store; zero if it never was. Time that the message was on its way, or may
+	// have been, does not make it later.
+	ConfirmedAt time.Time
 	// Transit bounds how long the message was on its way; zero if the peer does not tell.
 	Transit Transit
 }
 
-// HasBeenCurrent reports whether the peer's copy was ever known to be up to date.
-func (s TableStatus) HasBeenCurrent() bool {
-	return s.Current || s.Age > 0
-}
-
-// decodeTableStatus reads the status from a reply or an update.
+// decodeTableStatus reads the status from a reply or an update that was sent at sentAt or later.
 func decodeTableStatus(message interface {
 	GetCurrent() bool
 	GetAgeMs() int64
-},
+}, sentAt time.Time,
 ) TableStatus {
-	return TableStatus{Current: message.GetCurrent(), Age: time.Duration(message.GetAgeMs()) * time.Millisecond}
+	tableStatus := TableStatus{Current: message.GetCurrent()}
+	if age := message.GetAgeMs(); age > 0 || message.GetCurrent() {
+		tableStatus.ConfirmedAt = sentAt.Add(-time.Duration(age) * time.Millisecond)
+	}
+
+	return tableStatus
+}
+
+// encodeAge returns an age in milliseconds, rounded up so that no table counts as newer than it is.
+func encodeAge(age time.Duration) int64 {
+	return (age + time.Millisecond - 1).Milliseconds()
 }
 
 // FollowTable follows a table at a source until the source is gone or silent, ctx ends, or
@@ -169,8 +177,10 @@
 			break
 		}
 		silenceTimer.Reset(silenceTimeout)
-		tableStatus := decodeTableStatus(update)
-		tableStatus.Transit = transits.observe(update.GetSentMs(), c.Clock.Now())
+		now := c.Clock.Now()
+		transit := transits.observe(update.GetSentMs(), now)
+		tableStatus := decodeTableStatus(update, now.Add(-transit.Max))
+		tableStatus.Transit = transit
 		if update.GetChange() != nil {
 			var change chutefeed.Change
 			if change, err = decodeChange(update.GetChange(), groupCount); err != nil {
--- a/internal/chuteshare/tables_test.go
+++ b/internal/chuteshare/tables_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
 	"azurechute.example/azurechute/internal/chutefeed"
@@ -63,6 +66,26 @@
 	})
 }
 
+// Guards against a caller that takes a peer's table for newer than it is because the reply was on
+// its way for long.
+func TestReadTableConfirmedAt(t *testing.T) {
+	c := qt.New(t)
+	server := startServer(t)
+	server.setTable(newTable(3, 7), true)
+	clock := clockwork.NewFakeClock()
+	client := newClient(t)
+	client.Clock = clock
+	askedAt := clock.Now()
+	client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		clock.Advance(time.Second)
+
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	}
+	_, status, err := client.ReadTable(context.Background(), server.address, "t", chutefeed.Table{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(status.ConfirmedAt.Equal(askedAt), qt.IsTrue)
+}
+
 // follower follows the table of a test server and keeps what it receives.
 type follower struct {
 	table   chutefeed.Table
--- a/internal/chuteshare/transit.go
+++ b/internal/chuteshare/transit.go
@@ -15,6 +15,11 @@
 	Min, Max time.Duration
 }
 
+// Uncertainty returns how far the bounds are apart.
+func (t Transit) Uncertainty() time.Duration {
+	return t.Max - t.Min
+}
+
 // transitMeter bounds the transit times of the messages of one stream.
 //
 // The clocks of two nodes have no common origin. But the peer accepted the stream after it was
