Count an answer of the store as of when it can have been given

What callers saw: 404 for a pipeline that had been confirmed over 2 s before, from nodes that hear of changes through a reader which then loses the store.

Cause: a poll that returned changes confirmed the table as of the answer's arrival, up to 0.7 s after it was sent. The store answers such a poll at once, and the answer may have been on its way since, or have waited in a process that did not run. Changes of that time were taken for known.

Change: a poll that returned rows, or that returned ahead of its wait, confirms the table as of when it was sent. Since the table would then be up to 0.7 s old while the next poll stays open, that one returns at once (nextPollWait), but never two in a row, so a slow store is not asked without a pause.

Why it works: the answer shows at least the state at the time of the call.

--- a/internal/chutegate/follow_test.go
+++ b/internal/chutegate/follow_test.go
@@ -51,8 +51,24 @@
 
 func TestNextPollWait(t *testing.T) {
 	c := qt.New(t)
-	c.Assert(nextPollWait(true, peersPollWait), qt.Equals, peersPollWait)
-	c.Assert(nextPollWait(false, peersPollWait), qt.Equals, time.Duration(0))
+	const poll = peersPollWait
+	c.Assert(nextPollWait(true, 0, 0, poll), qt.Equals, poll)
+	c.Assert(nextPollWait(true, poll, 0, poll), qt.Equals, poll)
+	c.Assert(nextPollWait(false, poll, 0, poll), qt.Equals, time.Duration(0))
+	// The answer had changes, and confirms the table as of the poll's start only.
+	c.Assert(nextPollWait(true, poll, time.Second, poll), qt.Equals, time.Duration(0))
+	// A slow store must not be asked without a pause.
+	c.Assert(nextPollWait(true, 0, time.Second, poll), qt.Equals, poll)
+}
+
+func TestAnsweredAsOf(t *testing.T) {
+	began := time.Unix(1000, 0)
+	at := began.Add
+	c := qt.New(t)
+	c.Assert(answeredAsOf(began, at(configPollWait+time.Second), configPollWait, 0), qt.Equals, at(configPollWait))
+	c.Assert(answeredAsOf(began, at(configPollWait/2), configPollWait, 0), qt.Equals, began)
+	c.Assert(answeredAsOf(began, at(configPollWait), configPollWait, 1), qt.Equals, began)
+	c.Assert(answeredAsOf(began, at(time.Second), 0, 0), qt.Equals, began)
 }
 
 func TestQuestions(t *testing.T) {
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -91,13 +91,25 @@
 		return false, err
 	}
 	rowsChanged := local.mergeChanges(page)
-	// Without a wait the store may have looked as early as the call was sent, and with one as early
-	// as the wait was over. Time that the answer took beyond that does not count.
-	local.confirmAt(began.Add(min(n.Now().Sub(began), pollWait)))
+	local.confirmAt(answeredAsOf(began, n.Now(), pollWait, len(page.Rows)))
 
 	return rowsChanged, nil
 }
 
+// answeredAsOf returns the time as of which an answer to a poll shows the table, of a poll that was
+// sent at began and answered at now with some rows.
+//
+// Without rows, the store has waited for the poll's whole wait, unless the answer came sooner. With
+// rows, it may have answered as soon as the call was sent, and the answer may have been on its way
+// since.
+func answeredAsOf(began, now time.Time, pollWait time.Duration, rows int) time.Time {
+	if rows > 0 || now.Sub(began) < pollWait {
+		return began
+	}
+
+	return began.Add(pollWait)
+}
+
 // keepCurrent keeps one table up to date until the node stops, and calls onChange after each read
 // that may have changed it. minInterval is the minimum time between two reads of the store,
 // pollWait how long each of them stays open.
@@ -105,19 +117,14 @@
 	if local != n.localTables[n.settings.Tables.Peers] {
 		n.awaitNodeList(ctx)
 	}
-	var mu sync.Mutex
-	notify := onChange
-	onChange = func() {
-		// refreshIfStale may find a change at the same time as followSource or a read does.
-		mu.Lock()
-		defer mu.Unlock()
-		notify()
-	}
+	// refreshIfStale may find a change at the same time as followSource or a read does.
+	onChange = serialized(onChange)
 	n.spawn(func(ctx context.Context) { n.refreshIfStale(ctx, local, onChange) })
 	var directReadUntil time.Time
 	failedReads, lostInRow := 0, 0
 	// storeAnswered is true if the last read was made of the store and succeeded.
 	storeAnswered := false
+	lastWait := time.Duration(0)
 	for ctx.Err() == nil {
 		if n.Now().After(directReadUntil) {
 			stopped := n.followSource(ctx, local, onChange)
@@ -143,7 +150,9 @@
 		if failedReads > 0 {
 			reason = callRetry
 		}
-		err := n.readStoreOrPeer(ctx, local, nextPollWait(storeAnswered, pollWait), reason, onChange)
+		age, _ := local.age(began)
+		lastWait = nextPollWait(storeAnswered, lastWait, age, pollWait)
+		err := n.readStoreOrPeer(ctx, local, lastWait, reason, onChange)
 		storeAnswered = err == nil
 		delay := minInterval - n.Now().Sub(began)
 		if err == nil {
@@ -158,6 +167,17 @@
 	}
 }
 
+// serialized returns f such that its calls run one at a time.
+func serialized(f func()) func() {
+	var mu sync.Mutex
+
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		f()
+	}
+}
+
 // awaitNodeList waits until the list of nodes is known, for nodesLoadTimeout at most.
 func (n *Node) awaitNodeList(ctx context.Context) {
 	select {
@@ -167,14 +187,15 @@
 	}
 }
 
-// nextPollWait returns how long the next poll for changes stays open; storeAnswered is true if the
-// store answered the previous one.
+// nextPollWait returns how long the next poll for changes stays open, with the age of the table now.
+// storeAnswered is true if the store answered the previous one, which was to stay open for lastWait.
 //
 // The first poll after a failure, and the first one of a node that has followed a source until now,
 // is to return at once. Until it is answered this node counts as out of date, and all its followers
-// would ask the store themselves.
-func nextPollWait(storeAnswered bool, pollWait time.Duration) time.Duration {
-	if !storeAnswered {
+// would ask the store themselves. A poll that returned changes has confirmed the table only as of
+// its own start, so the one after it is to return at once as well.
+func nextPollWait(storeAnswered bool, lastWait, age, pollWait time.Duration) time.Duration {
+	if !storeAnswered || lastWait > 0 && age >= minConfirmStep {
 		return 0
 	}
 
