Refuse for good only by a configuration that is in force and proven newest

What callers saw: 404 for a pipeline that had been confirmed over 2 s before.

Cause: a request took the configuration first and the age of its table after it, and a table counted as fresh while its configuration was still decoded and put in force. A node that had lacked the newest configuration for long refused by the old one, for good, in the moment in which it caught up.

Change: a refusal is final only if the table's age is within the bound, its configuration is the one in force, and that is still the one that the request was judged by; otherwise the request is judged anew by the newer one, or is refused as not run with a time to come back.

TestStaleConfigurationRefusesNobodyForGood checks the same three cases through Serve now, where it called the function that is gone.

--- a/internal/chutegate/localtable_test.go
+++ b/internal/chutegate/localtable_test.go
@@ -15,6 +15,7 @@
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteroute"
 )
 
 // normalizeTestValue removes what follows a vertical bar, where these tests have the value that a
@@ -246,24 +247,26 @@
 func TestStaleConfigurationRefusesNobodyForGood(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	n := New(Settings{Tables: testTables, MaxConfigDelay: 3 * time.Second}, clock, zerolog.Nop(), Store{}, testDecoders(), Upstreams{})
-	unknown := chuterelay.Refusal{Kind: chuterelay.RefusedNoPipeline, Reason: "no pipeline"}
+	n.config.Store(&chuteroute.Config{Version: 1})
+	n.upstreamsLoaded.Store(true)
+	clock.Advance(startupWait)
 
 	t.Run("the configuration was never known to be the newest", func(t *testing.T) {
-		qt.Assert(t, n.asRetryableIfStale(unknown).Kind, qt.Equals, chuterelay.RefusedNotRun)
+		qt.Assert(t, refusalOfUnknown(n).Kind, qt.Equals, chuterelay.RefusedNotRun)
 	})
 
 	n.localTables[testTables.Config].confirmAt(n.Now())
 	clock.Advance(3 * time.Second)
 
 	t.Run("a change within the bound may be missing", func(t *testing.T) {
-		qt.Assert(t, n.asRetryableIfStale(unknown), qt.Equals, unknown)
+		qt.Assert(t, refusalOfUnknown(n).Kind, qt.Equals, chuterelay.RefusedNoPipeline)
 	})
 
 	clock.Advance(time.Millisecond)
 
 	t.Run("a change that should be in force may be missing", func(t *testing.T) {
 		c := qt.New(t)
-		r := n.asRetryableIfStale(unknown)
+		r := refusalOfUnknown(n)
 		c.Assert(r.Kind, qt.Equals, chuterelay.RefusedNotRun)
 		c.Assert(r.RetryAfter > 0, qt.IsTrue)
 	})
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -67,18 +67,8 @@
 // its caller left.
 func (n *Node) Serve(ctx context.Context, in *IncomingRequest, out Output) {
 	n.awaitRequiredTables(ctx, in.Wait/3)
-	cfg, ok := n.Config()
-	if !ok {
-		out.Refuse(chuterelay.Refusal{
-			Kind: chuterelay.RefusedNotRun, Reason: "this VM has no configuration yet", RetryAfter: unreadyRetryAfter,
-		})
-
-		return
-	}
-	submission, refusal := n.newSubmission(cfg, in)
+	submission, refusal := n.submit(in)
 	if refusal != nil {
-		*refusal = n.asRetryableIfStale(*refusal)
-		n.logRefusal(in, *refusal, cfg)
 		out.Refuse(*refusal)
 
 		return
@@ -91,18 +81,53 @@
 	n.writeAnswer(ctx, submission.Handle, req, out)
 }
 
-// asRetryableIfStale returns r, the refusal of a request that the configuration does not allow. If
-// a newer configuration may allow the request by now, it returns a refusal that makes the caller
-// retry at another node instead.
-func (n *Node) asRetryableIfStale(r chuterelay.Refusal) chuterelay.Refusal {
-	age, known := n.localTables[n.settings.Tables.Config].age(n.Now())
-	if known && age <= n.settings.MaxConfigDelay {
-		return r
+// submit returns what the reducer needs to know of a request, or the refusal if the configuration
+// in force does not allow it.
+func (n *Node) submit(in *IncomingRequest) (chuterelay.Submission, *chuterelay.Refusal) {
+	for {
+		cfg := n.config.Load()
+		if cfg == nil {
+			return chuterelay.Submission{}, &chuterelay.Refusal{
+				Kind: chuterelay.RefusedNotRun, Reason: "this VM has no configuration yet", RetryAfter: unreadyRetryAfter,
+			}
+		}
+		submission, refusal := n.newSubmission(*cfg, in)
+		if refusal == nil {
+			return submission, nil
+		}
+		provenNewest := n.isConfigProvenNewest()
+		if n.config.Load() != cfg {
+			// The proof may be that of the configuration that came in force meanwhile.
+			continue
+		}
+		if !provenNewest {
+			*refusal = n.asRetryable(*refusal)
+		}
+		n.logRefusal(in, *refusal, *cfg)
+
+		return submission, refusal
 	}
+}
+
+// isConfigProvenNewest reports whether the configuration in force lacks no change that has to be in
+// force by now.
+//
+// The age is read before the rows: a table is confirmed only after its rows were applied, so the
+// rows that are found are at least those that the age is about. A table that has just become fresh
+// proves nothing until its configuration is in force.
+func (n *Node) isConfigProvenNewest() bool {
+	age, known := n.localTables[n.settings.Tables.Config].age(n.Now())
+
+	return known && age <= n.settings.MaxConfigDelay && !n.hasUnadoptedConfig()
+}
+
+// asRetryable returns, for the refusal of a request that a newer configuration may allow, one that
+// makes the caller retry at another node.
+func (n *Node) asRetryable(r chuterelay.Refusal) chuterelay.Refusal {
 	n.staleRefusals.Add(1)
 
 	return chuterelay.Refusal{
-		Kind: chuterelay.RefusedNotRun, Reason: r.Reason + ", but this VM has lost the store and may lack a newer configuration",
+		Kind: chuterelay.RefusedNotRun, Reason: r.Reason + ", but this VM may lack a newer configuration",
 		RetryAfter: unreadyRetryAfter,
 	}
 }
