Close connections to silent peers without waiting for it

What callers see: a node whose source or collector reads nothing any more (it is frozen, or cut off with full buffers) goes on with another one 5 s later than it could, and so do its calls to all other peers.

Cause: the connection was closed under the lock that every call takes, and gRPC waits up to 5 s for a last frame that can't be written.

Change: closing goes on in the background; Close of the client waits for it.

Evidence: TestClosingStuckConnectionDelaysNoCall failed before, and fails with the line put back: the calls wait until the connection is closed.

--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -43,6 +43,8 @@
 
 	mu            sync.Mutex
 	connByAddress map[string]*grpc.ClientConn
+	// closing counts the connections that are being closed.
+	closing sync.WaitGroup
 }
 
 // NewClient returns a client without open connections.
@@ -52,6 +54,7 @@
 
 // Close closes all connections; calls that still run on them fail.
 func (c *Client) Close() {
+	defer c.closing.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -100,7 +103,8 @@
 	if c.connByAddress[address] == conn {
 		delete(c.connByAddress, address)
 	}
-	_ = conn.Close()
+	// It takes up to 5 s to close a connection whose peer reads nothing.
+	c.closing.Go(func() { _ = conn.Close() })
 }
 
 // JobEnd says how a job at a peer ended.
