Read and log what upstreams say of themselves in answers

What callers saw: refused calls more than needed; and nothing where an upstream that leaves still served them.

Cause of the change: the answers of upstreams carry two words that no code read, Server-Leaving and, on a 503, Retry-After, and no log line told whether and when a node had heard them.

Change: platform/ decodes both into chuterelay.Notice (fractions, several values, dates, malformed and very large ones); the node reports it to the event loop as soon as the head of an answer is there, from relayed calls, calls with parts and calls that free results, also if the caller has left meanwhile; each is one log line. Nothing is decided by it yet.

Two fields named Leaving are gone that nothing ever set, with a line of a test that had no effect. An answer of another incarnation (421) says nothing about the intended one.

Measured: TestNoticeOfLeaving, TestNoticeOfRest.

--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -67,6 +67,8 @@
 		n.sendEventAt(e.At, chuterelay.Ticked{})
 	case chuterelay.LogUpstreamLimit:
 		n.logLimit(e)
+	case chuterelay.LogNotice:
+		n.logNotice(e)
 	}
 }
 
@@ -191,6 +193,7 @@
 		})
 	}
 	answer, err := n.upstreams.RunParts(ctx, e.Upstream, parts)
+	n.reportNotice(e.Upstream, answer.Notice)
 	ended := chuterelay.CallEnded{
 		ID: e.Call.ID, End: chutebatch.CallAnswered, PartEnds: answer.Ends,
 		Took: n.Now().Sub(now), Leaving: answer.Leaving, Limit: answer.Limit,
@@ -234,7 +237,9 @@
 func (n *Node) freeResults(ctx context.Context, e chuterelay.FreeResults) {
 	ctx, cancel := context.WithTimeout(ctx, freeResultsTimeout)
 	defer cancel()
-	if err := n.upstreams.FreeResults(ctx, e.Upstream, e.Refs); err != nil {
+	notice, err := n.upstreams.FreeResults(ctx, e.Upstream, e.Refs)
+	n.reportNotice(e.Upstream, notice)
+	if err != nil {
 		n.log.Debug().Err(err).Str("Upstream", e.Upstream.ID).Int("Results", len(e.Refs)).
 			Msg("results could not be freed; they expire by themselves")
 	}
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -83,14 +83,15 @@
 	Misaddressed bool
 	// Altered is true if the body is not in the bytes that the upstream produced.
 	Altered       bool
-	Leaving       bool
 	IsEventStream bool
 	Load          *chuterelay.Load
 	// Cold is how much longer the upstream says that it stays cold; 0 if it does not say.
 	Cold time.Duration
 	// Limit is the upstream's statement on how many requests it accepts; nil if it makes none.
 	Limit *chuterelay.Limit
-	Body  io.ReadCloser
+	// Notice is what the upstream says about itself.
+	Notice chuterelay.Notice
+	Body   io.ReadCloser
 }
 
 // SendError is a call that failed before there was an answer.
@@ -116,9 +117,12 @@
 type PartsAnswer struct {
 	Ends    []chutebatch.PartOutcome
 	Refused bool
+	// Leaving is true if another incarnation has the address now.
 	Leaving bool
 	// Limit is the upstream's statement on how many requests it accepts; nil if it makes none.
 	Limit *chuterelay.Limit
+	// Notice is what the upstream says about itself.
+	Notice chuterelay.Notice
 }
 
 // PartRequest is one part of a stage as it is sent to an upstream.
@@ -137,8 +141,9 @@
 	Exchange func(ctx context.Context, c Call) (Answer, error)
 	// RunParts runs a batch of parts; its error is a *SendError.
 	RunParts func(ctx context.Context, u chutefleet.Upstream, parts []PartRequest) (PartsAnswer, error)
-	// FreeResults tells an upstream which results are no longer needed.
-	FreeResults func(ctx context.Context, u chutefleet.Upstream, refs []string) error
+	// FreeResults tells an upstream which results are no longer needed, and returns what its answer
+	// says about itself.
+	FreeResults func(ctx context.Context, u chutefleet.Upstream, refs []string) (chuterelay.Notice, error)
 	// HasEnded reports whether the process that was at an address has ended, which is certain only
 	// if the VM is reachable and refuses connections. No answer proves nothing.
 	HasEnded func(ctx context.Context, address string) bool
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -79,11 +79,12 @@
 	}
 	a.recordActivity()
 	defer func() { _ = answer.Body.Close() }()
-	ended.Leaving = answer.Leaving
 	ended.Load, ended.Cold, ended.Limit = answer.Load, answer.Cold, answer.Limit
 	if answer.Misaddressed {
-		// Another incarnation has the address, so the limit is not that of the intended one.
+		// Another incarnation has the address, so limit and notice are not those of the intended one.
 		ended.Limit = nil
+	} else {
+		a.node.reportNotice(s.Upstream, answer.Notice)
 	}
 	if s.Streams && answer.Status == http.StatusOK && answer.Signed && answer.IsEventStream && !answer.Altered {
 		// Load and limit were reported with the first event; by the end of the stream they are out
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -156,9 +156,6 @@
 	case EndBroken:
 		st.fleet = st.fleet.WithFailure(id, chutefleet.FailureBroken, st.now)
 	}
-	if e.Leaving {
-		st.fleet = st.fleet.WithLeaving(id)
-	}
 	if e.Cold > 0 {
 		st.fleet = st.fleet.WithCold(id, e.Cold, st.now)
 	}
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -193,6 +193,12 @@
 	AnnouncedBy string
 }
 
+// LogNotice logs what an upstream says about itself.
+type LogNotice struct {
+	Upstream chutefleet.Upstream
+	Notice
+}
+
 // AnnounceLimit announces a change of an upstream's limit to the other nodes.
 type AnnounceLimit struct {
 	Limit chutefleet.LimitRecord
@@ -208,6 +214,7 @@
 func (LogCrash) relayEffect()          {}
 func (LogJudgement) relayEffect()      {}
 func (LogUpstreamLimit) relayEffect()  {}
+func (LogNotice) relayEffect()         {}
 func (AnnounceLimit) relayEffect()     {}
 func (JudgeAt) relayEffect()           {}
 func (SetDeadline) relayEffect()       {}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -177,8 +177,7 @@
 	// Silent says that nothing came back, not even a refused connection.
 	Silent bool
 	// Events counts the events sent to the caller in this attempt.
-	Events  int
-	Leaving bool
+	Events int
 	// UpstreamEnded says that the upstream's process has ended, not just the connection.
 	UpstreamEnded bool
 	Load          *Load
@@ -207,6 +206,22 @@
 	Unreadable string
 }
 
+// Notice is what an answer says about its upstream itself.
+type Notice struct {
+	// Leaving says that the upstream takes no new calls until its process ends.
+	Leaving bool
+	// Rest is how long the upstream wants no calls from this node; 0 if it does not ask for that.
+	Rest time.Duration
+	// Malformed is a field of the answer that can't be read, with its value; empty if there is none.
+	Malformed string
+}
+
+// NoticeReceived reports that an answer says something about its upstream itself.
+type NoticeReceived struct {
+	Upstream chutefleet.Upstream
+	Notice
+}
+
 // ProbeEnded reports whether a silent upstream accepts connections again.
 type ProbeEnded struct {
 	Upstream string
@@ -250,6 +265,7 @@
 func (CallEnded) relayEvent()           {}
 func (AttemptBegan) relayEvent()        {}
 func (AttemptEnded) relayEvent()        {}
+func (NoticeReceived) relayEvent()      {}
 func (ProbeEnded) relayEvent()          {}
 func (QuarantineAnnounced) relayEvent() {}
 func (JudgeDue) relayEvent()            {}
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -196,6 +196,8 @@
 		st.quarantineAnnounced(e)
 	case LimitsAnnounced:
 		st.limitsAnnounced(e.Limits)
+	case NoticeReceived:
+		st.noticeReceived(e)
 	case JudgeDue:
 		st.judgeAt = time.Time{}
 		st.judgeCrashes()
