Send nothing to an upstream that has said that it leaves

What callers saw: nothing, as it still served them; it ends some seconds later and takes with it what runs then. What the users saw: DRAIN, requests 3.5 and 7.6 s after a node had passed on an answer that says so.

Cause: a node learned that an upstream leaves from the store's list alone. The store was away for 13 s, and the upstream's own answers were not listened to. Class: one source of a fact, where a nearer one is at hand.

Change: what an answer says marks the incarnation as leaving, for good. It is kept by incarnation beside the list (for an hour after its entry is gone), so that neither a later entry that says ready nor one that goes and comes back clears it; another incarnation starts clean. Availability is still the one place that decides, so first calls, retries, parts, jobs for other nodes and probes all follow. Requests and parts for which nobody is left are refused at once, as with an evacuation.

Cost at 600 upstreams: one entry of a map for each that leaves; no messages.

Not covered: a call that waits for a connection to the upstream when the answer comes is still sent. Nodes do not tell each other.

--- a/internal/chutefleet/availability_test.go
+++ b/internal/chutefleet/availability_test.go
@@ -20,7 +20,7 @@
 	}{
 		{name: "a listed one", fleet: both, now: start},
 		{name: "one that is not listed", fleet: New("z1"), now: start, want: Availability{Reason: BlockUnlisted}, removesFromPool: true},
-		{name: "a leaving one", fleet: both.WithLeaving("a"), now: start, want: Availability{Reason: BlockLeaving}, removesFromPool: true},
+		{name: "a leaving one", fleet: both.WithLeaving("a", start), now: start, want: Availability{Reason: BlockLeaving}, removesFromPool: true},
 		{
 			name:  "one whose entry can't be decoded",
 			fleet: both.WithList([]Upstream{{Name: "a", State: StateUnreadable}}, true, start), now: start,
@@ -65,7 +65,7 @@
 			want: Availability{Reason: BlockCold, Until: start.Add(time.Second)},
 		},
 		{
-			name: "one that is leaving and silent", fleet: silent.WithLeaving("a"), now: start,
+			name: "one that is leaving and silent", fleet: silent.WithLeaving("a", start), now: start,
 			want: Availability{Reason: BlockLeaving}, removesFromPool: true,
 		},
 	} {
@@ -73,7 +73,7 @@
 			c := qt.New(t)
 			c.Assert(test.fleet.Availability("a", test.now), qt.Equals, test.want)
 			c.Assert(test.want.Reason.RemovesFromPool(), qt.Equals, test.removesFromPool)
-			alone := test.fleet.WithLeaving("b")
+			alone := test.fleet.WithLeaving("b", start)
 			c.Assert(alone.IsPoolEmpty("p", test.now), qt.Equals, test.removesFromPool)
 			c.Assert(alone.PoolSize("p", test.now) == 0, qt.Equals, test.removesFromPool)
 			expectConsistent(c, test.fleet, "a", test.now, test.want.IsAvailable())
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -117,11 +117,16 @@
 	bounds    coldBounds
 	// limitOwners are the nodes among which the limits of upstreams are divided.
 	limitOwners chutequota.Allocator
+	// notices holds, by incarnation, what upstreams have said about themselves.
+	notices *immutable.Map[string, notice]
 }
 
 // New returns an empty fleet for a node in a zone.
 func New(zone string) Fleet {
-	return Fleet{zone: zone, members: immutable.NewMap[string, member](nil), pools: map[string][]string{}}
+	return Fleet{
+		zone: zone, members: immutable.NewMap[string, member](nil), pools: map[string][]string{},
+		notices: immutable.NewMap[string, notice](nil),
+	}
 }
 
 // withMember returns the fleet with one member changed; an unknown id changes nothing.
@@ -188,11 +193,6 @@
 	})
 }
 
-// WithLeaving marks an incarnation as leaving; this is final.
-func (f Fleet) WithLeaving(id string) Fleet {
-	return f.withMember(id, func(m *member) { m.State = StateLeaving })
-}
-
 // WithLoad records an upstream's own report of its running and waiting calls.
 func (f Fleet) WithLoad(id string, running, waiting int, now time.Time) Fleet {
 	return f.withMember(id, func(m *member) {
@@ -226,6 +226,8 @@
 	Failing  float64
 	// Limit is its rate limit; nil if it has none.
 	Limit *Limit `json:",omitempty"`
+	// SaysLeaving says that it has said in an answer that it leaves.
+	SaysLeaving bool `json:",omitempty"`
 	// Availability is the reason why it gets no calls now, empty if it does.
 	Availability
 }
@@ -237,7 +239,7 @@
 		_, m, _ := i.Next()
 		view := UpstreamView{
 			Upstream: m.Upstream, InFlight: m.inFlight,
-			Failing: m.recentFailures(now), Availability: f.availability(&m, now),
+			Failing: m.recentFailures(now), SaysLeaving: f.SaysLeaving(m.ID), Availability: f.availability(&m, now),
 		}
 		if m.limit.isSet {
 			view.Limit = &m.limit.Limit
--- a/internal/chutefleet/fleet_test.go
+++ b/internal/chutefleet/fleet_test.go
@@ -40,7 +40,7 @@
 		// The upstream has told this node that it leaves. The platform's list arrives
 		// later and is stale. A call sent because of it would be aborted.
 		c := qt.New(t)
-		f := fleetOf(upstream("a", "z1"), upstream("b", "z1")).WithLeaving("a")
+		f := fleetOf(upstream("a", "z1"), upstream("b", "z1")).WithLeaving("a", start)
 		f = f.WithList([]Upstream{upstream("a", "z1"), upstream("b", "z1")}, false, start)
 		expectChosen(c, f, Query{Pool: "p"}, start, "b")
 	})
--- a/internal/chutefleet/list.go
+++ b/internal/chutefleet/list.go
@@ -27,7 +27,7 @@
 		}
 	}
 
-	return f.withIndexes()
+	return f.withIndexes().withoutOldNotices(now)
 }
 
 // withListEntry applies one entry of the list, and returns the id of the incarnation that
@@ -54,7 +54,7 @@
 		f.members = f.members.Delete(known.ID)
 		known = member{replacedID: known.ID}
 	}
-	leaving := known.State == StateLeaving
+	leaving := known.State == StateLeaving || f.SaysLeaving(u.ID)
 	previousCold := known.Cold
 	known.Upstream, known.unreadable = u, false
 	known = f.withListedCold(known, previousCold, now)
--- /dev/null
+++ b/internal/chutefleet/notice.go
@@ -0,0 +1,66 @@
+package chutefleet
+
+import "time"
+
+// noticeLifetime is how long what an incarnation has said about itself is kept after its entry is
+// gone. An entry may come back while the process lives: entries expire while the platform's store is
+// unavailable, and processes that leave go on for some time.
+const noticeLifetime = time.Hour
+
+// notice is what an incarnation has said about itself in its answers.
+type notice struct {
+	// leaving is final.
+	leaving bool
+	// heardAt is when it last said anything.
+	heardAt time.Time
+}
+
+// WithLeaving marks an incarnation as leaving. This is final: no later entry of the list takes it
+// back, also if the incarnation is not listed at present.
+func (f Fleet) WithLeaving(id string, now time.Time) Fleet {
+	f = f.withNotice(id, now, func(heard *notice) { heard.leaving = true })
+
+	return f.withMember(id, func(m *member) { m.State = StateLeaving })
+}
+
+// SaysLeaving reports whether an incarnation has said, or shown by an answer, that it leaves.
+func (f Fleet) SaysLeaving(id string) bool {
+	heard, _ := f.notices.Get(id)
+
+	return heard.leaving
+}
+
+// SayLeavingCount returns the number of listed upstreams for which SaysLeaving holds.
+func (f Fleet) SayLeavingCount() int {
+	n := 0
+	for i := f.notices.Iterator(); !i.Done(); {
+		id, heard, _ := i.Next()
+		if _, listed := f.members.Get(id); listed && heard.leaving {
+			n++
+		}
+	}
+
+	return n
+}
+
+// withNotice returns the fleet with a change of what an incarnation has said about itself.
+func (f Fleet) withNotice(id string, now time.Time, change func(heard *notice)) Fleet {
+	heard, _ := f.notices.Get(id)
+	change(&heard)
+	heard.heardAt = now
+	f.notices = f.notices.Set(id, heard)
+
+	return f
+}
+
+// withoutOldNotices drops what incarnations that are not listed any more said long ago.
+func (f Fleet) withoutOldNotices(now time.Time) Fleet {
+	for i := f.notices.Iterator(); !i.Done(); {
+		id, heard, _ := i.Next()
+		if _, listed := f.members.Get(id); !listed && now.Sub(heard.heardAt) > noticeLifetime {
+			f.notices = f.notices.Delete(id)
+		}
+	}
+
+	return f
+}
--- a/internal/chutefleet/restart_test.go
+++ b/internal/chutefleet/restart_test.go
@@ -23,7 +23,7 @@
 		// The upstream reported that it leaves, ended, and restarted under its name. If
 		// it were treated as the previous incarnation, it would never get calls again.
 		c := qt.New(t)
-		f := fleetOf(first).WithLeaving(first.ID).WithList([]Upstream{second}, false, start)
+		f := fleetOf(first).WithLeaving(first.ID, start).WithList([]Upstream{second}, false, start)
 		expectChosen(c, f, Query{Pool: "p"}, start, second.ID)
 	})
 
@@ -55,7 +55,7 @@
 
 	t.Run("an entry without a start time applies to the current process", func(t *testing.T) {
 		c := qt.New(t)
-		f := fleetOf(first).WithLeaving(first.ID).WithList([]Upstream{upstream("a", "z1")}, false, start)
+		f := fleetOf(first).WithLeaving(first.ID, start).WithList([]Upstream{upstream("a", "z1")}, false, start)
 		expectChosen(c, f, Query{Pool: "p"}, start)
 		leaving := upstream("a", "z1")
 		leaving.State = StateLeaving
@@ -103,7 +103,7 @@
 		// The upstream reported that it leaves; then another writer replaced its entry,
 		// and a late heartbeat of the upstream writes "ready" again.
 		c := qt.New(t)
-		f := fleetOf(upstream("a", "z1")).WithLeaving("a")
+		f := fleetOf(upstream("a", "z1")).WithLeaving("a", start)
 		f = f.WithList([]Upstream{unreadable}, false, start).WithList([]Upstream{upstream("a", "z1")}, false, start)
 		expectChosen(c, f, Query{Pool: "p"}, start)
 	})
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -40,6 +40,12 @@
 
 		return float64(limited)
 	})
+	n.meter.Gauge("upstreams_say_leaving", func() float64 {
+		leaving := 0
+		n.Query(func(s chutecore.State) { leaving = s.Relay().Fleet().SayLeavingCount() })
+
+		return float64(leaving)
+	})
 	n.storeCalls.addGauges(n.meter.Gauge)
 	n.meter.Gauge("upstreams_ended_under_requests_total", func() float64 { return float64(n.upstreamCrashes.Load()) })
 	n.meter.Gauge("requests_quarantined", func() float64 {
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -150,7 +150,7 @@
 		st.fleet = st.fleet.WithFailure(id, chutefleet.FailureFull, st.now)
 	case EndMisaddressed:
 		// Another process has the address: this incarnation is gone for good.
-		st.fleet = st.fleet.WithLeaving(id)
+		st.fleet = st.fleet.WithLeaving(id, st.now)
 	case EndUnreachable, EndSilent:
 		st.suspendSilent(id)
 	case EndBroken:
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -250,7 +250,7 @@
 		st.fleet = st.fleet.WithSuccess(call.Upstream, st.now)
 	}
 	if e.Leaving {
-		st.fleet = st.fleet.WithLeaving(call.Upstream)
+		st.fleet = st.fleet.WithLeaving(call.Upstream, st.now)
 	}
 	if u, ok := st.fleet.Get(call.Upstream); ok {
 		st.recordLimit(u, e.Limit, st.now.Add(-e.Took))
--- a/internal/chuterelay/evacuate.go
+++ b/internal/chuterelay/evacuate.go
@@ -76,5 +76,5 @@
 		}
 	}
 
-	return notRunRefusal("no upstream of pool " + pool + " is listed")
+	return notRunRefusal("no upstream of pool " + pool + " is listed that is not leaving")
 }
--- a/internal/chuterelay/quarantine_test.go
+++ b/internal/chuterelay/quarantine_test.go
@@ -180,7 +180,7 @@
 	t.Run("the restart of an upstream that was leaving is no crash", func(t *testing.T) {
 		n := newNode(t)
 		s := n.submit(n.withFingerprint(plainRequest(1, chuteroute.Unrepeatable), "a"))
-		n.state.fleet = n.state.fleet.WithLeaving(s.Upstream.ID)
+		n.state.fleet = n.state.fleet.WithLeaving(s.Upstream.ID, n.now)
 		n.restart(s.Upstream.Name)
 		expectNo[AnnounceCrash](n)
 	})
