--- a/internal/chuterelay/notice.go
+++ b/internal/chuterelay/notice.go
@@ -27,7 +27,7 @@
 		st.fleet = st.fleet.WithRest(id, st.now.Add(e.Rest+spread), st.now)
 	}
 	if leavesNow || restsNow || e.Malformed != "" {
-		st.emit(LogNotice{Upstream: e.Upstream, Notice: e.Notice})
+		st.emit(LogNotice(e))
 	}
 	if leavesNow {
 		st.refuseUnservable()
