--- a/internal/chutecli/explain.go
+++ b/internal/chutecli/explain.go
@@ -59,6 +59,10 @@
 	// one, From the node that it was heard from; absent for the store.
 	ConfigAgeMs *int64 `json:",omitempty"`
 	From        string `json:",omitempty"`
+	// Leaving, RestMs and Unreadable are what an upstream says about itself.
+	Leaving    bool   `json:",omitempty"`
+	RestMs     int64  `json:",omitempty"`
+	Unreadable string `json:",omitempty"`
 }
 
 // adopted is the message of a configuration that a node puts in force.
--- a/internal/chutecli/summary.go
+++ b/internal/chutecli/summary.go
@@ -57,15 +57,21 @@
 	Workspaces []workspaceUse
 	// Repeats is sorted by pool.
 	Repeats []poolRepeats
+	// Notices is sorted by pool and upstream.
+	Notices []upstreamNotices `json:",omitempty"`
 }
 
 // Run prints the ends and step times of all requests in the logs.
 func (c summaryCommand) Run(ctx context.Context, s session) error {
 	stories := map[string][]logLine{}
+	notices := map[string]upstreamNotices{}
 	for _, open := range sources(s, c.Files) {
 		err := readLog(ctx, open, nil, func(line logLine) {
-			if line.Request != "" {
+			switch {
+			case line.Request != "":
 				stories[line.Request] = append(stories[line.Request], line)
+			case line.Step == noticed:
+				notices[line.Upstream] = notices[line.Upstream].withLine(line)
 			}
 		})
 		if err != nil {
@@ -73,6 +79,7 @@
 		}
 	}
 	result := summarize(stories)
+	result.Notices = sortedNotices(notices)
 
 	return s.print(result, func() { s.printSummary(result) })
 }
@@ -216,4 +223,5 @@
 		s.line("and %d workspaces with fewer requests; --output json has them", more)
 	}
 	s.printRepeats(r.Repeats)
+	s.printNotices(r.Notices)
 }
--- a/internal/chutecli/summary_test.go
+++ b/internal/chutecli/summary_test.go
@@ -123,3 +123,27 @@
 		c.Assert(out.String(), qt.Contains, "repeat after Refused: 0 left, 2 sent for 4 first calls in the window, 7 of the slack, divided among 8 nodes")
 	})
 }
+
+func TestSummaryOfNotices(t *testing.T) {
+	// An upstream is short of capacity, and another one leaves. Each node hears of it by itself.
+	const log = `{"Node":"n1","Upstream":"u1","Pool":"p","Leaving":false,"RestMs":3000,"time":"2026-12-03T06:00:00Z","message":"upstream's notice"}
+{"Node":"n2","Upstream":"u1","Pool":"p","Leaving":false,"RestMs":2000,"time":"2026-12-03T06:00:02Z","message":"upstream's notice"}
+{"Node":"n2","Upstream":"u0","Pool":"p","Leaving":true,"RestMs":0,"time":"2026-12-03T06:00:05Z","message":"upstream's notice"}
+{"Node":"n1","Upstream":"u0","Pool":"p","Leaving":true,"RestMs":0,"time":"2026-12-03T06:00:04Z","message":"upstream's notice"}
+`
+	at := func(second int) time.Time { return time.Date(2026, 12, 3, 6, 0, second, 0, time.UTC) }
+
+	t.Run("notices of all nodes are added up by upstream", func(t *testing.T) {
+		c := qt.New(t)
+		var result summary
+		c.Assert(json.Unmarshal([]byte(runSummary(c, log, "--output", "json")), &result), qt.IsNil)
+		c.Assert(result.Notices, qt.DeepEquals, []upstreamNotices{
+			{Upstream: "u0", Pool: "p", LeavingAt: at(4), LeavingNodes: 2},
+			{Upstream: "u1", Pool: "p", Rests: 2, RestMs: 5000, RestUntil: at(4)},
+		})
+	})
+
+	t.Run("the text has a row for each", func(t *testing.T) {
+		qt.Assert(t, runSummary(qt.New(t), log), qt.Contains, "06:00:04")
+	})
+}
