--- a/internal/chuteshare/tables.go
+++ b/internal/chuteshare/tables.go
@@ -42,7 +42,7 @@
 	acceptedAt := s.handlers.Now()
 	feed := chutefeed.NewFeed(request.GetKnown().GetVersion(), request.GetKnown().GetDigests())
 	for {
-		// Read before the age of the table, which is then older at most by what lies between.
+		// Read before the age, so that the time between the two makes the table older, never newer.
 		sentMs := s.handlers.Now().Sub(acceptedAt).Milliseconds() + 1
 		state := s.handlers.OnTable(request.GetTable())
 		if state.Leaving {
--- a/internal/chuteshare/transit.go
+++ b/internal/chuteshare/transit.go
@@ -22,9 +22,11 @@
 
 // transitMeter bounds the transit times of the messages of one stream.
 //
-// The clocks of two nodes have no common origin. But the peer accepted the stream after it was
-// opened here, so no message can have been sent earlier than its distance from the opening says,
-// and the message that arrived soonest after its distance took at least no time.
+// The clocks of two nodes have no common origin, so only times since the beginning of the stream are
+// compared. The peer accepted the stream after it was opened here: a message that was sent a second
+// after that can't have been sent earlier than a second after the opening. This bounds its transit
+// from above. The message with the least such bound took no less than nothing, which bounds all
+// others from below.
 type transitMeter struct {
 	openedAt time.Time
 	fastest  time.Duration
