Show that nodes do not take in a store that has come back from a copy

Callers saw requests handled by configurations that were replaced 2.3 s before, and stages asked of an upstream that had left 2.4 s before, while every node reached the store. TestRestoredStore replaces the store's rows by a copy, with versions that are given out again.

--- a/internal/chutegate/region_test.go
+++ b/internal/chutegate/region_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"azurechute.example/azurechute/internal/chutecanary"
+	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
@@ -40,6 +44,8 @@
 	pageRows int
 	// answerDelay is how long the answers to a node are on their way.
 	answerDelay map[string]time.Duration
+	// era counts the returns from a backup.
+	era uint64
 }
 
 func newMemoryStore() *memoryStore {
@@ -156,6 +162,64 @@
 	}
 }
 
+// storeBackup is a copy of a memoryStore's rows.
+type storeBackup struct {
+	version uint64
+	rows    map[string]map[string]Row
+	changes map[string][]Row
+}
+
+// backup returns a copy of the rows.
+func (s *memoryStore) backup() storeBackup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	b := storeBackup{version: s.version, rows: map[string]map[string]Row{}, changes: map[string][]Row{}}
+	for table, rows := range s.rows {
+		b.rows[table] = maps.Clone(rows)
+		b.changes[table] = slices.Clone(s.changes[table])
+	}
+
+	return b
+}
+
+// restore replaces all rows by those of a backup, whose versions go on from there. Calls that are open
+// fail.
+func (s *memoryStore) restore(b storeBackup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.era++
+	s.version = b.version
+	s.rows, s.changes = map[string]map[string]Row{}, map[string][]Row{}
+	for table, rows := range b.rows {
+		s.rows[table] = maps.Clone(rows)
+		s.changes[table] = slices.Clone(b.changes[table])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.era
+}
+
+// stored returns the rows of a table.
+func (s *memoryStore) stored(table string) []chutefeed.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	var rows []chutefeed.Row
+	for key, row := range s.rows[table] {
+		rows = append(rows, chutefeed.Row{Key: key, Value: row.Value, Version: row.Version})
+	}
+
+	return rows
+}
+
 // since returns the changes after a version, and a channel that is closed at the next change.
 func (s *memoryStore) since(node, table string, after uint64) (Page, <-chan struct{}, error) {
 	s.mu.Lock()
@@ -164,6 +228,9 @@
 	if s.unavailable[node] {
 		return Page{}, nil, context.DeadlineExceeded
 	}
+	if after > s.version {
+		return Page{}, nil, ErrCompacted
+	}
 	page := Page{Version: s.version}
 	if stale, ok := s.staleVersion[node]; ok {
 		page.Version = stale
@@ -187,10 +254,14 @@
 func (s *memoryStore) changesFor(ctx context.Context, node, table string, after uint64, wait time.Duration) (Page, error) {
 	s.waitIfBlocked(node)
 	until := time.After(wait)
+	openedIn := s.currentEra()
 	for {
 		if err := s.waitIfCutOff(ctx, node); err != nil {
 			return Page{}, err
 		}
+		if s.currentEra() != openedIn {
+			return Page{}, io.ErrUnexpectedEOF
+		}
 		page, changed, err := s.since(node, table, after)
 		if err != nil || len(page.Rows) > 0 {
 			return page, err
--- /dev/null
+++ b/internal/chutegate/restore_sim_test.go
@@ -0,0 +1,116 @@
+//go:build !race
+
+// The race detector crashes on timers of a synctest bubble (go1.26).
+
+package chutegate
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"azurechute.example/azurechute/internal/chutefeed"
+)
+
+var (
+	restoreSize  = flag.Int("sim.restore-size", 0, "number of nodes in TestRestoredStore, in place of the default sizes")
+	restoreSeeds = flag.Int("sim.restore-seeds", 4, "number of seeds for each size in TestRestoredStore")
+)
+
+// Guards against nodes that keep the rows of a store that has come back from a copy: they take its
+// versions for old ones, or miss what was written under a version that they have seen before.
+func TestRestoredStore(t *testing.T) {
+	sizes := []int{8, 36}
+	if *restoreSize > 0 {
+		sizes = []int{*restoreSize}
+	}
+	for _, size := range sizes {
+		for seed := range uint64(*restoreSeeds) {
+			t.Run(fmt.Sprint(size, " nodes, seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					cluster := newSimCluster(t, size, 4)
+					defer cluster.stop()
+					random := rand.New(rand.NewPCG(seed, uint64(size)))
+					(&restoreRun{simCluster: cluster, random: random, version: 1}).run()
+				})
+			})
+		}
+	}
+}
+
+// restoreRun is a run in which the store comes back from a copy, with fewer or more versions than the
+// nodes have seen.
+type restoreRun struct {
+	*simCluster
+
+	random  *rand.Rand
+	version uint64
+}
+
+func (r *restoreRun) run() {
+	time.Sleep(5 * time.Second)
+	for range 3 {
+		r.change(1 + r.random.IntN(4))
+		backup := r.store.backup()
+		r.store.put("upstreams", "lost", "ready")
+		r.change(1 + r.random.IntN(8))
+		time.Sleep(time.Duration(500+r.random.IntN(3000)) * time.Millisecond)
+		r.setStoreAway(true)
+		time.Sleep(time.Duration(r.random.IntN(3000)) * time.Millisecond)
+		r.store.restore(backup)
+		r.setStoreAway(false)
+		// The operator and the upstreams write again.
+		r.change(r.random.IntN(16))
+		time.Sleep(recoveryTime)
+		r.change(1)
+		r.expectInForce()
+		time.Sleep(2 * settlePeriod)
+		r.expectStoredRows()
+	}
+}
+
+// change changes the configuration and an upstream a number of times.
+func (r *restoreRun) change(times int) {
+	for range times {
+		r.version++
+		r.store.put("config", "c", fmt.Sprint(r.version))
+		r.store.put("upstreams", "u", fmt.Sprint(r.version))
+	}
+}
+
+// expectInForce checks that all nodes have the last change within the bound.
+func (r *restoreRun) expectInForce() {
+	began := time.Now()
+	for _, p := range r.peers {
+		for !r.hasVersion(r.nodes[p.Name]) {
+			r.Assert(time.Since(began) <= applyBound, qt.IsTrue,
+				qt.Commentf("%s has no version %d after %v\n%s", p.Name, r.version, time.Since(began), r.logs[p.Name].tail()))
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func (r *restoreRun) hasVersion(n *Node) bool {
+	cfg, _ := n.Config()
+	row, _ := n.localTables["upstreams"].snapshot().Get("u")
+
+	return cfg.Version >= r.version && string(row.Value) == strconv.FormatUint(r.version, 10)
+}
+
+// expectStoredRows checks that the tables of all nodes have the rows of the store.
+func (r *restoreRun) expectStoredRows() {
+	for _, p := range r.peers {
+		for _, table := range []string{"config", "upstreams", "peers"} {
+			stored := chutefeed.NewTable(r.store.stored(table), 1)
+			own := r.nodes[p.Name].localTables[table].snapshot()
+			r.Assert(own.HasSameRows(stored), qt.IsTrue,
+				qt.Commentf("%s has %d rows of %s, the store %d\n%s", p.Name, own.Len(), table, stored.Len(), r.logs[p.Name].tail()))
+		}
+	}
+}
