Order what nodes know of the store by its era before its version

Callers saw: requests handled by configurations that were replaced, and stages asked of an upstream that had left, at nodes that reached the store. Cause: the store had come back from a copy. Versions that went back were taken for answers that are late; and once they had grown past those of the nodes, a poll after a version of the era before missed what was written up to there, and rows that the store had lost stayed. Change: a table has a position, which is the era of Store-Era and the version in it. Answers of an earlier era change nothing, changes of a later one are not applied: the whole table is read at once. What nodes tell each other carries the era; a node whose source does not know the era yet does not take its status for its own. A source tells a follower of an earlier build, whose version is higher, that it is not current: it would ignore the rows. Upstreams that are missing in the new era are kept while entries may come back, as after an outage. Why it works: within an era versions only grow, so a position orders all that a node can hear.

--- a/internal/chutefeed/change.go
+++ b/internal/chutefeed/change.go
@@ -8,7 +8,8 @@
 
 // Change is what turns one state of a table into another one.
 type Change struct {
-	// Version is the version of the table after the change.
+	// Era and Version are the position of the table after the change.
+	Era     uint64
 	Version uint64
 	// Whole is true if Rows are all rows of the table after the change.
 	Whole bool
@@ -22,6 +23,11 @@
 	DeletedKeys []string
 }
 
+// Position returns the position of the table after the change.
+func (c Change) Position() Position {
+	return Position{Era: c.Era, Version: c.Version}
+}
+
 // IsEmpty reports whether the change changes no rows, only the version.
 func (c Change) IsEmpty() bool {
 	return !c.Whole && len(c.Groups) == 0 && len(c.Rows) == 0 && len(c.DeletedKeys) == 0
@@ -42,7 +48,7 @@
 
 // Digests returns one digest for each group of rows; none if the table was never read from the store.
 func (t Table) Digests() []uint64 {
-	if t.version == 0 {
+	if t.Version() == 0 {
 		return nil
 	}
 	count := min(MaxGroups, 1+len(t.rows)/rowsPerGroup)
@@ -78,11 +84,11 @@
 // ChangeForDigests returns the change from a state of the table with the given digests to this one. It
 // is the whole table if there are no digests, more than MaxGroups, or too many that differ.
 func (t Table) ChangeForDigests(digests []uint64) Change {
-	whole := Change{Version: t.version, Whole: true, Rows: t.rows}
+	whole := Change{Era: t.Era(), Version: t.Version(), Whole: true, Rows: t.rows}
 	if len(digests) == 0 || len(digests) > MaxGroups {
 		return whole
 	}
-	c := Change{Version: t.version, GroupCount: len(digests)}
+	c := Change{Era: t.Era(), Version: t.Version(), GroupCount: len(digests)}
 	for i, own := range t.groupDigests(len(digests)) {
 		if own != digests[i] {
 			c.Groups = append(c.Groups, uint32(i)) //nolint:gosec // below MaxGroups
@@ -105,7 +111,7 @@
 
 // ChangeSince returns the change from an earlier state of the table to this one.
 func (t Table) ChangeSince(old Table) Change {
-	c := Change{Version: t.version}
+	c := Change{Era: t.Era(), Version: t.Version()}
 	oldRows := old.rows
 	for _, row := range t.rows {
 		for len(oldRows) > 0 && oldRows[0].Key < row.Key {
--- a/internal/chutefeed/table.go
+++ b/internal/chutefeed/table.go
@@ -17,8 +17,8 @@
 // Table is an immutable state of a table. The zero value is a table that was never read from the store.
 type Table struct {
 	// rows are sorted by key, and have one row per key.
-	rows    []Row
-	version uint64
+	rows     []Row
+	position Position
 }
 
 // NewTable returns a table with the given rows, in any order, as of a version of the store. Of rows with
@@ -27,12 +27,25 @@
 	sorted := slices.Clone(rows)
 	slices.SortFunc(sorted, func(a, b Row) int { return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(b.Version, a.Version)) })
 
-	return Table{rows: slices.CompactFunc(sorted, func(a, b Row) bool { return a.Key == b.Key }), version: version}
+	return Table{
+		rows:     slices.CompactFunc(sorted, func(a, b Row) bool { return a.Key == b.Key }),
+		position: Position{Version: version},
+	}
 }
 
 // Version returns the version of the store that the table reflects; 0 if it was never read.
 func (t Table) Version() uint64 {
-	return t.version
+	return t.position.Version
+}
+
+// Era returns the era of the store that the table reflects; 0 if it is not known.
+func (t Table) Era() uint64 {
+	return t.position.Era
+}
+
+// Position returns the point in the history of the store that the table reflects.
+func (t Table) Position() Position {
+	return t.position
 }
 
 // Rows returns all rows, sorted by key; the caller must not change them.
@@ -55,18 +68,19 @@
 	return t.rows[i], true
 }
 
-// WithVersion returns the table with a later version; an earlier version is ignored.
-func (t Table) WithVersion(version uint64) Table {
-	t.version = max(t.version, version)
+// WithPosition returns the table with a later position; an earlier one is ignored.
+func (t Table) WithPosition(position Position) Table {
+	if t.position.Before(position) {
+		t.position = position
+	}
 
 	return t
 }
 
 // WithChange returns the table with a change applied.
 func (t Table) WithChange(c Change) Table {
-	version := max(t.version, c.Version)
 	if c.Whole {
-		return NewTable(c.Rows, version)
+		return NewTable(c.Rows, 0).WithPosition(t.position).WithPosition(c.Position())
 	}
 	newRows := NewTable(c.Rows, 0).rows
 	deleted := slices.Clone(c.DeletedKeys)
@@ -89,7 +103,7 @@
 		}
 	}
 
-	return Table{rows: append(merged, newRows...), version: version}
+	return Table{rows: append(merged, newRows...), position: t.position}.WithPosition(c.Position())
 }
 
 // HasSameRows reports whether two tables have rows with the same keys and values, whatever their
--- a/internal/chutefeed/table_test.go
+++ b/internal/chutefeed/table_test.go
@@ -48,6 +48,26 @@
 	})
 }
 
+func TestEras(t *testing.T) {
+	earlier := NewTable([]Row{{Key: "a", Value: []byte("1"), Version: 8}, {Key: "lost", Value: []byte("1"), Version: 9}}, 9)
+	later := NewTable([]Row{{Key: "a", Value: []byte("2"), Version: 6}}, 6).WithPosition(Position{Era: 1, Version: 6})
+
+	t.Run("a lower version of a later era follows", func(t *testing.T) {
+		c := qt.New(t)
+		c.Assert(earlier.Position().Before(later.Position()), qt.IsTrue)
+		c.Assert(earlier.WithChange(later.ChangeForDigests(earlier.Digests())).HasSameRows(later), qt.IsTrue)
+		c.Assert(earlier.WithChange(later.ChangeSince(earlier)).Position(), qt.Equals, later.Position())
+	})
+
+	t.Run("a follower is sent the rows of a later era, and none of an earlier one", func(t *testing.T) {
+		c := qt.New(t)
+		_, sent := NewFeed(earlier.Position(), earlier.Digests()).NextChange(later)
+		c.Assert(sent, qt.IsTrue)
+		_, sent = NewFeed(later.Position(), later.Digests()).NextChange(earlier)
+		c.Assert(sent, qt.IsFalse)
+	})
+}
+
 func TestChangeForDigests(t *testing.T) {
 	var rows []Row
 	for i := range 3000 {
--- a/internal/chutegate/evacuate_test.go
+++ b/internal/chutegate/evacuate_test.go
@@ -113,7 +113,7 @@
 		// The node's next read is one of the whole table, at a later version.
 		c := qt.New(t)
 		n, _ := newTestNode(Decoders{EvacuatedZone: evacuatedZone})
-		local := newLocalTable("config", minStaleAfter)
+		local := newLocalTable("config", minStaleAfter, time.Now)
 		local.replaceAll(Page{Version: 3, Rows: []Row{{Key: "c", Value: []byte("1"), Version: 3}}})
 		local.requireFullRead()
 		c.Assert(local.replaceAll(Page{Version: 8, Rows: []Row{
--- a/internal/chutegate/follow.go
+++ b/internal/chutegate/follow.go
@@ -72,6 +72,7 @@
 			// before, so they would turn this table into a state that never was.
 			return false
 		}
+		status = local.statusInEra(status)
 		if status.Current {
 			local.recordStoreResult(true, now)
 		}
--- a/internal/chutegate/follow_test.go
+++ b/internal/chutegate/follow_test.go
@@ -18,7 +18,7 @@
 		// because its entry might only have expired. No row changes after that.
 		c := qt.New(t)
 		now := time.Unix(1000, 0)
-		local := newLocalTable("t", minStaleAfter)
+		local := newLocalTable("t", minStaleAfter, time.Now)
 		local.recordStoreResult(false, now)
 		c.Assert(local.needsReview(now), qt.IsTrue)
 		local.recordStoreResult(true, now)
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -13,6 +13,7 @@
 	"azurechute.example/azurechute/internal/chutebudget"
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutecore"
+	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutemeter"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
@@ -62,10 +63,10 @@
 	messages chan message
 	queries  chan func(chutecore.State)
 	config   atomic.Pointer[chuteroute.Config]
-	// adoptedRowVersion is the version of the configuration's row that was last put in force or
-	// found to be unusable.
-	adoptedRowVersion atomic.Uint64
-	nodes             atomic.Pointer[[]chuterelay.Peer]
+	// adoptedRow is the position of the configuration's row that was last put in force or found to be
+	// unusable; nil if there was none.
+	adoptedRow atomic.Pointer[chutefeed.Position]
+	nodes      atomic.Pointer[[]chuterelay.Peer]
 	// nodesLoaded is closed once the list of nodes has been read.
 	nodesLoaded     chan struct{}
 	nodesLoadedOnce sync.Once
@@ -162,10 +163,10 @@
 		settings.Tables.Peers:      unboundedStaleAfter,
 		settings.Tables.Quarantine: unboundedStaleAfter,
 	} {
-		n.localTables[table] = newLocalTable(table, stale)
+		n.localTables[table] = n.newLocalTable(table, stale)
 	}
 	if settings.Rollouts.Enabled() {
-		n.localTables[settings.Tables.Rollouts] = newLocalTable(settings.Tables.Rollouts, staleAfterFor(settings.Rollouts.MaxAge()))
+		n.localTables[settings.Tables.Rollouts] = n.newLocalTable(settings.Tables.Rollouts, staleAfterFor(settings.Rollouts.MaxAge()))
 	}
 	n.localTables[settings.Tables.Upstreams].tracksKeys = true
 	n.localTables[settings.Tables.Upstreams].normalizeValue = decode.NormalizeUpstreamEntry
@@ -175,6 +176,17 @@
 	return n
 }
 
+// newLocalTable returns a copy of a table that logs when the store has come back from a copy of itself.
+func (n *Node) newLocalTable(name string, staleAfter time.Duration) *localTable {
+	local := newLocalTable(name, staleAfter, n.Now)
+	local.onRestored = func(before, after chutefeed.Table) {
+		n.log.Warn().Str("Table", name).Uint64("EraBefore", before.Era()).Uint64("VersionBefore", before.Version()).Int("RowsBefore", before.Len()).
+			Uint64("Era", after.Era()).Uint64("Version", after.Version()).Int("Rows", after.Len()).Msg("the store has come back from a copy")
+	}
+
+	return local
+}
+
 // epoch is the start of the node's own time and has no meaning outside the node. The time of day
 // can jump by seconds, and no decision may depend on such a jump.
 var epoch = time.Unix(1_000_000_000, 0)
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -55,11 +55,13 @@
 // adoptConfig puts a newer configuration in force. If it can't be decoded, the previous one stays
 // in force.
 func (n *Node) adoptConfig(local *localTable) {
-	row, ok := local.snapshot().Get(n.settings.Tables.ConfigKey)
+	table := local.snapshot()
+	row, ok := table.Get(n.settings.Tables.ConfigKey)
 	if !ok {
 		return
 	}
-	defer n.adoptedRowVersion.Store(row.Version)
+	position := chutefeed.Position{Era: table.Era(), Version: row.Version}
+	defer n.adoptedRow.Store(&position)
 	cfg, err := n.decode.Config(row.Value)
 	if err != nil {
 		n.log.Error().Err(err).Str("Key", row.Key).Uint64("Version", row.Version).
@@ -86,9 +88,11 @@
 // hasUnadoptedConfig reports whether the table has a configuration that adoptConfig has not decided
 // on yet.
 func (n *Node) hasUnadoptedConfig() bool {
-	row, ok := n.localTables[n.settings.Tables.Config].snapshot().Get(n.settings.Tables.ConfigKey)
+	table := n.localTables[n.settings.Tables.Config].snapshot()
+	row, ok := table.Get(n.settings.Tables.ConfigKey)
+	adopted := n.adoptedRow.Load()
 
-	return ok && row.Version != n.adoptedRowVersion.Load()
+	return ok && (adopted == nil || *adopted != chutefeed.Position{Era: table.Era(), Version: row.Version})
 }
 
 // watchUpstreams keeps the list of upstreams up to date.
--- a/internal/chutegate/localtable.go
+++ b/internal/chutegate/localtable.go
@@ -28,6 +28,11 @@
 	// store itself.
 	staleAfter time.Duration
 
+	// now returns the node's own time.
+	now func() time.Time
+	// onRestored is called when the rows of a new era of the store replace those of an earlier one.
+	onRestored func(before, after chutefeed.Table)
+
 	mu    sync.Mutex
 	table chutefeed.Table
 	// rowChanges counts the changes of the table's rows.
@@ -59,15 +64,19 @@
 	lastChangeNode string
 	// changed is closed and replaced at each change of the rows, of current or of confirmedAt.
 	changed chan struct{}
-	// storeReturnedAt is when the store last answered again after failed reads.
+	// storeReturnedAt is when the store last answered again after failed reads, or its rows were first
+	// those of a new era.
 	storeReturnedAt time.Time
 	// wasSettling is true if the rows were settling when they were last looked at, so that rows
 	// missing from the table may have been kept then.
 	wasSettling bool
 }
 
-func newLocalTable(name string, staleAfter time.Duration) *localTable {
-	return &localTable{name: name, keepaliveInterval: chuteshare.FollowKeepaliveInterval, staleAfter: staleAfter, changed: make(chan struct{})}
+func newLocalTable(name string, staleAfter time.Duration, now func() time.Time) *localTable {
+	return &localTable{
+		name: name, keepaliveInterval: chuteshare.FollowKeepaliveInterval, staleAfter: staleAfter,
+		now: now, onRestored: func(_, _ chutefeed.Table) {}, changed: make(chan struct{}),
+	}
 }
 
 // snapshot returns the present state of the table.
@@ -146,13 +155,13 @@
 // The store may answer with rows that are some seconds old. They would bring back an upstream that
 // is leaving, or a configuration that was replaced.
 func (local *localTable) replaceAll(p Page) bool {
-	return local.applyFromStore(chutefeed.Change{Version: p.Version, Whole: true, Rows: local.rowsOfPage(p)})
+	return local.applyFromStore(chutefeed.Change{Era: p.Era, Version: p.Version, Whole: true, Rows: local.rowsOfPage(p)})
 }
 
 // mergeChanges applies changes and reports whether the rows have to be looked at, as apply does.
 func (local *localTable) mergeChanges(p Page) bool {
 	p.Rows = lastChangeOfEachRow(p.Rows)
-	c := chutefeed.Change{Version: p.Version, Rows: local.rowsOfPage(p)}
+	c := chutefeed.Change{Era: p.Era, Version: p.Version, Rows: local.rowsOfPage(p)}
 	for _, row := range p.Rows {
 		if row.Deleted {
 			c.DeletedKeys = append(c.DeletedKeys, row.Key)
@@ -230,14 +239,19 @@
 
 // applyLocked is apply; the caller holds mu.
 func (local *localTable) applyLocked(c chutefeed.Change) bool {
-	if c.Version < local.table.Version() {
+	if c.Position().Before(local.table.Position()) {
 		return false
 	}
 	first := !local.synced
 	local.synced = true
 	next := local.table.WithChange(c)
+	if local.table.Version() > 0 && c.Era > local.table.Era() {
+		first = true
+		local.storeReturnedAt = local.now()
+		local.onRestored(local.table, next)
+	}
 	if next.HasSameRows(local.table) {
-		local.table = local.table.WithVersion(c.Version)
+		local.table = next
 
 		return first
 	}
@@ -314,6 +328,16 @@
 	return local.setCurrent(current, now) && !current
 }
 
+// statusInEra returns the status of a peer's copy of the table as far as it says something about this
+// one. A peer that does not know of a return of the store yet vouches for rows that are no longer there.
+func (local *localTable) statusInEra(status chuteshare.TableStatus) chuteshare.TableStatus {
+	if status.Era < local.snapshot().Era() {
+		status.Current, status.ConfirmedAt = false, time.Time{}
+	}
+
+	return status
+}
+
 // sourceAge returns the node that is followed, the time since the table was up to date by its
 // reports, and false if there is no such node.
 func (local *localTable) sourceAge(now time.Time) (chuterelay.Peer, time.Duration, bool) {
@@ -344,13 +368,13 @@
 	return local.confirmedAt
 }
 
-// readPosition returns the version to read changes after, and false if the whole table has to be
+// readPosition returns the position to read changes after, and false if the whole table has to be
 // read.
-func (local *localTable) readPosition() (uint64, bool) {
+func (local *localTable) readPosition() (chutefeed.Position, bool) {
 	local.mu.Lock()
 	defer local.mu.Unlock()
 
-	return local.table.Version(), local.synced
+	return local.table.Position(), local.synced
 }
 
 // requireFullRead makes the next read one of the whole table.
--- a/internal/chutegate/localtable_test.go
+++ b/internal/chutegate/localtable_test.go
@@ -29,7 +29,7 @@
 }
 
 func newTestTable() *localTable {
-	local := newLocalTable("t", minStaleAfter)
+	local := newLocalTable("t", minStaleAfter, time.Now)
 	local.normalizeValue = normalizeTestValue
 
 	return local
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -164,9 +164,11 @@
 	Deleted bool
 }
 
-// Page is an answer of the store, with the version of the table that it is valid for.
+// Page is an answer of the store, with the position that it is valid for.
 type Page struct {
-	Rows    []Row
+	Rows []Row
+	// Era is the store's era, 0 if the answer does not state it, and Version its version in the era.
+	Era     uint64
 	Version uint64
 	// More says that the store has changes after Version already, which did not fit in the answer.
 	More bool
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteshare"
 )
@@ -46,8 +47,14 @@
 // pages.
 const maxCatchUp = 500 * time.Millisecond
 
-// errStaleAnswer reports an answer of the store that is older than this node's table.
-var errStaleAnswer = errors.New("the store's answer is older than what is known")
+var (
+	// errStaleAnswer reports an answer of the store that is older than this node's table.
+	errStaleAnswer = errors.New("the store's answer is older than what is known")
+	// errEarlierEra reports an answer that the store gave before it came back from a copy.
+	errEarlierEra = errors.New("the answer is from before the store came back from a copy")
+	// errLaterEra reports changes that can't be applied, since the store has come back from a copy.
+	errLaterEra = errors.New("the store has come back from a copy")
+)
 
 // readResult is what a read of the store brought.
 type readResult struct {
@@ -64,22 +71,38 @@
 	switch {
 	case synced:
 		return n.readChanges(ctx, local, after, pollWait, reason)
-	case after > 0:
+	case after.Version > 0:
 		return n.readWhole(ctx, local, after, callGap)
 	default:
 		return n.readWhole(ctx, local, after, callStart)
 	}
 }
 
-// readWhole reads the whole table, which must not be older than a version.
-func (n *Node) readWhole(ctx context.Context, local *localTable, after uint64, reason callReason) (readResult, error) {
+// placedAfter returns a page that was read after a position, or an error if its rows are not later ones.
+// A page without an era is one of the position's era.
+func placedAfter(after chutefeed.Position, page Page) (Page, error) {
+	if page.Era == 0 {
+		page.Era = after.Era
+	}
+	switch {
+	case page.Era < after.Era:
+		return page, errEarlierEra
+	case page.Era == after.Era && page.Version < after.Version:
+		return page, errStaleAnswer
+	default:
+		return page, nil
+	}
+}
+
+// readWhole reads the whole table, which must not be older than a position.
+func (n *Node) readWhole(ctx context.Context, local *localTable, after chutefeed.Position, reason callReason) (readResult, error) {
 	n.storeCalls.add(reason)
 	began := n.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	page, err := n.store.ReadAll(ctx, local.name)
-	if err == nil && page.Version < after {
-		err = errStaleAnswer
+	if err == nil {
+		page, err = placedAfter(after, page)
 	}
 	if err != nil {
 		return readResult{}, err
@@ -91,8 +114,10 @@
 	return readResult{rowsChanged: rowsChanged}, nil
 }
 
-// readChanges reads the changes after a version.
-func (n *Node) readChanges(ctx context.Context, local *localTable, after uint64, pollWait time.Duration, reason callReason) (readResult, error) {
+// readChanges reads the changes after a position, or the whole table if the store no longer has them.
+func (n *Node) readChanges(
+	ctx context.Context, local *localTable, after chutefeed.Position, pollWait time.Duration, reason callReason,
+) (readResult, error) {
 	limit := readTimeout
 	if pollWait > 0 {
 		limit = pollWait + pollTimeoutMargin
@@ -100,11 +125,12 @@
 	began := n.Now()
 	n.storeCalls.add(reason)
 	page, err := n.awaitPage(ctx, local, after, pollWait, limit)
-	if errors.Is(err, ErrCompacted) {
-		n.log.Info().Str("Table", local.name).Uint64("After", after).Msg("history is gone, reading everything")
+	if errors.Is(err, ErrCompacted) || errors.Is(err, errLaterEra) {
+		n.log.Info().AnErr("Cause", err).Str("Table", local.name).Uint64("Era", after.Era).Uint64("After", after.Version).
+			Msg("history is gone, reading everything")
 		local.requireFullRead()
 
-		return readResult{}, nil
+		return n.readWhole(ctx, local, after, callGap)
 	}
 	if err != nil {
 		return readResult{}, err
@@ -113,13 +139,13 @@
 	for page.More && n.Now().Sub(began) < maxCatchUp {
 		askedAt, pollWait = n.Now(), 0
 		n.storeCalls.add(reason)
-		next, err := n.awaitPage(ctx, local, page.Version, 0, readTimeout)
+		next, err := n.awaitPage(ctx, local, chutefeed.Position{Era: page.Era, Version: page.Version}, 0, readTimeout)
 		if err != nil {
 			n.log.Info().Err(err).Str("Table", local.name).Msg("changes of the store are left; the next read goes on after those that were read")
 
 			break
 		}
-		page = Page{Rows: append(page.Rows, next.Rows...), Version: next.Version, More: next.More}
+		page = Page{Rows: append(page.Rows, next.Rows...), Era: next.Era, Version: next.Version, More: next.More}
 	}
 	rowsChanged := local.mergeChanges(page)
 	local.setBehind(page.More)
@@ -130,14 +156,17 @@
 	return readResult{rowsChanged: rowsChanged, behind: page.More}, nil
 }
 
-// awaitPage reads one page of the changes after a version, and takes an answer from before it for an
-// error.
-func (n *Node) awaitPage(ctx context.Context, local *localTable, after uint64, pollWait, limit time.Duration) (Page, error) {
+// awaitPage reads one page of the changes after a position, and takes an answer from before it, or of a
+// later era, for an error.
+func (n *Node) awaitPage(ctx context.Context, local *localTable, after chutefeed.Position, pollWait, limit time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	page, err := n.store.AwaitChanges(ctx, local.name, after, pollWait)
-	if err == nil && page.Version < after {
-		err = errStaleAnswer
+	page, err := n.store.AwaitChanges(ctx, local.name, after.Version, pollWait)
+	if err == nil {
+		page, err = placedAfter(after, page)
+	}
+	if err == nil && page.Era > after.Era {
+		err = errLaterEra
 	}
 
 	return page, err
@@ -311,6 +340,7 @@
 
 // confirmByPeer records how current the table of a peer is that this node has received.
 func (n *Node) confirmByPeer(local *localTable, status chuteshare.TableStatus) {
+	status = local.statusInEra(status)
 	if confirmedAt := n.ownTime(status.ConfirmedAt); !confirmedAt.IsZero() {
 		local.confirmAt(confirmedAt)
 	}
--- a/internal/chutegate/region_test.go
+++ b/internal/chutegate/region_test.go
@@ -44,13 +44,13 @@
 	pageRows int
 	// answerDelay is how long the answers to a node are on their way.
 	answerDelay map[string]time.Duration
-	// era counts the returns from a backup.
+	// era is the era that answers state; it rises with each return from a backup.
 	era uint64
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{
-		rows: map[string]map[string]Row{}, changes: map[string][]Row{}, changed: make(chan struct{}), unavailable: map[string]bool{},
+		era: 1, rows: map[string]map[string]Row{}, changes: map[string][]Row{}, changed: make(chan struct{}), unavailable: map[string]bool{},
 		blocked: map[string]chan struct{}{}, cutOff: map[string]bool{}, staleVersion: map[string]uint64{}, answerDelay: map[string]time.Duration{},
 	}
 }
@@ -231,7 +231,7 @@
 	if after > s.version {
 		return Page{}, nil, ErrCompacted
 	}
-	page := Page{Version: s.version}
+	page := Page{Era: s.era, Version: s.version}
 	if stale, ok := s.staleVersion[node]; ok {
 		page.Version = stale
 	}
@@ -292,7 +292,7 @@
 		for _, row := range next.Rows {
 			whole[row.Key] = row
 		}
-		page.Version, more = next.Version, next.More
+		page.Era, page.Version, more = next.Era, next.Version, next.More
 	}
 	for _, row := range whole {
 		if !row.Deleted {
--- a/internal/chuteshare/pack.go
+++ b/internal/chuteshare/pack.go
@@ -33,7 +33,7 @@
 
 // encode converts a change to its message; a whole table of minPackedRows rows or more is packed.
 func (e *tableEncoder) encode(table string, change chutefeed.Change) (*chutesharepb.Change, error) {
-	message := &chutesharepb.Change{Version: change.Version, Whole: change.Whole, Groups: change.Groups, Gone: change.DeletedKeys}
+	message := &chutesharepb.Change{Era: change.Era, Version: change.Version, Whole: change.Whole, Groups: change.Groups, Gone: change.DeletedKeys}
 	if !change.Whole || len(change.Rows) < minPackedRows {
 		message.Rows = encodeRows(change.Rows)
 
@@ -95,7 +95,12 @@
 
 // encodeKnown returns the version and digests by which a peer finds out what t lacks.
 func encodeKnown(t chutefeed.Table) *chutesharepb.Known {
-	return &chutesharepb.Known{Version: t.Version(), Digests: t.Digests()}
+	return &chutesharepb.Known{Era: t.Era(), Version: t.Version(), Digests: t.Digests()}
+}
+
+// decodeKnown returns the position that a caller has read a table up to.
+func decodeKnown(known *chutesharepb.Known) chutefeed.Position {
+	return chutefeed.Position{Era: known.GetEra(), Version: known.GetVersion()}
 }
 
 // encodeRows converts rows to messages.
@@ -119,7 +124,7 @@
 		}
 	}
 	change := chutefeed.Change{
-		Version: message.GetVersion(), Whole: message.GetWhole(), Groups: message.GetGroups(), GroupCount: groupCount, DeletedKeys: message.GetGone(),
+		Era: message.GetEra(), Version: message.GetVersion(), Whole: message.GetWhole(), Groups: message.GetGroups(), GroupCount: groupCount, DeletedKeys: message.GetGone(),
 		Rows: decodeRows(rows),
 	}
 
--- a/internal/chuteshare/size_test.go
+++ b/internal/chuteshare/size_test.go
@@ -50,7 +50,7 @@
 		wholeTable:   size(newer.ChangeForDigests(nil)),
 		change:       size(newer.ChangeSince(table)),
 		sourceSwitch: size(newer.ChangeForDigests(table.Digests())) + proto.Size(encodeKnown(table)),
-		keepalive:    size(newer.WithVersion(newer.Version() + 1).ChangeSince(newer)),
+		keepalive:    size(newer.WithPosition(chutefeed.Position{Version: newer.Version() + 1}).ChangeSince(newer)),
 	}
 }
 
--- a/internal/chuteshare/tables.go
+++ b/internal/chuteshare/tables.go
@@ -40,7 +40,8 @@
 	defer keepaliveTicker.Stop()
 
 	acceptedAt := s.handlers.Now()
-	feed := chutefeed.NewFeed(request.GetKnown().GetVersion(), request.GetKnown().GetDigests())
+	known := decodeKnown(request.GetKnown())
+	feed := chutefeed.NewFeed(known, request.GetKnown().GetDigests())
 	for {
 		// Read before the age, so that the time between the two makes the table older, never newer.
 		sentMs := s.handlers.Now().Sub(acceptedAt).Milliseconds() + 1
@@ -48,7 +49,11 @@
 		if state.Leaving {
 			return status.Error(codes.Unavailable, "this VM is shutting down")
 		}
-		update := &chutesharepb.FollowTableUpdate{Current: state.Current, AgeMs: encodeAge(state.Age), SentMs: sentMs}
+		update := &chutesharepb.FollowTableUpdate{Current: state.Current, AgeMs: encodeAge(state.Age), SentMs: sentMs, Era: state.Table.Era()}
+		if !request.GetKnowsEras() && state.Table.Era() > 0 && state.Table.Version() < known.Version {
+			// The follower ignores these rows, and must not take its own for current.
+			update.Current, update.AgeMs = false, 0
+		}
 		change, ok := feed.NextChange(state.Table)
 		if ok {
 			var err error
@@ -72,8 +77,8 @@
 // ReadTable returns the rows of this node's copy of a table that the caller lacks.
 func (s service) ReadTable(_ context.Context, request *chutesharepb.ReadTableRequest) (*chutesharepb.ReadTableReply, error) {
 	state := s.handlers.OnTable(request.GetTable())
-	reply := &chutesharepb.ReadTableReply{Current: state.Current, AgeMs: encodeAge(state.Age)}
-	if state.Table.Version() <= request.GetKnown().GetVersion() {
+	reply := &chutesharepb.ReadTableReply{Current: state.Current, AgeMs: encodeAge(state.Age), Era: state.Table.Era()}
+	if !decodeKnown(request.GetKnown()).Before(state.Table.Position()) {
 		return reply, nil
 	}
 	var err error
@@ -117,6 +122,8 @@
 
 // TableStatus says how current a peer's copy of a table is.
 type TableStatus struct {
+	// Era is the store's era that the peer's copy belongs to; 0 if it is not known.
+	Era uint64
 	// Current says that the peer, and the source that it follows if any, reach the store.
 	Current bool
 	// ConfirmedAt is the time, by the client's clock, as of which the copy is proven to have been up
@@ -131,9 +138,10 @@
 func decodeTableStatus(message interface {
 	GetCurrent() bool
 	GetAgeMs() int64
+	GetEra() uint64
 }, sentAt time.Time,
 ) TableStatus {
-	tableStatus := TableStatus{Current: message.GetCurrent()}
+	tableStatus := TableStatus{Era: message.GetEra(), Current: message.GetCurrent()}
 	if age := message.GetAgeMs(); age > 0 || message.GetCurrent() {
 		tableStatus.ConfirmedAt = sentAt.Add(-time.Duration(age) * time.Millisecond)
 	}
@@ -170,6 +178,7 @@
 	groupCount := len(known.Digests())
 	stream, err := chutesharepb.NewShareClient(conn).FollowTable(ctx, &chutesharepb.FollowTableRequest{
 		Table: table, Known: encodeKnown(known), SignMs: int32(keepaliveInterval.Milliseconds()), //nolint:gosec // a second at most
+		KnowsEras: true,
 	})
 	for err == nil {
 		var update *chutesharepb.FollowTableUpdate
--- a/internal/chuteshare/tables_test.go
+++ b/internal/chuteshare/tables_test.go
@@ -86,6 +86,36 @@
 	c.Assert(status.ConfirmedAt.Equal(askedAt), qt.IsTrue)
 }
 
+// Guards against a follower of an earlier build that takes its rows for current, although its source has
+// those of a store that has come back from a copy.
+func TestFollowerWithoutEras(t *testing.T) {
+	server := startServer(t)
+	server.setTable(newTable(3, 7).WithPosition(chutefeed.Position{Era: 2, Version: 7}), true)
+	follow := func(c *qt.C, request *chutesharepb.FollowTableRequest) *chutesharepb.FollowTableUpdate {
+		conn, err := newClient(t).connTo(server.address)
+		c.Assert(err, qt.IsNil)
+		stream, err := chutesharepb.NewShareClient(conn).FollowTable(t.Context(), request)
+		c.Assert(err, qt.IsNil)
+		update, err := stream.Recv()
+		c.Assert(err, qt.IsNil)
+
+		return update
+	}
+	known := &chutesharepb.Known{Version: 9}
+
+	t.Run("it is told that the source is not current", func(t *testing.T) {
+		c := qt.New(t)
+		c.Assert(follow(c, &chutesharepb.FollowTableRequest{Table: "t", Known: known}).GetCurrent(), qt.IsFalse)
+	})
+
+	t.Run("a follower that knows eras is sent the rows", func(t *testing.T) {
+		c := qt.New(t)
+		update := follow(c, &chutesharepb.FollowTableRequest{Table: "t", Known: known, KnowsEras: true})
+		c.Assert(update.GetCurrent(), qt.IsTrue)
+		c.Assert(update.GetChange().GetEra(), qt.Equals, uint64(2))
+	})
+}
+
 // follower follows the table of a test server and keeps what it receives.
 type follower struct {
 	table   chutefeed.Table
@@ -184,7 +214,7 @@
 	plain, err := proto.Marshal(&chutesharepb.RowList{Rows: encodeRows(table.Rows())})
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(first.GetPacked())*2 < len(plain), qt.IsTrue)
-	second, err := encoder.encode("t", table.WithVersion(9).ChangeForDigests(nil))
+	second, err := encoder.encode("t", table.WithPosition(chutefeed.Position{Version: 9}).ChangeForDigests(nil))
 	c.Assert(err, qt.IsNil)
 	c.Assert(&second.GetPacked()[0], qt.Equals, &first.GetPacked()[0])
 	change, err := decodeChange(second, 0)
