Send nothing to an upstream that left before the store came back from a copy

Callers would see calls to an upstream that has left: the copy has its entry from before, as ready. Cause: a listed upstream stays leaving, but one whose entry was deleted is new when the entry comes back. Change: a node remembers for five minutes, by incarnation, which upstreams have left. One that said so counts as leaving in a later era, whatever its entry says. One whose entry was only deleted is left out for 5 s: three heartbeats of silence, after which the store deletes an entry again, and a margin. Removed once each: without the memory TestRestoredEntryOfDepartedUpstream fails (2 upstreams in place of 1); without the time of the store's return TestUpstreamMissingInCopy does.

--- /dev/null
+++ b/internal/chutegate/departed.go
@@ -0,0 +1,75 @@
+package chutegate
+
+import (
+	"time"
+
+	"azurechute.example/azurechute/internal/chutefleet"
+)
+
+const (
+	// departedPeriod is how long a node remembers that an upstream has left. A store that comes back from
+	// a copy is some seconds behind.
+	departedPeriod = 5 * time.Minute
+	// restoredEntryPeriod is how long after the store's return the entry of an upstream that had gone may
+	// be one of the copy. The store deletes an entry after three heartbeats of silence, of 1.2 s each.
+	restoredEntryPeriod = 5 * time.Second
+)
+
+// departure is what is known of an upstream that has left.
+type departure struct {
+	// era is the store's era in which that was seen, at a time of the node's own clock.
+	era uint64
+	at  time.Time
+	// saidSo is true if the upstream's entry said that it leaves. It never takes calls again then; an
+	// entry that was only deleted may come back.
+	saidSo bool
+}
+
+// departedUpstreams remembers the upstreams that have left, by the IDs of their incarnations. It is used
+// by one goroutine at a time.
+type departedUpstreams struct {
+	byID     map[string]departure
+	prunedAt time.Time
+	// restoredAt is when the list was first that of a new era.
+	restoredAt time.Time
+}
+
+// record remembers an upstream that is leaving or whose entry was deleted.
+func (d *departedUpstreams) record(u chutefleet.Upstream, era uint64, now time.Time) {
+	if d.byID == nil {
+		d.byID = map[string]departure{}
+	}
+	known := d.byID[u.ID]
+	d.byID[u.ID] = departure{era: era, at: now, saidSo: known.saidSo || u.State == chutefleet.StateLeaving}
+	if now.Sub(d.prunedAt) < departedPeriod {
+		return
+	}
+	d.prunedAt = now
+	for id, departed := range d.byID {
+		if now.Sub(departed.at) >= departedPeriod {
+			delete(d.byID, id)
+		}
+	}
+}
+
+// apply returns an entry of the list as of an era, and until when it has to be left out; zero if it has not.
+//
+// An upstream that left in an earlier era may be listed as ready by the entry of the copy. One that said
+// so is leaving for good. One whose entry was only deleted is left out until the store has deleted the
+// entry again, unless it lives.
+func (d *departedUpstreams) apply(u chutefleet.Upstream, era uint64, now time.Time) (chutefleet.Upstream, time.Time) {
+	departed, known := d.byID[u.ID]
+	if !known || departed.era >= era || u.State != chutefleet.StateReady {
+		return u, time.Time{}
+	}
+	if departed.saidSo {
+		u.State = chutefleet.StateLeaving
+
+		return u, time.Time{}
+	}
+	if until := d.restoredAt.Add(restoredEntryPeriod); now.Before(until) {
+		return u, until
+	}
+
+	return u, time.Time{}
+}
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -98,8 +98,9 @@
 // watchUpstreams keeps the list of upstreams up to date.
 func (n *Node) watchUpstreams(ctx context.Context) {
 	local := n.localTables[n.settings.Tables.Upstreams]
-	list := &upstreamList{node: n, local: local, decoded: map[string]decodedEntry{}, guard: newVersionGuard()}
+	list := &upstreamList{node: n, local: local, decoded: map[string]decodedEntry{}, heldUntil: map[string]time.Time{}, guard: newVersionGuard()}
 	update := serialized(list.update)
+	list.updateAgain = update
 	list.guard.check = func() { update() }
 	n.keepCurrent(ctx, local, 0, upstreamsReadInterval, update)
 }
@@ -115,6 +116,12 @@
 	decoded  map[string]decodedEntry
 	lastHold bool
 	guard    *versionGuard
+	departed departedUpstreams
+	// heldUntil holds the keys of entries that are left out, since their upstreams may have left, with the
+	// times until which they are.
+	heldUntil map[string]time.Time
+	// updateAgain calls update, not beside another call of it.
+	updateAgain func()
 }
 
 // decodedEntry is an upstream's entry as last decoded, with the bytes it was decoded from.
@@ -135,9 +142,13 @@
 		change := table.ChangeSince(l.previous)
 		rows, gone = change.Rows, change.DeletedKeys
 	}
+	if l.previous.Version() > 0 && l.previous.Era() < table.Era() {
+		l.departed.restoredAt = n.Now()
+	}
 	l.previous = table
+	rows = append(rows, l.releasedRows(table)...)
 	hold := l.local.isSettling(n.Now())
-	change, before := l.decode(rows, gone)
+	change, before := l.decode(rows, gone, hold)
 	if n.settings.Rollouts.Enabled() {
 		change.Entries = l.guard.apply(change, n.localTables[n.settings.Tables.Config].lastConfirmed(), n.Now())
 		l.guard.checkAgain(n.clock)
@@ -172,13 +183,16 @@
 //
 // An unreadable entry is logged only when it becomes unreadable. A line at each read for an entry
 // that another program has left there would fill the log.
-func (l *upstreamList) decode(rows []chutefeed.Row, gone []string) (change chutefleet.ListChange, before []chutefleet.Upstream) {
+func (l *upstreamList) decode(rows []chutefeed.Row, gone []string, hold bool) (change chutefleet.ListChange, before []chutefleet.Upstream) {
 	for _, row := range rows {
 		old, known := l.decoded[row.Key]
 		if known && bytes.Equal(old.value, row.Value) {
 			continue
 		}
-		entry := l.node.decodeEntry(row, old.upstream.State)
+		entry, listed := l.withoutDeparted(row.Key, l.node.decodeEntry(row, old.upstream.State))
+		if !listed {
+			continue
+		}
 		l.decoded[row.Key] = entry
 		if known && entry.upstream == old.upstream {
 			continue
@@ -189,16 +203,55 @@
 		change.Entries = append(change.Entries, entry.upstream)
 	}
 	for _, key := range gone {
+		delete(l.heldUntil, key)
 		if old, known := l.decoded[key]; known {
 			before = append(before, old.upstream)
 			change.Gone = append(change.Gone, key)
 			delete(l.decoded, key)
+			if !hold {
+				l.departed.record(old.upstream, l.previous.Era(), l.node.Now())
+			}
 		}
 	}
 
 	return change, before
 }
 
+// withoutDeparted returns an entry as departedUpstreams has it, and false if it is to be left out. It
+// remembers upstreams that say that they leave.
+func (l *upstreamList) withoutDeparted(key string, entry decodedEntry) (decodedEntry, bool) {
+	now, era := l.node.Now(), l.previous.Era()
+	delete(l.heldUntil, key)
+	if entry.upstream.State == chutefleet.StateLeaving {
+		l.departed.record(entry.upstream, era, now)
+
+		return entry, true
+	}
+	upstream, until := l.departed.apply(entry.upstream, era, now)
+	if upstream.State != entry.upstream.State || !until.IsZero() {
+		l.node.log.Warn().Str("Upstream", upstream.ID).Uint64("Era", era).Msg("the entry of an upstream that has left came back with the store")
+	}
+	if !until.IsZero() {
+		l.heldUntil[key] = until
+		l.node.clock.AfterFunc(until.Sub(now), l.updateAgain)
+	}
+	entry.upstream = upstream
+
+	return entry, until.IsZero()
+}
+
+// releasedRows returns the rows of a table whose entries need not be left out any more.
+func (l *upstreamList) releasedRows(table chutefeed.Table) []chutefeed.Row {
+	var rows []chutefeed.Row
+	for _, key := range slices.Sorted(maps.Keys(l.heldUntil)) {
+		if row, listed := table.Get(key); listed && !l.node.Now().Before(l.heldUntil[key]) {
+			rows = append(rows, row)
+		}
+	}
+
+	return rows
+}
+
 // decodeEntry decodes an upstream's entry; previous is the state that it had when it was last
 // decoded.
 func (n *Node) decodeEntry(row chutefeed.Row, previous chutefleet.State) decodedEntry {
--- a/internal/chutegate/restore_sim_test.go
+++ b/internal/chutegate/restore_sim_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chutefleet"
 )
 
 var (
@@ -114,3 +115,56 @@
 		}
 	}
 }
+
+// newRestoredCluster starts a cluster and returns what brings its store back from a copy of now, after
+// all nodes were cut off from it for a second.
+func newRestoredCluster(t *testing.T) (*simCluster, func()) {
+	cluster := newSimCluster(t, 8, 4)
+	time.Sleep(5 * time.Second)
+	var backup storeBackup
+	restore := func() {
+		cluster.setStoreAway(true)
+		time.Sleep(time.Second)
+		cluster.store.restore(backup)
+		cluster.setStoreAway(false)
+	}
+	cluster.putUpstreams(3, chutefleet.StateReady)
+	time.Sleep(2 * time.Second)
+	backup = cluster.store.backup()
+
+	return cluster, restore
+}
+
+// Guards against calls to an upstream that has left, because the copy that the store came back from has
+// its entry from before.
+func TestRestoredEntryOfDepartedUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, restore := newRestoredCluster(t)
+		defer cluster.stop()
+		cluster.store.put("upstreams", "u0", string(chutefleet.StateLeaving))
+		cluster.store.put("upstreams", "u1", "")
+		time.Sleep(2 * time.Second)
+		cluster.expectListed(1, 0)
+		restore()
+		cluster.expectListed(1, restoredEntryPeriod)
+		// The entry of the one that went without a word is still there, so it lives.
+		time.Sleep(3 * time.Second)
+		cluster.expectListed(2, 0)
+	})
+}
+
+// Guards against a node that drops an upstream because the copy that the store came back from does not
+// have it yet.
+func TestUpstreamMissingInCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, restore := newRestoredCluster(t)
+		defer cluster.stop()
+		cluster.store.put("upstreams", "u3", string(chutefleet.StateReady))
+		time.Sleep(2 * time.Second)
+		cluster.expectListed(4, 0)
+		restore()
+		cluster.expectListed(4, 1500*time.Millisecond)
+		cluster.store.put("upstreams", "u3", string(chutefleet.StateReady))
+		cluster.expectListed(4, 5*time.Second)
+	})
+}
