Do not take cost counters for written whose row the store has lost

Teams would see less than their stages cost: a conditional write on a row that does not exist any more was answered with no present row, which counted as success, and the counters as written. Cause: an answer of 412 without rows of the part was taken for an answer without a conflict. Change: rows that were expected and are not in the answer are returned as absent, so the ledger writes them again on the condition that they do not exist. Before: TestCost, "a write of a row that the store has lost returns it as absent" fails.

--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -192,7 +192,7 @@
 	WriteRows func(ctx context.Context, table string, put []Row, remove []string) error
 	// ReplaceIfUnchanged writes rows of one partition of a table in one transaction, on the
 	// condition that each row still has the given version (0: absent). It returns the rows' new
-	// version, or the present rows if the condition does not hold.
+	// version, or the present rows if the condition does not hold, those that don't exist with version 0.
 	ReplaceIfUnchanged func(ctx context.Context, table, part string, rows []Row) (version uint64, present []Row, err error)
 	// WriteRollout writes the record of a rollout, encoded as value, and what the operator reads of it, in
 	// one transaction, on the condition that the record's row still has the version that the record
