Write cost counters again after the store came back from a copy

Teams would be charged less than they used: counters that a node had written since the copy were gone, and the node took them for written; those of a node that had ended since were gone for good. A node that shuts down sends its last counters to two others, which keep them for a minute, 64 rows at most, and write them again; rows of one incarnation are merged by the larger count, so that nothing counts twice. An unknown pipeline or key is refused for good only by a table of the latest known era. Not covered: a node that is killed between the copy and the loss takes with it what it wrote since the copy, besides the up to 20 s that a kill costs anyway.

--- a/internal/chutecore/reduce.go
+++ b/internal/chutecore/reduce.go
@@ -50,6 +50,8 @@
 		st.chargeUsage(e.Attempt, e.Work, e.Usage, true)
 	case LedgerDue:
 		st.applyLedgerDue(e)
+	case LedgerRestored:
+		st.applyLedgerRestored(e)
 	case RelayEvent:
 		st.applyRelay(e)
 	default:
--- a/internal/chutecore/relay.go
+++ b/internal/chutecore/relay.go
@@ -1,6 +1,7 @@
 package chutecore
 
 import (
+	"encoding/json"
 	"strconv"
 
 	"azurechute.example/azurechute/internal/chuteledger"
@@ -27,6 +28,24 @@
 	AtExit bool
 }
 
+// LedgerRestored reports that the table of cost counters is that of a copy, which may lack any counter. Rows are those
+// of nodes that have shut down.
+type LedgerRestored struct {
+	Stamp
+	Rows []json.RawMessage
+}
+
+// applyLedgerRestored has all own counters written again, and those of the rows that the table lacks.
+func (st *transition) applyLedgerRestored(e LedgerRestored) {
+	st.ledger = st.ledger.WithTableRestored()
+	for _, row := range e.Rows {
+		// A row that can't be decoded was not written by a node; it is left out.
+		if incarnation, counters, err := chuteledger.Decode(row); err == nil {
+			st.ledger = st.ledger.WithForeign(incarnation, counters)
+		}
+	}
+}
+
 // WriteLedgerRows writes rows of cost counters in one transaction, each row conditional on its version.
 type WriteLedgerRows struct {
 	Rows []chuteledger.Row
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -106,6 +106,10 @@
 	// upstreamCrashes counts the upstreams that this node saw end while they ran requests.
 	upstreamCrashes atomic.Int64
 	localTables     map[string]*localTable
+	// storeEra is the latest era of the store that any table is known to be of.
+	storeEra atomic.Uint64
+	// departedLedgers holds the last cost counters of nodes that have shut down.
+	departedLedgers ledgerCopies
 
 	runContext context.Context
 	cancelRun  context.CancelFunc
@@ -179,10 +183,7 @@
 // newLocalTable returns a copy of a table that logs when the store has come back from a copy of itself.
 func (n *Node) newLocalTable(name string, staleAfter time.Duration) *localTable {
 	local := newLocalTable(name, staleAfter, n.Now)
-	local.onRestored = func(before, after chutefeed.Table) {
-		n.log.Warn().Str("Table", name).Uint64("EraBefore", before.Era()).Uint64("VersionBefore", before.Version()).Int("RowsBefore", before.Len()).
-			Uint64("Era", after.Era()).Uint64("Version", after.Version()).Int("Rows", after.Len()).Msg("the store has come back from a copy")
-	}
+	local.onRestored = func(before, after chutefeed.Table) { n.tableRestored(name, before, after) }
 
 	return local
 }
--- a/internal/chutegate/ledger.go
+++ b/internal/chutegate/ledger.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
+	"maps"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"azurechute.example/azurechute/internal/chutecore"
+	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chuteledger"
 )
 
@@ -65,6 +69,70 @@
 	}
 }
 
+const (
+	// ledgerCopyFanout is the number of nodes that keep the last counters of one that shuts down.
+	ledgerCopyFanout = 2
+	// ledgerCopyPeriod is how long they are kept: a store that comes back from a copy is some seconds
+	// behind. maxLedgerCopies bounds their number, of 64 KB at most each.
+	ledgerCopyPeriod = time.Minute
+	maxLedgerCopies  = 64
+)
+
+// copyLedger sends rows of cost counters to some other nodes. After this node has ended, nobody else could
+// write them again if the store loses them.
+func (n *Node) copyLedger(rows []chuteledger.Row) {
+	copies := make([]chutefeed.Row, 0, len(rows))
+	for _, row := range rows {
+		copies = append(copies, chutefeed.Row{Key: row.Key, Value: row.Body})
+	}
+	n.gossipToPeers(n.settings.Tables.Ledger, copies, ledgerCopyFanout, 0)
+}
+
+// ledgerCopies holds the last rows of cost counters of other nodes, by key.
+type ledgerCopies struct {
+	mu   sync.Mutex
+	rows map[string]ledgerCopy
+}
+
+type ledgerCopy struct {
+	body       json.RawMessage
+	receivedAt time.Time
+}
+
+// add keeps rows; it reports false if there is no room for some of them.
+func (l *ledgerCopies) add(rows []chutefeed.Row, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	maps.DeleteFunc(l.rows, func(_ string, kept ledgerCopy) bool { return now.Sub(kept.receivedAt) >= ledgerCopyPeriod })
+	if l.rows == nil {
+		l.rows = map[string]ledgerCopy{}
+	}
+	for _, row := range rows {
+		if _, known := l.rows[row.Key]; !known && len(l.rows) >= maxLedgerCopies {
+			return false
+		}
+		l.rows[row.Key] = ledgerCopy{body: row.Value, receivedAt: now}
+	}
+
+	return true
+}
+
+// recent returns the rows that were received within ledgerCopyPeriod.
+func (l *ledgerCopies) recent(now time.Time) []json.RawMessage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	var rows []json.RawMessage
+	for _, kept := range l.rows {
+		if now.Sub(kept.receivedAt) < ledgerCopyPeriod {
+			rows = append(rows, kept.body)
+		}
+	}
+
+	return rows
+}
+
 // writeLedger writes rows on the condition that their versions are unchanged. If the answer to a
 // write is lost, the next write finds the row as it is and thereby settles whether the first one
 // took effect.
@@ -77,6 +145,9 @@
 		rowsByKey[row.Key] = row
 		writes = append(writes, Row{Key: row.Key, Value: row.Body, Version: row.Version})
 	}
+	if n.Draining() {
+		n.copyLedger(rows)
+	}
 	n.storeCalls.add(callCounters)
 	version, currentRows, err := n.store.ReplaceIfUnchanged(ctx, n.settings.Tables.Ledger, ledgerPartition(n.settings.Self.Name), writes)
 	if err != nil {
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -197,6 +197,13 @@
 
 		return
 	}
+	if table == n.settings.Tables.Ledger {
+		if !n.departedLedgers.add(rows, n.Now()) {
+			n.log.Warn().Int("Rows", len(rows)).Msg("too many cost counters of nodes that shut down; these are not kept")
+		}
+
+		return
+	}
 	if table != n.settings.Tables.Quarantine {
 		return
 	}
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -116,9 +116,11 @@
 // rows that are found are at least those that the age is about. A table that has just become fresh
 // proves nothing until its configuration is in force.
 func (n *Node) isConfigProvenNewest() bool {
-	age, known := n.localTables[n.settings.Tables.Config].age(n.Now())
+	local := n.localTables[n.settings.Tables.Config]
+	age, known := local.age(n.Now())
+	inEra := local.snapshot().Era() >= n.storeEra.Load()
 
-	return known && age <= n.settings.MaxConfigDelay && !n.hasUnadoptedConfig()
+	return known && age <= n.settings.MaxConfigDelay && inEra && !n.hasUnadoptedConfig()
 }
 
 // asRetryable returns, for the refusal of a request that a newer configuration may allow, one that
--- a/internal/chuteledger/ledger.go
+++ b/internal/chuteledger/ledger.go
@@ -152,6 +152,23 @@
 	return l
 }
 
+// WithTableRestored returns the ledger with all own counters to be written again: the table may have lost any of
+// them. A write is refused by the version that the row has now, which brings the table's counters.
+func (l Ledger) WithTableRestored() Ledger {
+	for i := l.own.Iterator(); !i.Done(); {
+		n, s, _ := i.Next()
+		for key := range s.counters.All() {
+			if _, dirty := s.dirty.Get(key); !dirty {
+				s.dirty = s.dirty.Set(key, s.mark)
+			}
+		}
+		s.nextTry = time.Time{}
+		l.own = l.own.Set(n, s)
+	}
+
+	return l
+}
+
 // Counters returns the own counters, all shards together.
 func (l Ledger) Counters() Counters {
 	all := NewCounters()
--- a/internal/chuteledger/ledger_test.go
+++ b/internal/chuteledger/ledger_test.go
@@ -51,6 +51,42 @@
 	return string(body)
 }
 
+// Guards against cost that is lost, or counted twice, when the table loses rows.
+func TestTableRestored(t *testing.T) {
+	c := qt.New(t)
+	ledger := chuteledger.New(chuteledger.Settings{Incarnation: "n1", FlushPeriod: time.Second}).WithCharge(charge(1))
+	write := func(version uint64) (chuteledger.Row, bool) {
+		next, rows, err := ledger.Due(start)
+		c.Assert(err, qt.IsNil)
+		ledger = next
+		if len(rows) == 0 {
+			return chuteledger.Row{}, false
+		}
+		ledger = ledger.WithFlushed(rows[0], version)
+
+		return rows[0], true
+	}
+	_, written := write(90)
+	c.Assert(written, qt.IsTrue)
+	_, written = write(91)
+	c.Assert(written, qt.IsFalse)
+
+	ledger = ledger.WithTableRestored()
+	next, rows, err := ledger.Due(start)
+	c.Assert(err, qt.IsNil)
+	c.Assert(rows, qt.HasLen, 1)
+	ledger, err = next.WithRefused(rows[0], 0, nil)
+	c.Assert(err, qt.IsNil)
+	row, written := write(31)
+	c.Assert(written, qt.IsTrue)
+	c.Assert(row.Version, qt.Equals, uint64(0))
+	_, counters, err := chuteledger.Decode(row.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(counters.Covers(ledger.Counters()), qt.IsTrue)
+	_, written = write(32)
+	c.Assert(written, qt.IsFalse)
+}
+
 func TestMerge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b, c := drawCounters(t), drawCounters(t), drawCounters(t)
