Write a node's row again that the store has lost, and delete those of nodes that have left

Nodes that started after the copy would be known to nobody: no jobs, no followers, and limits divided among too few; nodes that had left would get calls again. Change: a node checks every 2 s, at random times, whether its row is in its copy of the table, if that was confirmed after the row was written, and writes it again. Others keep a lost row for 15 s. A row that was deleted in an earlier era and came back with the same value is left out, and the nodes that read the store delete it. Not covered: a node that started after the copy takes a node that left for present until a reader has deleted its row, within 3 s in the test.

--- a/internal/chutegate/departed.go
+++ b/internal/chutegate/departed.go
@@ -1,8 +1,11 @@
 package chutegate
 
 import (
+	"bytes"
+	"context"
 	"time"
 
+	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 )
 
@@ -73,3 +76,71 @@
 
 	return u, time.Time{}
 }
+
+// departedPeers leaves out of the list of nodes those that have removed their rows, if the store came back
+// from a copy which still has them. It is used by one goroutine at a time.
+type departedPeers struct {
+	node     *Node
+	previous chutefeed.Table
+	// rows holds the rows that were deleted lately, by key.
+	rows map[string]departedRow
+}
+
+// departedRow is a row that was deleted.
+type departedRow struct {
+	value []byte
+	era   uint64
+	at    time.Time
+}
+
+// without returns the table without the rows that were deleted in an earlier era. Nodes that read the store
+// delete them again. A node that has started again has written another row.
+func (d *departedPeers) without(table chutefeed.Table) chutefeed.Table {
+	d.record(table)
+	var returned []string
+	for _, row := range table.Rows() {
+		if gone, ok := d.rows[row.Key]; ok && gone.era < table.Era() && bytes.Equal(gone.value, row.Value) {
+			returned = append(returned, row.Key)
+		}
+	}
+	if len(returned) == 0 {
+		return table
+	}
+	d.remove(returned)
+
+	return table.WithChange(chutefeed.Change{DeletedKeys: returned})
+}
+
+// record remembers which rows were deleted since the last call. Rows that are missing in the first state of
+// an era were not deleted but lost.
+func (d *departedPeers) record(table chutefeed.Table) {
+	now := d.node.Now()
+	if d.previous.Era() == table.Era() {
+		for _, key := range table.ChangeSince(d.previous).DeletedKeys {
+			row, _ := d.previous.Get(key)
+			d.rows[key] = departedRow{value: row.Value, era: table.Era(), at: now}
+		}
+	}
+	for key, row := range d.rows {
+		if now.Sub(row.at) >= departedPeriod {
+			delete(d.rows, key)
+		}
+	}
+	d.previous = table
+}
+
+// remove deletes rows from the store, if this node reads it itself.
+func (d *departedPeers) remove(keys []string) {
+	n := d.node
+	if _, follows := n.source(); follows {
+		return
+	}
+	n.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		n.storeCalls.add(callRegister)
+		if err := n.store.WriteRows(ctx, n.settings.Tables.Peers, nil, keys); err != nil {
+			n.log.Warn().Err(err).Strs("Nodes", keys).Msg("the rows of nodes that have left came back with the store and could not be deleted")
+		}
+	})
+}
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -175,6 +175,7 @@
 	n.localTables[settings.Tables.Upstreams].tracksKeys = true
 	n.localTables[settings.Tables.Upstreams].normalizeValue = decode.NormalizeUpstreamEntry
 	n.localTables[settings.Tables.Config].retainPeriod = settlePeriod
+	n.localTables[settings.Tables.Peers].retainPeriod = peersRetainPeriod
 	n.localTables[settings.Tables.Peers].keepaliveInterval = chuteshare.SlowFollowKeepaliveInterval
 	n.localTables[settings.Tables.Quarantine].keepaliveInterval = chuteshare.SlowFollowKeepaliveInterval
 
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -271,8 +271,9 @@
 // watchPeers keeps the list of nodes up to date.
 func (n *Node) watchPeers(ctx context.Context) {
 	local := n.localTables[n.settings.Tables.Peers]
+	departed := departedPeers{node: n, rows: map[string]departedRow{}}
 	n.keepCurrent(ctx, local, peersPollWait, peersReadInterval, func() {
-		peers := n.decodePeers(local)
+		peers := n.decodePeers(departed.without(local.effective()))
 		n.nodes.Store(&peers)
 		n.nodesLoadedOnce.Do(func() { close(n.nodesLoaded) })
 		n.sendEvent(chuterelay.PeersListed{Peers: peers})
@@ -289,8 +290,7 @@
 }
 
 // decodePeers decodes the list of nodes and leaves out rows that can't be decoded.
-func (n *Node) decodePeers(local *localTable) []chuterelay.Peer {
-	table := local.snapshot()
+func (n *Node) decodePeers(table chutefeed.Table) []chuterelay.Peer {
 	peers := make([]chuterelay.Peer, 0, table.Len())
 	for _, row := range table.Rows() {
 		var peer chuterelay.Peer
@@ -309,6 +309,13 @@
 // with each further failure, up to 8 s.
 const registerRetryPause = 500 * time.Millisecond
 
+// ownRowCheckInterval is the mean time between two checks whether this node's row is still in its copy of
+// the table. Other nodes keep the row of a node for peersRetainPeriod if the store loses it.
+const (
+	ownRowCheckInterval = 2 * time.Second
+	peersRetainPeriod   = 15 * time.Second
+)
+
 // jittered returns a random duration between 0 and twice the mean.
 //
 // Nodes that start together fail together if the store handles fewer writes a second than there are
@@ -325,17 +332,41 @@
 
 		return
 	}
+	for n.writeOwnRow(ctx, value) {
+		writtenAt := n.Now()
+		for !n.isOwnRowLost(value, writtenAt) {
+			if !n.sleep(ctx, jittered(ownRowCheckInterval)) {
+				return
+			}
+		}
+		n.log.Warn().Msg("the store has lost this node's row; it is written again")
+	}
+}
+
+// writeOwnRow writes this node's row and repeats the write until it succeeds. It returns false if the node
+// is shutting down.
+func (n *Node) writeOwnRow(ctx context.Context, value []byte) bool {
 	for failures := 0; ctx.Err() == nil && !n.draining.Load(); failures++ {
 		writeContext, cancel := context.WithTimeout(ctx, readTimeout)
 		n.storeCalls.add(callRegister)
 		err := n.store.Put(writeContext, n.settings.Tables.Peers, n.settings.Self.Name, value)
 		cancel()
 		if err == nil {
-			return
+			return true
 		}
 		n.log.Warn().Err(err).Msg("this node's row could not be written; it is tried again")
 		if !n.sleep(ctx, jittered(registerRetryPause<<min(failures, 4))) {
-			return
+			return false
 		}
 	}
+
+	return false
+}
+
+// isOwnRowLost reports whether the store has lost the row that this node has written at a time.
+func (n *Node) isOwnRowLost(value []byte, writtenAt time.Time) bool {
+	local := n.localTables[n.settings.Tables.Peers]
+	row, _ := local.snapshot().Get(n.settings.Self.Name)
+
+	return local.lastConfirmed().After(writtenAt) && !bytes.Equal(row.Value, value) && !n.draining.Load()
 }
--- a/internal/chutegate/restore_sim_test.go
+++ b/internal/chutegate/restore_sim_test.go
@@ -17,6 +17,7 @@
 
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuterelay"
 )
 
 var (
@@ -211,3 +212,32 @@
 		cluster.expectOnAll("one zone evacuated", time.Second, evacuated(1))
 	})
 }
+
+// Guards against a node that no other node knows any more because the store has lost its row, and against
+// calls to one that has left, whose row came back.
+func TestNodesAfterReturnFromCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, restore := newRestoredCluster(t)
+		defer cluster.stop()
+		left := cluster.peers[7]
+		cluster.stops[left.Name]()
+		delete(cluster.nodes, left.Name)
+		cluster.store.put("peers", left.Name, "")
+		cluster.start(chuterelay.Peer{Name: "new", Zone: "z1", Region: "r", Address: "new", Power: 1})
+		time.Sleep(5 * time.Second)
+		listsRight := func(n *Node) bool {
+			names := map[string]bool{}
+			for _, p := range n.listedPeers() {
+				names[p.Name] = true
+			}
+
+			return names["new"] && !names[left.Name] && len(names) == 8
+		}
+		cluster.expectOnAll("all nodes listed", 0, listsRight)
+		restore()
+		// The node that is new never knew the one that left, until the readers have deleted its row.
+		cluster.expectOnAll("all nodes listed", 3*time.Second, func(n *Node) bool { return n.settings.Self.Name == "new" || listsRight(n) })
+		cluster.expectOnAll("all nodes listed", 12*time.Second, listsRight)
+		cluster.expectStored("peers", left.Name, "", 0)
+	})
+}
