Write crashes, judgements and limits again that the store has lost

A request that crashes upstreams would be sent again, or one whose quarantine was lifted refused again: the copy lacks the row, or has the judgement before it, which counted as news. Change: rows of the quarantine that the copy lacks or has earlier states of are kept for 15 s and not replaced by the earlier ones. Nodes that read the store write them again at once, all others after 5 to 10 s what is still missing. Removed once: without the kept rows TestJudgementsAfterReturnFromCopy fails, with and without the readers killed.

--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -176,6 +176,7 @@
 	n.localTables[settings.Tables.Upstreams].normalizeValue = decode.NormalizeUpstreamEntry
 	n.localTables[settings.Tables.Config].retainPeriod = settlePeriod
 	n.localTables[settings.Tables.Peers].retainPeriod = peersRetainPeriod
+	n.localTables[settings.Tables.Quarantine].retainPeriod = quarantineRetainPeriod
 	n.localTables[settings.Tables.Peers].keepaliveInterval = chuteshare.SlowFollowKeepaliveInterval
 	n.localTables[settings.Tables.Quarantine].keepaliveInterval = chuteshare.SlowFollowKeepaliveInterval
 
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -42,8 +42,11 @@
 	// purgeInterval is the time between two searches for old rows. maxQuarantineRows is the number
 	// of rows above which the oldest crashes are removed before they expire: 8,192 rows take some 6
 	// MB at each node.
-	purgeInterval     = time.Minute
-	maxQuarantineRows = 8192
+	purgeInterval = time.Minute
+	// quarantineRetainPeriod is how long rows are known that the store has lost; all nodes that have them
+	// write them again in that time.
+	quarantineRetainPeriod = 3 * rewriteSpread
+	maxQuarantineRows      = 8192
 )
 
 // upstreamHasEnded reports whether the upstream's process has ended, as opposed to just a
@@ -221,10 +224,14 @@
 func (n *Node) watchQuarantine(ctx context.Context) {
 	local := n.localTables[n.settings.Tables.Quarantine]
 	n.spawn(func(ctx context.Context) { n.purgeOldRows(ctx, local) })
+	local.onRestored = func(before, after chutefeed.Table) {
+		n.tableRestored(local.name, before, after)
+		n.spawn(func(ctx context.Context) { n.rewriteQuarantine(ctx, local) })
+	}
 	var previous chutefeed.Table
 	markLoaded := sync.OnceFunc(func() { close(n.quarantineLoaded) })
 	n.keepCurrent(ctx, local, peersPollWait, quarantineReadInterval, func() {
-		table := local.snapshot()
+		table := local.effective()
 		newRows := table.ChangeSince(previous).Rows
 		previous = table
 		for _, row := range newRows {
@@ -239,6 +246,27 @@
 	})
 }
 
+// rewriteQuarantine writes the rows again that the store has lost by coming back from a copy. The nodes that
+// read the store do so at once, the others only what is still missing some time later.
+func (n *Node) rewriteQuarantine(ctx context.Context, local *localTable) {
+	delay := time.Duration(0)
+	if _, follows := n.source(); follows {
+		delay = rewriteSpread + time.Duration(rand.Int64N(int64(rewriteSpread))) //nolint:gosec // spreads writes, no secret
+	}
+	if !n.sleep(ctx, delay) {
+		return
+	}
+	lost := local.lostRows()
+	for _, row := range lost {
+		if !n.storeQueue.add(row) {
+			n.log.Error().Str("Key", row.Key).Msg("too many reports wait for the store; this one is not written again")
+		}
+	}
+	if len(lost) > 0 {
+		n.log.Warn().Int("Rows", len(lost)).Msg("reports that the store has lost are written again")
+	}
+}
+
 // sendQuarantineRows queues rows for the event loop and leaves out those that can't be decoded.
 func (n *Node) sendQuarantineRows(rows []chutefeed.Row) {
 	var reports chuterelay.QuarantineAnnounced
--- a/internal/chutegate/restore_sim_test.go
+++ b/internal/chutegate/restore_sim_test.go
@@ -17,6 +17,7 @@
 
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuterelay"
 )
 
@@ -241,3 +242,27 @@
 		cluster.expectStored("peers", left.Name, "", 0)
 	})
 }
+
+// Guards against a request that is sent to upstreams again, or refused again after its quarantine was
+// lifted, because the store has lost the judgement.
+func TestJudgementsAfterReturnFromCopy(t *testing.T) {
+	const quarantined, lifted = `{"Fingerprint":"f","Verdict":"Quarantined","Upstreams":["u0","u1"]}`, `{"Fingerprint":"f","Verdict":"Lifted","Upstreams":["u0","u1"]}`
+	for _, fault := range []readerFault{"none", readersKilled} {
+		t.Run("fault at the readers: "+string(fault), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster, restore := newRestoredCluster(t)
+				defer cluster.stop()
+				key := chutequarantine.JudgementKey("f")
+				cluster.store.put("quarantine", key, quarantined)
+				time.Sleep(time.Second)
+				cluster.store.put("quarantine", key, lifted)
+				time.Sleep(5 * time.Second)
+				if fault == readersKilled {
+					cluster.failReaders(readersKilled, rand.New(rand.NewPCG(1, 1)))
+				}
+				restore()
+				cluster.expectStored("quarantine", key, lifted, 2*rewriteSpread+2*time.Second)
+			})
+		})
+	}
+}
