Go on with a rollout whose record or order the store has lost

Callers would get a version that was condemned, and a rollout would begin again: the copy has an earlier record or none, its order is missing or has another version when the operator has written it again, and conditions on row versions of the era before fail, or hold by accident. Change: nodes keep the newest record that they know, and know beside it what the store has. Until both agree nobody decides on the pool; the nodes that follow the rollout write the record again with a higher epoch, all others after 2 to 6 s. A node that hears of a later record than its own decides nothing for 8 s. Orders and records carry the era: an order with the same version and duration that is written within 15 s of the return is the known one, a node that has started since takes it for the one of the record. Gossip of rows carries the era too. Not covered: a write on the condition of a row version that was read before the loss, and was given out again to the same record before the node hears of the return, takes effect; the store has no condition on its era.

--- a/internal/chutecanary/conductor.go
+++ b/internal/chutecanary/conductor.go
@@ -35,6 +35,9 @@
 	storeReadTime = 1700 * time.Millisecond
 	// rateHalfLife is the half-life of the observed rates of calls.
 	rateHalfLife = 2 * time.Second
+	// outdatedPeriod is how long a report on a later record holds back decisions. Nodes that know the later
+	// record write it again within 6 s.
+	outdatedPeriod = 8 * time.Second
 	// minTrialUpstreams is the least number of new upstreams on trial: a single slow or failing one
 	// must not condemn the version.
 	minTrialUpstreams = 4
@@ -156,7 +159,7 @@
 		return c
 	}
 	c.recordEpoch, c.recordAt = r.Epoch, now
-	if r.Order == c.order.Revision {
+	if r.IsOf(c.order) {
 		if at := now.Add(-time.Duration(r.ElapsedMs) * time.Millisecond); c.orderedAt.IsZero() || at.Before(c.orderedAt) {
 			c.orderedAt = at
 		}
@@ -177,7 +180,10 @@
 // Next returns the record to write now; false if none is due.
 func (c Conductor) Next(in Situation) (Record, bool) {
 	r := in.Record
-	if r.Order != c.order.Revision {
+	if c.isRecordOutdated(r, in.Now) {
+		return Record{}, false
+	}
+	if !r.IsOf(c.order) {
 		return c.begin(in), true
 	}
 	if r.Phase.IsFinal() {
@@ -227,11 +233,26 @@
 	}
 
 	return Record{
-		Pool: c.order.Pool, Version: c.order.Version, Order: c.order.Revision, Epoch: previous.Epoch + 1, Phase: PhaseTrial,
+		Pool: c.order.Pool, Version: c.order.Version, Order: c.order.Revision, OrderEra: c.order.Era, Epoch: previous.Epoch + 1, Phase: PhaseTrial,
 		Shares: map[string]float64{"": firstTrialPart * c.bounds.Share}, TrialUpstreams: minTrialUpstreams,
 		OldVersions: old, BarredVersions: slices.Compact(slices.Sorted(slices.Values(barred))),
-		DurationMs: c.order.Duration.Milliseconds(), ElapsedMs: c.Elapsed(in.Now).Milliseconds(), By: in.By, Reason: "ordered", RowVersion: previous.RowVersion,
+		DurationMs: c.order.Duration.Milliseconds(), ElapsedMs: c.Elapsed(in.Now).Milliseconds(), By: in.By, Reason: "ordered", RowVersion: previous.RowVersion, Era: previous.Era,
+	}
+}
+
+// isRecordOutdated reports whether a node knows a later record of the order than the one given. That is so
+// after the store has come back from a copy which lacks it, until another node has written it again.
+func (c Conductor) isRecordOutdated(r Record, now time.Time) bool {
+	if !c.HasReports() {
+		return false
 	}
+	for i := c.reports.Iterator(); !i.Done(); {
+		if _, heard, _ := i.Next(); heard.Epoch > r.Epoch && now.Sub(heard.at) < outdatedPeriod {
+			return true
+		}
+	}
+
+	return false
 }
 
 // change returns the record with another phase.
--- a/internal/chutecanary/record.go
+++ b/internal/chutecanary/record.go
@@ -16,8 +16,10 @@
 	Version string
 	// Duration is the time from the order within which the move has to be completed.
 	Duration time.Duration
-	// Revision is the version of the order's row in the store. A later order has a higher one.
+	// Revision is the version of the order's row in the store, in its era Era. A later order has a later
+	// era, or a higher revision in the same one. Era is 0 if it is not known.
 	Revision uint64
+	Era      uint64
 }
 
 // Phase is how far a rollout has come.
@@ -50,8 +52,9 @@
 type Record struct {
 	Pool    string
 	Version string
-	// Order is the revision of the order that the record belongs to.
-	Order uint64
+	// Order is the revision of the order that the record belongs to, in the era OrderEra.
+	Order    uint64
+	OrderEra uint64 `json:",omitempty"`
 	// Epoch increases by one with each change of the pool's record, also from one order to the next.
 	Epoch uint64
 	Phase Phase
@@ -71,8 +74,34 @@
 	// By is the node that made the change, Reason what it decided by.
 	By     string
 	Reason string
-	// RowVersion is the version of the record's row in the store, 0 if there is none.
+	// RowVersion is the version of the record's row in the store, 0 if there is none, and Era the era of
+	// the store that it belongs to.
 	RowVersion uint64 `json:"-"`
+	Era        uint64 `json:"-"`
+}
+
+// IsOf reports whether the record belongs to an order.
+func (r Record) IsOf(order Order) bool {
+	return r.Order == order.Revision && (r.OrderEra == order.Era || r.OrderEra == 0 || order.Era == 0)
+}
+
+// IsBefore reports whether an order is later than the one that the record belongs to.
+func (r Record) IsBefore(order Order) bool {
+	if r.OrderEra > 0 && order.Era > 0 && r.OrderEra != order.Era {
+		return r.OrderEra < order.Era
+	}
+
+	return r.Order < order.Revision
+}
+
+// IsStoredAfter reports whether the record is from a later state of the store than another one.
+func (r Record) IsStoredAfter(other Record) bool {
+	return r.Era > other.Era || r.Era == other.Era && r.RowVersion > other.RowVersion
+}
+
+// HasSameState reports whether two records of a pool are the same change of it.
+func (r Record) HasSameState(other Record) bool {
+	return r.Epoch == other.Epoch && r.Phase == other.Phase && r.Order == other.Order && r.By == other.By
 }
 
 // DecodeRecord decodes a record and checks it; its error names the invalid field.
@@ -97,7 +126,7 @@
 
 // RestoreOrder returns the order that the record belongs to, for a node that can't read the order itself.
 func (r Record) RestoreOrder() Order {
-	return Order{Pool: r.Pool, Version: r.Version, Duration: time.Duration(r.DurationMs) * time.Millisecond, Revision: r.Order}
+	return Order{Pool: r.Pool, Version: r.Version, Duration: time.Duration(r.DurationMs) * time.Millisecond, Revision: r.Order, Era: r.OrderEra}
 }
 
 // share returns the chance that a call of a pipeline goes to the new version in PhaseTrial.
@@ -144,7 +173,7 @@
 func VersionRule(order Order, r Record) chutefleet.VersionRule {
 	barred := slices.Clone(r.BarredVersions)
 	switch {
-	case order.Revision > r.Order:
+	case r.IsBefore(order):
 		// The rollout has not begun. An earlier one that it replaces does not go on.
 		if !r.Phase.IsFinal() || r.Phase == PhaseRolledBack {
 			barred = append(barred, r.Version)
--- a/internal/chutecli/rollouts.go
+++ b/internal/chutecli/rollouts.go
@@ -47,7 +47,7 @@
 // rolloutRow returns the columns of one rollout. A record of an earlier order is not shown.
 func rolloutRow(r chutecanary.Rollout) []string {
 	row := []string{r.Order.Pool, r.Order.Version, "Ordered", "", "", r.Order.Duration.String(), "", r.Problem}
-	if r.Record.Order < r.Order.Revision || r.Record.Epoch == 0 {
+	if r.Record.IsBefore(r.Order) || r.Record.Epoch == 0 {
 		return row
 	}
 	elapsed := time.Duration(r.Record.ElapsedMs) * time.Millisecond
--- a/internal/chutegate/ledger.go
+++ b/internal/chutegate/ledger.go
@@ -13,6 +13,7 @@
 	"azurechute.example/azurechute/internal/chutecore"
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chuteledger"
+	"azurechute.example/azurechute/internal/chuteshare"
 )
 
 const (
@@ -85,7 +86,7 @@
 	for _, row := range rows {
 		copies = append(copies, chutefeed.Row{Key: row.Key, Value: row.Body})
 	}
-	n.gossipToPeers(n.settings.Tables.Ledger, copies, ledgerCopyFanout, 0)
+	n.gossipToPeers(chuteshare.Announcement{Table: n.settings.Tables.Ledger, Rows: copies}, ledgerCopyFanout)
 }
 
 // ledgerCopies holds the last rows of cost counters of other nodes, by key.
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -9,6 +9,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutecanary"
+	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
@@ -196,8 +197,8 @@
 	ReplaceIfUnchanged func(ctx context.Context, table, part string, rows []Row) (version uint64, present []Row, err error)
 	// WriteRollout writes the record of a rollout, encoded as value, and what the operator reads of it, in
 	// one transaction, on the condition that the record's row still has the version that the record
-	// states. It returns the row's new version, or false if the condition does not hold.
-	WriteRollout func(ctx context.Context, record chutecanary.Record, value []byte) (version uint64, written bool, err error)
+	// states. It returns the row's new position, or false if the condition does not hold.
+	WriteRollout func(ctx context.Context, record chutecanary.Record, value []byte) (at chutefeed.Position, written bool, err error)
 }
 
 // Decoders holds the functions that decode the platform's rows; all fields must be set.
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -15,6 +15,7 @@
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteshare"
 )
 
 const (
@@ -149,7 +150,7 @@
 		}
 		n.storeQueue.requeue(rows)
 		// Gossip calls can get lost, and without the store nothing else delivers the reports.
-		n.gossipToPeers(n.settings.Tables.Quarantine, rows, gossipRetryFanout, gossipHops)
+		n.gossipToPeers(chuteshare.Announcement{Table: n.settings.Tables.Quarantine, Rows: rows, Hops: gossipHops}, gossipRetryFanout)
 		n.log.Warn().Err(err).Int("Rows", len(rows)).Msg("reports could not be written to the store; they are tried again")
 		if !n.sleep(ctx, jittered(min(maxReportRetryPause, reportRetryPause<<min(failures, 8)))) {
 			return
@@ -169,12 +170,11 @@
 
 // gossip sends rows to gossipFanout random other nodes, or to all if there are no more than that.
 func (n *Node) gossip(rows []chutefeed.Row, hops int) {
-	n.gossipToPeers(n.settings.Tables.Quarantine, rows, gossipFanout, hops)
+	n.gossipToPeers(chuteshare.Announcement{Table: n.settings.Tables.Quarantine, Rows: rows, Hops: hops}, gossipFanout)
 }
 
-// gossipToPeers sends rows of a table to random other nodes, chosen anew at each call; fanout is their
-// number.
-func (n *Node) gossipToPeers(table string, rows []chutefeed.Row, fanout, hops int) {
+// gossipToPeers sends rows to random other nodes, chosen anew at each call; fanout is their number.
+func (n *Node) gossipToPeers(told chuteshare.Announcement, fanout int) {
 	others := n.listedPeers()
 	others = slices.DeleteFunc(others, func(p chuterelay.Peer) bool { return p.Name == n.settings.Self.Name })
 	if len(others) > fanout {
@@ -182,11 +182,11 @@
 		others = others[:fanout]
 	} else {
 		// Every node gets the rows from this one, so nobody has to pass them on.
-		hops = 0
+		told.Hops = 0
 	}
 	for _, peer := range others {
 		n.spawn(func(ctx context.Context) {
-			if err := n.peers.Tell(ctx, peer.Address, table, rows, hops); err != nil {
+			if err := n.peers.Tell(ctx, peer.Address, told); err != nil {
 				n.log.Debug().Err(err).Str("Peer", peer.Name).Msg("reports could not be sent to a peer; it reads them from the store")
 			}
 		})
@@ -194,9 +194,10 @@
 }
 
 // receiveReports accepts rows from another node and passes on those that are new.
-func (n *Node) receiveReports(table string, rows []chutefeed.Row, hops int) {
+func (n *Node) receiveReports(told chuteshare.Announcement) {
+	table, rows, hops := told.Table, told.Rows, told.Hops
 	if n.settings.Rollouts.Enabled() && table == n.settings.Tables.Rollouts {
-		n.receiveRolloutRows(rows, hops)
+		n.receiveRolloutRows(told)
 
 		return
 	}
--- a/internal/chutegate/quarantine_test.go
+++ b/internal/chutegate/quarantine_test.go
@@ -15,6 +15,7 @@
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteshare"
 )
 
 // quarantineJudgement returns a judgement that quarantines a request.
@@ -129,7 +130,7 @@
 	}
 
 	t.Run("rows that can't be decoded are logged and left out", func(*testing.T) {
-		n.receiveReports("q", rows, 0)
+		n.receiveReports(chuteshare.Announcement{Table: "q", Rows: rows})
 		heard := (<-n.messages).relayEvent.(chuterelay.QuarantineAnnounced)
 		c.Assert(heard.Crashes, qt.HasLen, 1)
 		c.Assert(heard.Judgements, qt.HasLen, 1)
@@ -137,8 +138,8 @@
 	})
 
 	t.Run("rows received again or of another table are ignored", func(*testing.T) {
-		n.receiveReports("q", rows, 0)
-		n.receiveReports("p", []chutefeed.Row{{Key: chutequarantine.JudgementPrefix + "g", Value: []byte(`{"Fingerprint":"g"}`)}}, 0)
+		n.receiveReports(chuteshare.Announcement{Table: "q", Rows: rows})
+		n.receiveReports(chuteshare.Announcement{Table: "p", Rows: []chutefeed.Row{{Key: chutequarantine.JudgementPrefix + "g", Value: []byte(`{"Fingerprint":"g"}`)}}})
 		c.Assert(n.messages, qt.HasLen, 0)
 	})
 }
--- a/internal/chutegate/rollout.go
+++ b/internal/chutegate/rollout.go
@@ -14,6 +14,7 @@
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteshare"
 )
 
 const (
@@ -32,7 +33,10 @@
 	// decoded holds the orders by key, as of the versions of their rows. A row that can't be decoded
 	// keeps the order that was read before.
 	decoded map[string]decodedOrder
-	last    chuterelay.RolloutsOrdered
+	// era is the store's era of the table at the last update, which began at eraSince for this node.
+	era      uint64
+	eraSince time.Time
+	last     chuterelay.RolloutsOrdered
 }
 
 type decodedOrder struct {
@@ -45,6 +49,9 @@
 // update reads the operator's table and sends the orders to the event loop if they have changed.
 func (o *rolloutOrders) update(table chutefeed.Table) {
 	next := map[string]decodedOrder{}
+	if o.era != table.Era() {
+		o.era, o.eraSince = table.Era(), o.node.Now()
+	}
 	for _, row := range table.Rows() {
 		known, seen := o.decoded[row.Key]
 		if seen && known.rowVersion == row.Version {
@@ -59,7 +66,8 @@
 				Msg("an order to move a pool to another version can't be read; the one before stays in force")
 			next[row.Key] = decodedOrder{rowVersion: row.Version, order: known.order, valid: known.valid, pool: order.Pool}
 		case ok:
-			next[row.Key] = decodedOrder{rowVersion: row.Version, order: order, valid: true, pool: order.Pool}
+			order.Era = table.Era()
+			next[row.Key] = decodedOrder{rowVersion: row.Version, order: o.identified(order, known), valid: true, pool: order.Pool}
 		}
 	}
 	o.decoded = next
@@ -79,6 +87,21 @@
 	o.node.rolloutOrderedOnce.Do(func() { close(o.node.rolloutOrdered) })
 }
 
+// orderRewritePeriod is how long after the store's return from a copy an order that is the same as the known
+// one but for its row's version is taken for that one, which the operator has written again.
+const orderRewritePeriod = 15 * time.Second
+
+// identified returns an order with the revision under which it is known, if it was written again after the
+// store came back from a copy.
+func (o *rolloutOrders) identified(order chutecanary.Order, known decodedOrder) chutecanary.Order {
+	same := known.valid && known.order.Version == order.Version && known.order.Duration == order.Duration
+	if !same || known.order.Era >= order.Era || o.node.Now().Sub(o.eraSince) >= orderRewritePeriod {
+		return order
+	}
+
+	return known.order
+}
+
 // watchRollouts keeps the records of rollouts up to date, from the first order on.
 func (n *Node) watchRollouts(ctx context.Context) {
 	if !n.settings.Rollouts.Enabled() {
@@ -93,7 +116,7 @@
 	var previous chutefeed.Table
 	n.keepCurrent(ctx, local, rolloutPollWait, 0, func() {
 		table := local.snapshot()
-		n.sendRecords(table.ChangeSince(previous).Rows)
+		n.sendRecordsOf(table, previous)
 		previous = table
 		if table.Version() > 0 {
 			n.rolloutsLoadedOnce.Do(func() { close(n.rolloutsLoaded) })
@@ -101,8 +124,25 @@
 	})
 }
 
-// sendRecords queues records for the event loop and leaves out those that can't be decoded.
-func (n *Node) sendRecords(rows []chutefeed.Row) {
+// sendRecordsOf queues the records that have changed since the previous state of the table. After a return of
+// the store from a copy these are all, and those that it has no more: they belong to a new era.
+func (n *Node) sendRecordsOf(table, previous chutefeed.Table) {
+	change := table.ChangeSince(previous)
+	if previous.Version() == 0 || previous.Era() == table.Era() {
+		n.sendRecords(table.Era(), change.Rows)
+
+		return
+	}
+	var lost chuterelay.RolloutsRecorded
+	for _, pool := range change.DeletedKeys {
+		lost.Records = append(lost.Records, chutecanary.Record{Pool: pool, Era: table.Era()})
+	}
+	n.sendEvent(lost)
+	n.sendRecords(table.Era(), table.Rows())
+}
+
+// sendRecords queues records of an era for the event loop and leaves out those that can't be decoded.
+func (n *Node) sendRecords(era uint64, rows []chutefeed.Row) {
 	var records []chutecanary.Record
 	for _, row := range rows {
 		record, err := chutecanary.DecodeRecord(row.Key, row.Value, row.Version)
@@ -111,6 +151,7 @@
 
 			continue
 		}
+		record.Era = era
 		records = append(records, record)
 	}
 	if len(records) > 0 {
@@ -167,10 +208,10 @@
 
 		return
 	}
-	rows := []chutefeed.Row{{Key: e.Report.Pool, Value: value}}
+	told := chuteshare.Announcement{Table: n.settings.Tables.Rollouts, Rows: []chutefeed.Row{{Key: e.Report.Pool, Value: value}}}
 	for _, peer := range e.Peers {
 		n.spawn(func(ctx context.Context) {
-			if err := n.peers.Tell(ctx, peer.Address, n.settings.Tables.Rollouts, rows, 0); err != nil && ctx.Err() == nil {
+			if err := n.peers.Tell(ctx, peer.Address, told); err != nil && ctx.Err() == nil {
 				n.log.Info().Err(err).Str("Peer", peer.Name).Str("Pool", e.Report.Pool).Msg("a report on a rollout did not arrive; another node gets the next one")
 				n.sendEvent(chuterelay.RolloutReportFailed{Peer: peer.Name, Silent: errors.Is(err, context.DeadlineExceeded)})
 			}
@@ -191,7 +232,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	n.storeCalls.add(callRollout)
-	version, written, err := n.store.WriteRollout(ctx, record, value)
+	at, written, err := n.store.WriteRollout(ctx, record, value)
 	if err != nil || !written {
 		n.log.Warn().Err(err).Str("Pool", record.Pool).Uint64("Epoch", record.Epoch).Str("Phase", string(record.Phase)).
 			Msg("the record of a rollout was not written")
@@ -199,17 +240,17 @@
 		return
 	}
 	// The other nodes hear of it now; the store's feed takes longer for those that follow.
-	rows := []chutefeed.Row{{Key: record.Pool, Value: value, Version: version}}
+	rows := []chutefeed.Row{{Key: record.Pool, Value: value, Version: at.Version}}
 	n.knownReports.addIfNew(rows[0])
-	n.sendRecords(rows)
-	n.gossipToPeers(n.settings.Tables.Rollouts, rows, gossipFanout, gossipHops)
+	n.sendRecords(at.Era, rows)
+	n.gossipToPeers(chuteshare.Announcement{Table: n.settings.Tables.Rollouts, Era: at.Era, Rows: rows, Hops: gossipHops}, gossipFanout)
 }
 
 // receiveRolloutRows accepts records, which have a version, and reports from another node. Records that
 // are new are passed on.
-func (n *Node) receiveRolloutRows(rows []chutefeed.Row, hops int) {
+func (n *Node) receiveRolloutRows(told chuteshare.Announcement) {
 	var records []chutefeed.Row
-	for _, row := range rows {
+	for _, row := range told.Rows {
 		if row.Version > 0 {
 			if n.knownReports.addIfNew(row) {
 				records = append(records, row)
@@ -228,9 +269,10 @@
 	if len(records) == 0 {
 		return
 	}
-	n.sendRecords(records)
-	if hops > 0 {
-		n.gossipToPeers(n.settings.Tables.Rollouts, records, gossipFanout, hops-1)
+	n.sendRecords(told.Era, records)
+	if told.Hops > 0 {
+		told.Rows, told.Hops = records, told.Hops-1
+		n.gossipToPeers(told, gossipFanout)
 	}
 }
 
--- a/internal/chuterelay/rollout.go
+++ b/internal/chuterelay/rollout.go
@@ -27,8 +27,13 @@
 type rollouts struct {
 	orders  map[string]chutecanary.Order
 	records map[string]chutecanary.Record
+	// stored holds the records as the store has them, which may be earlier ones after it came back from a
+	// copy.
+	stored map[string]chutecanary.Record
 	// unreadable are the pools whose orders can't be read.
 	unreadable []string
+	// rewriteAt is when this node writes lost records again, by pool.
+	rewriteAt map[string]time.Time
 	// progress is what this node observes of the rollouts in progress.
 	progress map[string]rolloutProgress
 	// confirmedAt is the time as of which records is known to be complete.
@@ -78,7 +83,14 @@
 	order, ordered := r.orders[pool]
 	record := r.records[pool]
 
-	return ordered && (record.Order < order.Revision || !record.Phase.IsFinal())
+	return ordered && (record.IsBefore(order) || !record.Phase.IsFinal())
+}
+
+// isLost reports whether the store has come back from a copy that lacks the newest record of a pool.
+func (r rollouts) isLost(pool string) bool {
+	record, stored := r.records[pool], r.stored[pool]
+
+	return record.Epoch > 0 && stored.Era > record.Era && !stored.HasSameState(record)
 }
 
 // applyRolloutEvent applies events about rollouts.
@@ -115,6 +127,7 @@
 	next := map[string]chutecanary.Order{}
 	progress := map[string]rolloutProgress{}
 	for _, order := range orders {
+		order = st.rollouts.identified(order)
 		next[order.Pool] = order
 		known, ok := st.rollouts.progress[order.Pool]
 		if !ok || known.conductor.Order() != order {
@@ -140,10 +153,18 @@
 	if next == nil {
 		next = map[string]chutecanary.Record{}
 	}
+	stored := maps.Clone(st.rollouts.stored)
+	if stored == nil {
+		stored = map[string]chutecanary.Record{}
+	}
 	changed := false
 	for _, record := range records {
 		known := next[record.Pool]
-		if record.Epoch < known.Epoch || record.Epoch == known.Epoch && record.RowVersion <= known.RowVersion {
+		if record.IsStoredAfter(stored[record.Pool]) {
+			stored[record.Pool] = record
+		}
+		sameState := record.HasSameState(known) && record.IsStoredAfter(known)
+		if record.Epoch == 0 || record.Epoch <= known.Epoch && !sameState {
 			continue
 		}
 		next[record.Pool] = record
@@ -152,8 +173,10 @@
 			st.emit(LogRollout{Record: record})
 		}
 	}
-	st.rollouts.records = next
+	st.rollouts.records, st.rollouts.stored = next, stored
 	if !changed {
+		st.scheduleRolloutTick()
+
 		return
 	}
 	if len(st.rollouts.unreadable) > 0 {
@@ -189,7 +212,7 @@
 	}
 	for pool, record := range st.rollouts.records {
 		_, ordered := st.rollouts.orders[pool]
-		inProgress = inProgress || !ordered && !record.Phase.IsFinal()
+		inProgress = inProgress || !ordered && !record.Phase.IsFinal() || st.rollouts.isLost(pool)
 	}
 	if inProgress && st.rollouts.tickAt.IsZero() {
 		st.rollouts.tickAt = st.now.Add(rolloutTickInterval)
@@ -203,6 +226,7 @@
 	st.rollouts.confirmedAt = e.ConfirmedAt
 	st.tellRollouts()
 	st.rollBackWithdrawn()
+	st.rewriteLostRecords()
 	st.scheduleRolloutTick()
 }
 
@@ -307,6 +331,10 @@
 		// The records have not been read yet.
 		return
 	}
+	if st.rollouts.isLost(pool) {
+		// The newest record has to be in the store again before the next one.
+		return
+	}
 	p.conductedAt = st.now
 	p.conductor = p.conductor.WithRecordSeen(record, st.now)
 	next, due := p.conductor.Next(chutecanary.Situation{
@@ -318,6 +346,7 @@
 	case p.dueSince.IsZero():
 		p.dueSince = st.now
 	}
+	next.RowVersion, next.Era = st.rollouts.stored[pool].RowVersion, st.rollouts.stored[pool].Era
 	if due && !p.writing && (rank == 0 || st.now.Sub(p.dueSince) >= rolloutStandbyDelay) {
 		p.writing = true
 		st.emit(WriteRollout{Record: next})
@@ -330,10 +359,11 @@
 	for pool, record := range st.rollouts.records {
 		_, ordered := st.rollouts.orders[pool]
 		actors := st.rolloutActors(pool)
-		if ordered || record.Phase.IsFinal() || len(actors) == 0 || actors[0].Name != st.settings.Self.Name {
+		if ordered || record.Phase.IsFinal() || st.rollouts.isLost(pool) || len(actors) == 0 || actors[0].Name != st.settings.Self.Name {
 			continue
 		}
 		record.Epoch++
+		record.RowVersion, record.Era = st.rollouts.stored[pool].RowVersion, st.rollouts.stored[pool].Era
 		record.Phase, record.By, record.Reason = chutecanary.PhaseRolledBack, st.settings.Self.Name, "the order was withdrawn"
 		st.emit(WriteRollout{Record: record})
 	}
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -59,15 +59,24 @@
 	OnLeaseEnd func(token uint64)
 	// OnTable returns this node's copy of a table of the store.
 	OnTable func(table string) TableState
-	// OnTell applies rows of one of the system's own tables; hops is how many more times they
-	// are passed on.
-	OnTell func(table string, rows []chutefeed.Row, hops int)
+	// OnTell applies rows of one of the system's own tables.
+	OnTell func(told Announcement)
 	// Now returns the current time, to which the relative times of received jobs are added.
 	Now func() time.Time
 	// NewToken returns a number that it has not returned before; it identifies a job.
 	NewToken func() uint64
 }
 
+// Announcement is rows of one of the system's own tables that a node tells another one.
+type Announcement struct {
+	Table string
+	// Era is the store's era that the versions of the rows belong to; 0 if it is not known.
+	Era  uint64
+	Rows []chutefeed.Row
+	// Hops is how many more times the rows are passed on.
+	Hops int
+}
+
 // TableState is a node's copy of a table and how current it is.
 type TableState struct {
 	Table chutefeed.Table
--- a/internal/chuteshare/tell.go
+++ b/internal/chuteshare/tell.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
 )
 
@@ -27,14 +26,15 @@
 	if rowCount := len(request.GetRows()); rowCount > maxTellRows || request.GetHops() < 0 || request.GetHops() > maxHops {
 		return nil, status.Error(codes.InvalidArgument, "Rows or Hops of the call are out of range")
 	}
-	s.handlers.OnTell(request.GetTable(), decodeRows(request.GetRows()), int(request.GetHops()))
+	s.handlers.OnTell(Announcement{
+		Table: request.GetTable(), Era: request.GetEra(), Rows: decodeRows(request.GetRows()), Hops: int(request.GetHops()),
+	})
 
 	return &chutesharepb.TellReply{}, nil
 }
 
-// Tell sends rows of a table to a peer; hops is how many times rows that are new to the peer
-// are passed on.
-func (c *Client) Tell(ctx context.Context, address, table string, rows []chutefeed.Row, hops int) error {
+// Tell sends rows of a table to a peer.
+func (c *Client) Tell(ctx context.Context, address string, told Announcement) error {
 	errorContext := oops.In("share").With("step", "tell", "peer", address)
 	conn, err := c.connTo(address)
 	if err != nil {
@@ -44,7 +44,7 @@
 	defer cancel()
 
 	_, err = chutesharepb.NewShareClient(conn).Tell(ctx, &chutesharepb.TellRequest{
-		Table: table, Rows: encodeRows(rows), Hops: int32(hops), //nolint:gosec // up to maxHops
+		Table: told.Table, Era: told.Era, Rows: encodeRows(told.Rows), Hops: int32(told.Hops), //nolint:gosec // up to maxHops
 	})
 	if err != nil && ctx.Err() != nil {
 		// The peer is silent; the next call must not wait on the same connection.
