Do not take the failure of an old poll for proof that the store does not answer now

Cause: a failed read of one table counts for 0.7 s as one of all others. A poll of the list of nodes that was lost at 30.15 s failed at 33.65 s, after the store had answered two other reads; the list of upstreams, stale at 34.35 s, then waited for up to 2 s more without asking. Change: a failure counts only if no read that was sent later has been answered.

--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -83,8 +83,7 @@
 	rolloutsLoadedOnce sync.Once
 	lostSources        lostNodeSet
 	cachedSource       atomic.Pointer[sourceChoice]
-	// storeFailedAt is when a read of the store last failed; nil if none has.
-	storeFailedAt atomic.Pointer[time.Time]
+	reach              storeReach
 	// upstreamsLoaded is true once the list of upstreams has been read.
 	upstreamsLoaded atomic.Bool
 	draining        atomic.Bool
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -290,15 +290,13 @@
 func (n *Node) readStoreOrPeer(
 	ctx context.Context, local *localTable, pollWait time.Duration, reason callReason, onChange func(),
 ) (behind bool, err error) {
+	askedAt := n.Now()
 	result, err := n.readStore(ctx, local, pollWait, reason)
 	if ctx.Err() != nil {
 		return false, ctx.Err()
 	}
 	rowsChanged := result.rowsChanged
-	if err != nil {
-		now := n.Now()
-		n.storeFailedAt.Store(&now)
-	}
+	n.reach.record(askedAt, n.Now(), err == nil)
 	local.setCurrent(err == nil, n.Now())
 	if !result.behind && local.recordStoreResult(err == nil, n.Now()) {
 		n.log.Info().Str("Table", local.name).Bool("Reached", err == nil).AnErr("Cause", err).Msg("store")
--- a/internal/chutegate/refresh.go
+++ b/internal/chutegate/refresh.go
@@ -106,10 +106,10 @@
 // including this read. If the source is still out of date after the store has answered, the fault
 // is on the source's path to the store, and another source is followed from then on.
 func (n *Node) readInPlaceOfSource(ctx context.Context, local *localTable, failures readFailures, onChange func()) readFailures {
-	if failedAt := n.storeFailedAt.Load(); failures.count > 0 && failedAt != nil && n.Now().Sub(*failedAt) < sharedFailureAge {
+	if failedAt, failed := n.reach.failedAt(); failures.count > 0 && failed && n.Now().Sub(failedAt) < sharedFailureAge {
 		local.recordStoreResult(false, n.Now())
 
-		return failures.withResult(false, *failedAt)
+		return failures.withResult(false, failedAt)
 	}
 	source, age, _ := local.sourceAge(n.Now())
 	n.log.Info().Str("Table", local.name).Str("Peer", source.Name).Int64("TableAgeMs", age.Milliseconds()).
