--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -31,6 +31,14 @@
 
 		return age.Seconds()
 	})
+	n.meter.Gauge("store_era", func() float64 {
+		era := uint64(0)
+		for _, local := range n.localTables {
+			era = max(era, local.snapshot().Era())
+		}
+
+		return float64(era)
+	})
 	n.meter.Gauge("refused_by_stale_config_total", func() float64 { return float64(n.staleRefusals.Load()) })
 	n.meter.Gauge("zones_evacuated", func() float64 { return float64(n.evacuatedZoneCount.Load()) })
 	n.addUpstreamGauges()
@@ -97,12 +105,44 @@
 // WriteState writes the state that the node bases its decisions on, as JSON. It returns the error
 // of the writer.
 func (n *Node) WriteState(w io.Writer) error {
-	var view chuterelay.View
-	n.Query(func(s chutecore.State) { view = s.Relay().View(n.Now()) })
+	dump := stateDump{Tables: map[string]tableView{}}
+	n.Query(func(s chutecore.State) { dump.View = s.Relay().View(n.Now()) })
+	for name, local := range n.localTables {
+		dump.Tables[name] = local.view()
+	}
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
 
-	return encoder.Encode(view)
+	return encoder.Encode(dump)
+}
+
+// stateDump is the state that a node bases its decisions on.
+type stateDump struct {
+	chuterelay.View
+
+	Tables map[string]tableView
+}
+
+// tableView describes a node's copy of a table in a state dump.
+type tableView struct {
+	Era     uint64
+	Version uint64
+	Rows    int
+	// Retained is the number of rows that the store has lost by coming back from a copy and that still
+	// count.
+	Retained int `json:",omitempty"`
+	// AgeMs is the time since the copy was known to be up to date, -1 if it never was.
+	AgeMs int64
+}
+
+func (local *localTable) view() tableView {
+	table, retained := local.snapshot(), local.lostRows()
+	view := tableView{Era: table.Era(), Version: table.Version(), Rows: table.Len(), Retained: len(retained), AgeMs: -1}
+	if age, known := local.age(local.now()); known {
+		view.AgeMs = age.Milliseconds()
+	}
+
+	return view
 }
 
 // WriteMetrics writes all metrics as text. It returns the error of the writer.
