Describe a store that comes back from a copy, and test it beside kills and cuts

TestRestoredStore kills and starts nodes in the gap, loses the store a second time 0.5 s later, and cuts readers off after the return.

--- a/internal/chutegate/restore_sim_test.go
+++ b/internal/chutegate/restore_sim_test.go
@@ -34,26 +34,32 @@
 		sizes = []int{*restoreSize}
 	}
 	for _, size := range sizes {
+		var longest time.Duration
 		for seed := range uint64(*restoreSeeds) {
 			t.Run(fmt.Sprint(size, " nodes, seed ", seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					cluster := newSimCluster(t, size, 4)
 					defer cluster.stop()
 					random := rand.New(rand.NewPCG(seed, uint64(size)))
-					(&restoreRun{simCluster: cluster, random: random, version: 1}).run()
+					run := &restoreRun{simCluster: cluster, random: random, version: 1}
+					run.run()
+					longest = max(longest, run.longestLag)
 				})
 			})
 		}
+		t.Logf("%d nodes: the longest time without a change that was written at the return was %v", size, longest)
 	}
 }
 
 // restoreRun is a run in which the store comes back from a copy, with fewer or more versions than the
-// nodes have seen.
+// nodes have seen, and nodes are killed and started, or cut off from the store, beside it.
 type restoreRun struct {
 	*simCluster
 
 	random  *rand.Rand
 	version uint64
+	// longestLag is the longest time without a change that was written at the return.
+	longestLag time.Duration
 }
 
 func (r *restoreRun) run() {
@@ -65,11 +71,23 @@
 		r.change(1 + r.random.IntN(8))
 		time.Sleep(time.Duration(500+r.random.IntN(3000)) * time.Millisecond)
 		r.setStoreAway(true)
+		restart := r.killSome()
 		time.Sleep(time.Duration(r.random.IntN(3000)) * time.Millisecond)
 		r.store.restore(backup)
 		r.setStoreAway(false)
+		if r.random.IntN(2) == 0 {
+			time.Sleep(500 * time.Millisecond)
+			r.store.restore(backup)
+		}
+		restart()
 		// The operator and the upstreams write again.
-		r.change(r.random.IntN(16))
+		r.change(1 + r.random.IntN(16))
+		r.measureLag()
+		if r.random.IntN(2) == 0 {
+			r.cutOffReaders(r.random)
+			time.Sleep(time.Duration(r.random.IntN(2000)) * time.Millisecond)
+			r.setStoreAway(false)
+		}
 		time.Sleep(recoveryTime)
 		r.change(1)
 		r.expectInForce()
@@ -78,6 +96,34 @@
 	}
 }
 
+// killSome ends some of the nodes without notice, and returns what starts them again.
+func (r *restoreRun) killSome() (restart func()) {
+	var killed []chuterelay.Peer
+	for _, p := range r.peers {
+		if r.random.IntN(4) == 0 {
+			r.stops[p.Name]()
+			killed = append(killed, p)
+		}
+	}
+
+	return func() {
+		for _, p := range killed {
+			r.start(p)
+		}
+	}
+}
+
+// measureLag waits until all nodes have the last change.
+func (r *restoreRun) measureLag() {
+	began := time.Now()
+	for _, p := range r.peers {
+		for !r.hasVersion(r.nodes[p.Name]) {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	r.longestLag = max(r.longestLag, time.Since(began))
+}
+
 // change changes the configuration and an upstream a number of times.
 func (r *restoreRun) change(times int) {
 	for range times {
