Tell orders of rollouts apart by the era of their rows, and name what the code of eras does

Callers could have seen a rollout that does not begin: an order whose row got a version that the one before had in the era before was taken for it. TestOrdersAcrossEras, "another order under the same version", shows it. Change: a decoded order is remembered with the position of its row. Two functions are renamed.

--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -83,7 +83,8 @@
 	rolloutsLoadedOnce sync.Once
 	lostSources        lostNodeSet
 	cachedSource       atomic.Pointer[sourceChoice]
-	reach              storeReach
+	// reach says whether the store answers this node.
+	reach storeReach
 	// upstreamsLoaded is true once the list of upstreams has been read.
 	upstreamsLoaded atomic.Bool
 	draining        atomic.Bool
--- a/internal/chutegate/localtable.go
+++ b/internal/chutegate/localtable.go
@@ -251,6 +251,7 @@
 	local.synced = true
 	next := local.table.WithChange(c)
 	if local.table.Version() > 0 && c.Era > local.table.Era() {
+		// Rows of the same values are looked at too: their versions are those of another era.
 		first = true
 		local.storeReturnedAt = local.now()
 		local.retainRows(next)
--- a/internal/chutegate/rollout.go
+++ b/internal/chutegate/rollout.go
@@ -40,10 +40,11 @@
 }
 
 type decodedOrder struct {
-	rowVersion uint64
-	order      chutecanary.Order
-	valid      bool
-	pool       string
+	// row is the position of the order's row.
+	row   chutefeed.Position
+	order chutecanary.Order
+	valid bool
+	pool  string
 }
 
 // update reads the operator's table and sends the orders to the event loop if they have changed.
@@ -54,7 +55,8 @@
 	}
 	for _, row := range table.Rows() {
 		known, seen := o.decoded[row.Key]
-		if seen && known.rowVersion == row.Version {
+		position := chutefeed.Position{Era: table.Era(), Version: row.Version}
+		if seen && known.row == position {
 			next[row.Key] = known
 
 			continue
@@ -64,10 +66,10 @@
 		case err != nil:
 			o.node.log.Error().Err(err).Str("Key", row.Key).Uint64("Version", row.Version).
 				Msg("an order to move a pool to another version can't be read; the one before stays in force")
-			next[row.Key] = decodedOrder{rowVersion: row.Version, order: known.order, valid: known.valid, pool: order.Pool}
+			next[row.Key] = decodedOrder{row: position, order: known.order, valid: known.valid, pool: order.Pool}
 		case ok:
 			order.Era = table.Era()
-			next[row.Key] = decodedOrder{rowVersion: row.Version, order: o.identified(order, known), valid: true, pool: order.Pool}
+			next[row.Key] = decodedOrder{row: position, order: o.withKnownRevision(order, known), valid: true, pool: order.Pool}
 		}
 	}
 	o.decoded = next
@@ -91,9 +93,9 @@
 // one but for its row's version is taken for that one, which the operator has written again.
 const orderRewritePeriod = 15 * time.Second
 
-// identified returns an order with the revision under which it is known, if it was written again after the
+// withKnownRevision returns an order with the revision under which it is known, if it was written again after the
 // store came back from a copy.
-func (o *rolloutOrders) identified(order chutecanary.Order, known decodedOrder) chutecanary.Order {
+func (o *rolloutOrders) withKnownRevision(order chutecanary.Order, known decodedOrder) chutecanary.Order {
 	same := known.valid && known.order.Version == order.Version && known.order.Duration == order.Duration
 	if !same || known.order.Era >= order.Era || o.node.Now().Sub(o.eraSince) >= orderRewritePeriod {
 		return order
--- a/internal/chutegate/rollout_test.go
+++ b/internal/chutegate/rollout_test.go
@@ -5,7 +5,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 
+	"azurechute.example/azurechute/internal/chutecanary"
+	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 )
 
@@ -48,3 +52,30 @@
 	expect(held, released, nil, []string{"v3"})
 	c.Assert(g.held, qt.HasLen, 0)
 }
+
+// Guards against an order that is taken for another one, or not noticed, after the store came back from a
+// copy and has given its row's version out again.
+func TestOrdersAcrossEras(t *testing.T) {
+	table := func(era, version uint64, order string) chutefeed.Table {
+		return chutefeed.NewTable([]chutefeed.Row{{Key: "rollout/p", Value: []byte(order), Version: version}}, 0).
+			WithPosition(chutefeed.Position{Era: era, Version: 50})
+	}
+	for _, test := range []struct {
+		name  string
+		after chutefeed.Table
+		want  chutecanary.Order
+	}{
+		{"the same order under another version", table(2, 5, "v2 20s"), chutecanary.Order{Version: "v2", Duration: 20 * time.Second, Revision: 9, Era: 1}},
+		{"another order under the same version", table(2, 9, "v3 20s"), chutecanary.Order{Version: "v3", Duration: 20 * time.Second, Revision: 9, Era: 2}},
+		{"a later order of the same era", table(1, 12, "v2 20s"), chutecanary.Order{Version: "v2", Duration: 20 * time.Second, Revision: 12, Era: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := New(Settings{Tables: testTables}, clockwork.NewFakeClock(), zerolog.Nop(), Store{}, testDecoders(), Upstreams{})
+			orders := &rolloutOrders{node: n}
+			orders.update(table(1, 9, "v2 20s"))
+			orders.update(test.after)
+			test.want.Pool = "p"
+			qt.Assert(t, orders.last.Orders, qt.DeepEquals, []chutecanary.Order{test.want})
+		})
+	}
+}
--- a/internal/chuterelay/rollout.go
+++ b/internal/chuterelay/rollout.go
@@ -127,7 +127,7 @@
 	next := map[string]chutecanary.Order{}
 	progress := map[string]rolloutProgress{}
 	for _, order := range orders {
-		order = st.rollouts.identified(order)
+		order = st.rollouts.withRecordedRevision(order)
 		next[order.Pool] = order
 		known, ok := st.rollouts.progress[order.Pool]
 		if !ok || known.conductor.Order() != order {
--- a/internal/chuterelay/rolloutlost.go
+++ b/internal/chuterelay/rolloutlost.go
@@ -15,10 +15,10 @@
 	lostRecordSpread = 4 * time.Second
 )
 
-// identified returns an order with the revision of the pool's record if both are of the same order: a node
+// withRecordedRevision returns an order with the revision of the pool's record if both are of the same order: a node
 // that has just started reads the order under the version that it has since the store came back from a copy
 // and the operator has written it again.
-func (r rollouts) identified(order chutecanary.Order) chutecanary.Order {
+func (r rollouts) withRecordedRevision(order chutecanary.Order) chutecanary.Order {
 	record, recorded := r.records[order.Pool]
 	_, known := r.orders[order.Pool]
 	given := record.RestoreOrder()
