Take the time between heartbeats of upstreams from the settings

An upstream whose entry was deleted before the store came back from a copy is left out until the store has deleted the entry again: three heartbeats of silence. With heartbeats of over 1.6 s the fixed 5 s were too short, and the upstream would have got calls again. Change: heartbeat_ms of the settings, 1,200 if there is none, checked like the other times.

--- a/internal/chutegate/departed.go
+++ b/internal/chutegate/departed.go
@@ -13,11 +13,20 @@
 	// departedPeriod is how long a node remembers that an upstream has left. A store that comes back from
 	// a copy is some seconds behind.
 	departedPeriod = 5 * time.Minute
-	// restoredEntryPeriod is how long after the store's return the entry of an upstream that had gone may
-	// be one of the copy. The store deletes an entry after three heartbeats of silence, of 1.2 s each.
-	restoredEntryPeriod = 5 * time.Second
+	// DefaultUpstreamHeartbeat is the time between two heartbeats of an upstream if the settings give none.
+	DefaultUpstreamHeartbeat = 1200 * time.Millisecond
+	// missedHeartbeats is the number of heartbeats after whose lack the store deletes an entry, and
+	// deletionDelay the time until a node knows.
+	missedHeartbeats = 3
+	deletionDelay    = 1400 * time.Millisecond
 )
 
+// restoredEntryPeriod is how long after the store's return the entry of an upstream that had gone may be one
+// of the copy.
+func restoredEntryPeriod(heartbeat time.Duration) time.Duration {
+	return missedHeartbeats*heartbeat + deletionDelay
+}
+
 // departure is what is known of an upstream that has left.
 type departure struct {
 	// era is the store's era in which that was seen, at a time of the node's own clock.
@@ -33,8 +42,9 @@
 type departedUpstreams struct {
 	byID     map[string]departure
 	prunedAt time.Time
-	// restoredAt is when the list was first that of a new era.
-	restoredAt time.Time
+	// heldUntil is until when entries of upstreams that had gone may be those of a copy; zero if the store
+	// never came back from one.
+	heldUntil time.Time
 }
 
 // record remembers an upstream that is leaving or whose entry was deleted.
@@ -70,8 +80,8 @@
 
 		return u, time.Time{}
 	}
-	if until := d.restoredAt.Add(restoredEntryPeriod); now.Before(until) {
-		return u, until
+	if now.Before(d.heldUntil) {
+		return u, d.heldUntil
 	}
 
 	return u, time.Time{}
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -39,6 +39,9 @@
 	// for DefaultMaxDelay.
 	MaxConfigDelay time.Duration
 	MaxLeaveDelay  time.Duration
+	// UpstreamHeartbeat is the time between two heartbeats of an upstream; 0 stands for
+	// DefaultUpstreamHeartbeat.
+	UpstreamHeartbeat time.Duration
 	// WarmupRateFactor is the multiple of its stated warm-up rate that a cold upstream may get; less
 	// than 1 counts as 1.
 	WarmupRateFactor float64
@@ -137,6 +140,7 @@
 ) *Node {
 	settings.MaxConfigDelay = cmp.Or(settings.MaxConfigDelay, DefaultMaxDelay)
 	settings.MaxLeaveDelay = cmp.Or(settings.MaxLeaveDelay, DefaultMaxDelay)
+	settings.UpstreamHeartbeat = cmp.Or(settings.UpstreamHeartbeat, DefaultUpstreamHeartbeat)
 	runContext, cancelRun := context.WithCancel(context.Background())
 	n := &Node{
 		settings: settings, clock: clock, started: clock.Now(),
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -144,7 +144,7 @@
 		rows, gone = change.Rows, change.DeletedKeys
 	}
 	if l.previous.Version() > 0 && l.previous.Era() < table.Era() {
-		l.departed.restoredAt = n.Now()
+		l.departed.heldUntil = n.Now().Add(restoredEntryPeriod(n.settings.UpstreamHeartbeat))
 	}
 	l.previous = table
 	rows = append(rows, l.releasedRows(table)...)
--- a/internal/chutegate/restore_sim_test.go
+++ b/internal/chutegate/restore_sim_test.go
@@ -194,7 +194,7 @@
 		time.Sleep(2 * time.Second)
 		cluster.expectListed(1, 0)
 		restore()
-		cluster.expectListed(1, restoredEntryPeriod)
+		cluster.expectListed(1, restoredEntryPeriod(DefaultUpstreamHeartbeat))
 		// The entry of the one that went without a word is still there, so it lives.
 		time.Sleep(3 * time.Second)
 		cluster.expectListed(2, 0)
