--- a/internal/chutegate/cluster_sim_test.go
+++ b/internal/chutegate/cluster_sim_test.go
@@ -177,27 +177,36 @@
 type simCluster struct {
 	*qt.C
 
-	network *simNetwork
-	store   *memoryStore
-	nodes   map[string]*Node
-	peers   []chuterelay.Peer
-	stops   map[string]func()
-	logs    map[string]*simLog
+	network  *simNetwork
+	store    *memoryStore
+	settings Settings
+	nodes    map[string]*Node
+	peers    []chuterelay.Peer
+	stops    map[string]func()
+	logs     map[string]*simLog
 }
 
 // newSimCluster starts all nodes at once, in several zones of one region. It has to be called in a
 // synctest bubble.
 func newSimCluster(t *testing.T, size, zones int) *simCluster {
+	var peers []chuterelay.Peer
+	for i := range size {
+		name := fmt.Sprint("n", i)
+		peers = append(peers, chuterelay.Peer{Name: name, Zone: fmt.Sprint("z", i%zones), Region: "r", Address: name, Power: 1})
+	}
+
+	return startSimCluster(t, peers, Settings{Tables: testTables})
+}
+
+// startSimCluster starts nodes all at once. It has to be called in a synctest bubble.
+func startSimCluster(t *testing.T, peers []chuterelay.Peer, settings Settings) *simCluster {
 	cluster := &simCluster{
-		C: qt.New(t), network: newSimNetwork(), store: newMemoryStore(),
+		C: qt.New(t), network: newSimNetwork(), store: newMemoryStore(), settings: settings, peers: peers,
 		nodes: map[string]*Node{}, stops: map[string]func(){}, logs: map[string]*simLog{},
 	}
 	cluster.store.put("config", "c", "1")
 	cluster.store.put("upstreams", "u", "ready")
-	for i := range size {
-		name := fmt.Sprint("n", i)
-		peer := chuterelay.Peer{Name: name, Zone: fmt.Sprint("z", i%zones), Region: "r", Address: name, Power: 1}
-		cluster.peers = append(cluster.peers, peer)
+	for _, peer := range peers {
 		cluster.start(peer)
 	}
 
@@ -206,7 +215,9 @@
 
 func (cluster *simCluster) start(self chuterelay.Peer) {
 	cluster.logs[self.Name] = &simLog{}
-	n := New(Settings{Self: self, Tables: testTables}, clockwork.NewRealClock(), zerolog.New(cluster.logs[self.Name]), cluster.store.storeFor(self.Name), testDecoders(), Upstreams{TrimIdle: func() {}})
+	settings := cluster.settings
+	settings.Self = self
+	n := New(settings, clockwork.NewRealClock(), zerolog.New(cluster.logs[self.Name]), cluster.store.storeFor(self.Name), testDecoders(), Upstreams{TrimIdle: func() {}})
 	n.peers.Dial = cluster.network.dial(self.Name)
 	server := chuteshare.NewServer(n.Handlers())
 	l := bufconn.Listen(1 << 16)
