Send a change of a large row as what differs from the follower's own

What callers saw: nodes served by a configuration that had been replaced more than 3 s before. Cause: a row is what nodes send each other, and the configuration is one row. Each change of it, also of one pipeline, went whole and uncompressed to each follower: 744 KB with 2,850 pipelines, over links of 10 Mbit/s, up to five times from a relay. Links were full for seconds; what took more than 0.9 s made a source look silent, so that followers left it and asked another one for all of it. Change: a value of 16 KB or more is cut into chunks at places that depend on its bytes. A follower says which chunks it has when it opens a stream; the source sends runs of those and the bytes that are new, compressed, with a digest of the whole. Rows of 4 KB and more are compressed also where only some rows of a table are sent. A caller that does not say that it takes patches gets whole values, as before. Why it works: the bytes on a link depend on what has changed, not on the size of the configuration or the number of changes in a row, and a message is far shorter than the time after which a source counts as silent. Not covered: decoding still costs as much as the whole configuration at each node.

--- a/internal/chuteshare/pack.go
+++ b/internal/chuteshare/pack.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/proto"
 
@@ -13,67 +15,99 @@
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
 )
 
-// minPackedRows is the number of rows from which on a table is packed, that is compressed with
-// deflate. A table of thousands of upstreams shrinks to a third, which matters when a whole zone
-// starts at once and reads from nodes with slow links; a few rows are not worth the CPU time.
-const minPackedRows = 64
+// minPackedRows is the number of rows, and minPackedBytes the size of their values, from which on rows are
+// packed, that is compressed with deflate. A table of thousands of upstreams shrinks to a third, which
+// matters when a whole zone starts at once and reads from nodes with slow links; a few rows are not worth
+// the CPU time.
+const (
+	minPackedRows  = 64
+	minPackedBytes = 4 << 10
+)
 
-// tableEncoder encodes changes and caches the packed form of the last state of each table. When
-// many followers start at once, the same rows would otherwise be packed once for each of them.
+// tableEncoder encodes changes and caches the packed form of the last rows of each table. When many
+// followers lack the same, it would otherwise be packed once for each of them.
 type tableEncoder struct {
 	mu         sync.Mutex
 	lastPacked map[string]packedTable
 }
 
-// packedTable holds the rows of a table and their packed form.
+// packedTable holds rows of a table and their packed form.
 type packedTable struct {
-	rows   []chutefeed.Row
+	// first is the first row of a slice of rows without large values, length their number.
+	first  *chutefeed.Row
+	length int
+	// digest is that of the encoded rows.
+	digest uint64
 	packed []byte
 }
 
-// encode converts a change to its message; a whole table of minPackedRows rows or more is packed.
-func (e *tableEncoder) encode(table string, change chutefeed.Change) (*chutesharepb.Change, error) {
+// encode converts a change to its message, for a follower whose values the patcher knows.
+func (e *tableEncoder) encode(table string, change chutefeed.Change, patcher *valuePatcher) (*chutesharepb.Change, error) {
 	message := &chutesharepb.Change{Era: change.Era, Version: change.Version, Whole: change.Whole, Groups: change.Groups, Gone: change.DeletedKeys}
-	if !change.Whole || len(change.Rows) < minPackedRows {
-		message.Rows = encodeRows(change.Rows)
+	if !needsPacking(change) {
+		message.Rows = patcher.encodeRows(change.Rows)
 
 		return message, nil
 	}
-	packed, err := e.packRows(table, change.Rows)
+	packed, err := e.packRows(table, change.Rows, patcher)
 	message.Packed = packed
 
 	return message, err
 }
 
-// packRows returns the packed form of rows. It returns the cached form if rows is the same slice
-// as in the last call for the table.
-func (e *tableEncoder) packRows(table string, rows []chutefeed.Row) ([]byte, error) {
+// needsPacking reports whether the rows of a change are worth being compressed.
+func needsPacking(change chutefeed.Change) bool {
+	if change.Whole && len(change.Rows) >= minPackedRows {
+		return true
+	}
+
+	return slices.ContainsFunc(change.Rows, func(row chutefeed.Row) bool { return len(row.Value) >= minPackedBytes })
+}
+
+// packRows returns the packed form of rows, or the cached one if they are those of the last call for the
+// table.
+func (e *tableEncoder) packRows(table string, rows []chutefeed.Row, patcher *valuePatcher) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	if last := e.lastPacked[table]; len(last.rows) == len(rows) && &last.rows[0] == &rows[0] {
+	// Values that are patched differ by follower, so that their encoded form is compared.
+	patched := slices.ContainsFunc(rows, func(row chutefeed.Row) bool { return len(row.Value) >= chutefeed.MinChunkedBytes })
+	last := e.lastPacked[table]
+	if !patched && last.length == len(rows) && last.first == &rows[0] {
 		return last.packed, nil
 	}
-	plain, err := proto.Marshal(&chutesharepb.RowList{Rows: encodeRows(rows)})
+	plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(&chutesharepb.RowList{Rows: patcher.encodeRows(rows)})
 	if err != nil {
 		return nil, oops.In("share").With("step", "encode rows").Wrap(err)
 	}
+	next := packedTable{first: &rows[0], length: len(rows), digest: xxhash.Sum64(plain)}
+	if patched && last.digest == next.digest {
+		return last.packed, nil
+	}
+	if next.packed, err = deflate(plain); err != nil {
+		return nil, err
+	}
+	if e.lastPacked == nil {
+		e.lastPacked = map[string]packedTable{}
+	}
+	e.lastPacked[table] = next
+
+	return next.packed, nil
+}
+
+// deflate compresses bytes.
+func deflate(plain []byte) ([]byte, error) {
 	var buffer bytes.Buffer
 	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
-	if err != nil {
-		return nil, oops.In("share").With("step", "pack rows").Wrap(err)
+	if err == nil {
+		_, err = writer.Write(plain)
 	}
-	_, err = writer.Write(plain)
 	if err == nil {
 		err = writer.Close()
 	}
 	if err != nil {
 		return nil, oops.In("share").With("step", "pack rows").Wrap(err)
 	}
-	if e.lastPacked == nil {
-		e.lastPacked = map[string]packedTable{}
-	}
-	e.lastPacked[table] = packedTable{rows: rows, packed: buffer.Bytes()}
 
 	return buffer.Bytes(), nil
 }
@@ -95,7 +129,9 @@
 
 // encodeKnown returns the version and digests by which a peer finds out what t lacks.
 func encodeKnown(t chutefeed.Table) *chutesharepb.Known {
-	return &chutesharepb.Known{Era: t.Era(), Version: t.Version(), Digests: t.Digests()}
+	return &chutesharepb.Known{
+		Era: t.Era(), Version: t.Version(), Digests: t.Digests(), KnowsPatches: true, Large: newLargeValues(t).encode(),
+	}
 }
 
 // decodeKnown returns the position that a caller has read a table up to.
@@ -114,8 +150,8 @@
 }
 
 // decodeChange converts a message to a change; groupCount is the number of digests, one for each
-// group of rows, that the receiver sent.
-func decodeChange(message *chutesharepb.Change, groupCount int) (chutefeed.Change, error) {
+// group of rows, that the receiver sent, and known its large values.
+func decodeChange(message *chutesharepb.Change, groupCount int, known largeValues) (chutefeed.Change, error) {
 	rows := message.GetRows()
 	if len(message.GetPacked()) > 0 {
 		var err error
@@ -123,9 +159,13 @@
 			return chutefeed.Change{}, err
 		}
 	}
+	decoded, err := known.decodeRows(rows)
+	if err != nil {
+		return chutefeed.Change{}, err
+	}
 	change := chutefeed.Change{
 		Era: message.GetEra(), Version: message.GetVersion(), Whole: message.GetWhole(), Groups: message.GetGroups(), GroupCount: groupCount, DeletedKeys: message.GetGone(),
-		Rows: decodeRows(rows),
+		Rows: decoded,
 	}
 
 	return change, nil
--- a/internal/chuteshare/size_test.go
+++ b/internal/chuteshare/size_test.go
@@ -38,7 +38,7 @@
 // measureSizes returns the sizes for a table of a number of upstreams.
 func measureSizes(c *qt.C, upstreams int) messageSizes {
 	size := func(change chutefeed.Change) int {
-		message, err := (&tableEncoder{}).encode("t", change)
+		message, err := (&tableEncoder{}).encode("t", change, newValuePatcher(&chutesharepb.Known{KnowsPatches: true}))
 		c.Assert(err, qt.IsNil)
 
 		return proto.Size(&chutesharepb.FollowTableUpdate{Current: true, Change: message})
--- a/internal/chuteshare/tables.go
+++ b/internal/chuteshare/tables.go
@@ -42,6 +42,7 @@
 	acceptedAt := s.handlers.Now()
 	known := decodeKnown(request.GetKnown())
 	feed := chutefeed.NewFeed(known, request.GetKnown().GetDigests())
+	patcher := newValuePatcher(request.GetKnown())
 	for {
 		// Read before the age, so that the time between the two makes the table older, never newer.
 		sentMs := s.handlers.Now().Sub(acceptedAt).Milliseconds() + 1
@@ -57,7 +58,7 @@
 		change, ok := feed.NextChange(state.Table)
 		if ok {
 			var err error
-			if update.Change, err = s.tableEncoder.encode(request.GetTable(), change); err != nil {
+			if update.Change, err = s.tableEncoder.encode(request.GetTable(), change, patcher); err != nil {
 				return err
 			}
 		}
@@ -82,7 +83,7 @@
 		return reply, nil
 	}
 	var err error
-	reply.Change, err = s.tableEncoder.encode(request.GetTable(), state.Table.ChangeForDigests(request.GetKnown().GetDigests()))
+	reply.Change, err = s.tableEncoder.encode(request.GetTable(), state.Table.ChangeForDigests(request.GetKnown().GetDigests()), newValuePatcher(request.GetKnown()))
 
 	return reply, err
 }
@@ -112,7 +113,7 @@
 	if reply.GetChange() == nil {
 		return chutefeed.Change{}, tableStatus, nil
 	}
-	change, err := decodeChange(reply.GetChange(), len(known.Digests()))
+	change, err := decodeChange(reply.GetChange(), len(known.Digests()), newLargeValues(known))
 	if err != nil {
 		return chutefeed.Change{}, TableStatus{}, errorContext.Wrap(err)
 	}
@@ -175,7 +176,7 @@
 
 	awaitReady(ctx, conn)
 	transits := newTransitMeter(c.Clock.Now())
-	groupCount := len(known.Digests())
+	groupCount, values := len(known.Digests()), newLargeValues(known)
 	stream, err := chutesharepb.NewShareClient(conn).FollowTable(ctx, &chutesharepb.FollowTableRequest{
 		Table: table, Known: encodeKnown(known), SignMs: int32(keepaliveInterval.Milliseconds()), //nolint:gosec // a second at most
 		KnowsEras: true,
@@ -192,7 +193,7 @@
 		tableStatus.Transit = transit
 		if update.GetChange() != nil {
 			var change chutefeed.Change
-			if change, err = decodeChange(update.GetChange(), groupCount); err != nil {
+			if change, err = decodeChange(update.GetChange(), groupCount, values); err != nil {
 				break
 			}
 			applyChange(change)
--- a/internal/chuteshare/tables_test.go
+++ b/internal/chuteshare/tables_test.go
@@ -209,22 +209,22 @@
 	c := qt.New(t)
 	encoder := &tableEncoder{}
 	table := newTable(3000, 7)
-	first, err := encoder.encode("t", table.ChangeForDigests(nil))
+	first, err := encoder.encode("t", table.ChangeForDigests(nil), &valuePatcher{})
 	c.Assert(err, qt.IsNil)
 	plain, err := proto.Marshal(&chutesharepb.RowList{Rows: encodeRows(table.Rows())})
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(first.GetPacked())*2 < len(plain), qt.IsTrue)
-	second, err := encoder.encode("t", table.WithPosition(chutefeed.Position{Version: 9}).ChangeForDigests(nil))
+	second, err := encoder.encode("t", table.WithPosition(chutefeed.Position{Version: 9}).ChangeForDigests(nil), &valuePatcher{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(&second.GetPacked()[0], qt.Equals, &first.GetPacked()[0])
-	change, err := decodeChange(second, 0)
+	change, err := decodeChange(second, 0, largeValues{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(chutefeed.Table{}.WithChange(change).HasSameRows(table), qt.IsTrue)
 
 	t.Run("data that is not a packed table is an error", func(t *testing.T) {
 		c := qt.New(t)
 		second.Packed = []byte("no deflate")
-		_, err := decodeChange(second, 0)
+		_, err := decodeChange(second, 0, largeValues{})
 		c.Assert(err, qt.IsNotNil)
 	})
 }
