Forward requests through other nodes while this one reaches no upstream

What callers saw: nodes that had lost their links to all upstreams served 0 of 32 and 3 of 86 first tries, the others 156 of 157 and 148 of 149; where one of them collected parts for all, the others served 53 of 107. Cause: a missing capability. A node had no other way to serve a caller than its own links, found upstreams out one by one, blamed each of them, and went on collecting parts that it could not run. A cut off node forwards whole requests to a peer, one hop, and collects for nobody (chuterelay/forward.go, chuteshare.Forward, chutegate/forward.go). Why it works: what a node needs of an upstream is decided at one node that reaches it, so that each rule holds there as for its own callers, and a peer that can't serve says so before anything has run.

--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -154,6 +154,24 @@
 	return n
 }
 
+// IsPoolSilent reports whether all upstreams that count as part of a pool, for calls with a use, are
+// suspended by this node. It looks at them until one is not.
+func (f Fleet) IsPoolSilent(pool string, use Use, now time.Time) bool {
+	silent := false
+	for m := range f.inPool(pool) {
+		reason := f.availabilityFor(m, use, now).Reason
+		if reason.RemovesFromPool() {
+			continue
+		}
+		if reason != BlockSuspended && reason != BlockTrial {
+			return false
+		}
+		silent = true
+	}
+
+	return silent
+}
+
 // PoolAvailability returns when the first of a pool's upstreams may get a call again and why not
 // sooner, if all upstreams that count as part of the pool rest or are at their limits. It returns
 // false if any is available now, or blocked for another reason.
--- a/internal/chutefleet/sample.go
+++ b/internal/chutefleet/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -149,3 +150,30 @@
 
 	return names
 }
+
+// RandomUpstreams returns up to n upstreams that are listed, from all pools and zones in turn, beginning at
+// a place given by a random number. They may be unavailable.
+func (f Fleet) RandomUpstreams(n int, random float64) []Upstream {
+	var chosen []Upstream
+	names := slices.Sorted(maps.Keys(f.pools))
+	for i := range max(n, len(names)) {
+		if len(names) == 0 || len(chosen) == n {
+			break
+		}
+		turn := i + int(random*float64(len(names)))
+		pool := f.pools[names[turn%len(names)]]
+		if len(pool.zones) == 0 {
+			continue
+		}
+		zone := pool.zones[(turn/len(names)+i)%len(pool.zones)]
+		for id := range zone.from(uint64(random*(1<<63)) * 2) {
+			if m, ok := f.members.Get(id); ok && m.State == StateReady && !slices.ContainsFunc(chosen, func(u Upstream) bool { return u.ID == id }) {
+				chosen = append(chosen, m.Upstream)
+
+				break
+			}
+		}
+	}
+
+	return chosen
+}
--- /dev/null
+++ b/internal/chutegate/forward.go
@@ -0,0 +1,179 @@
+package chutegate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+
+	"azurechute.example/azurechute/internal/chutecore"
+	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteshare"
+)
+
+// forwardExchange has a peer serve the request, and returns its answer, or its refusal. Errors are of type
+// *SendError.
+func (a *attempt) forwardExchange(ctx context.Context) (Answer, *chuterelay.Refusal, error) {
+	s, in, n := a.send, a.request.incoming, a.node
+	version := uint64(0)
+	if cfg, ok := n.Config(); ok {
+		version = cfg.Version
+	}
+	now := n.Now()
+	answer, err := n.peers.Forward(ctx, s.Peer.Address, chuteshare.ForwardRequest{
+		ID: in.ID, Host: in.Host, Method: in.Method, URI: in.URI, Path: in.Path, Header: in.Header, Body: in.Body, Key: in.Key,
+		Wait: in.Wait, LastEventID: a.request.lastEventID, Affinity: in.Affinity, PromptTokens: in.PromptTokens, Parts: in.Parts,
+		PartKey: in.PartKey, Left: s.Deadline.Sub(now), Waited: now.Sub(s.ArrivedAt), PossibleRuns: s.PossibleRuns,
+		ConfigVersion: version, Node: n.settings.Self.Name, Counted: s.Counted,
+	}, s.Replaceable)
+	if err != nil {
+		return Answer{}, nil, forwardSendError(err)
+	}
+	if r := answer.Refusal; r != nil {
+		return Answer{}, &chuterelay.Refusal{
+			Kind: chuterelay.RefusalKind(r.Kind), Reason: r.Reason, RetryAfter: r.RetryAfter, Elsewhere: r.Elsewhere,
+		}, nil
+	}
+
+	// The peer has checked whose answer it is, and that the upstream has signed it.
+	return Answer{Status: answer.Status, Header: answer.Header, Signed: true, IsEventStream: answer.Streams, Body: answer.Body}, nil, nil
+}
+
+// forwardSendError converts the error of a forwarded request.
+func forwardSendError(err error) *SendError {
+	var failure *chuteshare.ForwardError
+	if errors.As(err, &failure) {
+		return &SendError{Unsent: failure.Unsent, Silent: failure.Silent, Err: err}
+	}
+
+	return &SendError{Err: err}
+}
+
+// serveForwarded serves a request that another node has received. It returns once the answer is sent or
+// the request has ended because nobody waits for it.
+func (n *Node) serveForwarded(ctx context.Context, f chuteshare.ForwardRequest, out chuteshare.ForwardOutput) {
+	n.forwardedServed.Add(1)
+	refuse := func(r chuterelay.Refusal) {
+		_ = out.Refuse(chuteshare.ForwardRefusal{Kind: string(r.Kind), Reason: r.Reason, RetryAfter: r.RetryAfter, Elsewhere: r.Elsewhere}) // fails if nobody waits
+	}
+	if reason := n.cannotServeForwarded(f); reason != "" {
+		refuse(chuterelay.Refusal{Kind: chuterelay.RefusedNotRun, Reason: reason, RetryAfter: unreadyRetryAfter, Elsewhere: true})
+
+		return
+	}
+	in := &IncomingRequest{
+		ID: f.ID, Host: f.Host, Method: f.Method, URI: f.URI, Path: f.Path, Header: f.Header, Body: f.Body, Key: f.Key, Wait: f.Wait,
+		LastEventID: f.LastEventID, Affinity: f.Affinity, PromptTokens: f.PromptTokens, Parts: f.Parts, PartKey: f.PartKey,
+	}
+	submission, refusal := n.submit(in)
+	if refusal != nil {
+		refuse(*refusal)
+
+		return
+	}
+	submission.Deadline = n.Now().Add(f.Left)
+	submission.Forwarded = &chuterelay.Forwarded{Node: f.Node, Waited: f.Waited, PossibleRuns: f.PossibleRuns, Counted: f.Counted}
+	n.log.Info().Str("Request", f.ID).Str("Peer", f.Node).Int64("LeftMs", f.Left.Milliseconds()).Msg("received from a node without upstreams")
+	n.relay(ctx, in, submission, Output{
+		WriteAnswer: func(status int, h http.Header, body []byte) {
+			_ = errors.Join(out.Begin(status, h, false), out.Write(body), out.End()) // fails if nobody waits
+		},
+		BeginStream: func(status int, h http.Header) { _ = out.Begin(status, h, true) }, // the next event fails as well
+		WriteEvent:  out.Write,
+		EndStream:   func() { _ = out.End() }, // fails if nobody waits
+		AbortStream: func() {
+			refuse(chuterelay.Refusal{Kind: chuterelay.RefusedFailed, Reason: "the stream was broken off"})
+		},
+		Refuse: refuse,
+	})
+}
+
+// cannotServeForwarded returns why this node can't serve a forwarded request that another one may be able
+// to serve; empty if it can.
+//
+// A request that was accepted by a newer configuration may be one that the own configuration treats otherwise.
+func (n *Node) cannotServeForwarded(f chuteshare.ForwardRequest) string {
+	cfg, ok := n.Config()
+	switch {
+	case !ok || !n.upstreamsLoaded.Load():
+		return "this VM has no configuration yet"
+	case cfg.Version < f.ConfigVersion:
+		return "this VM has an older configuration"
+	case n.draining.Load():
+		return "this VM is shutting down"
+	default:
+		return ""
+	}
+}
+
+// probeLinks checks, at the time given, how many of some upstreams accept connections.
+func (n *Node) probeLinks(ctx context.Context, e chuterelay.ProbeLinks) {
+	if !n.sleep(ctx, e.At.Sub(n.Now())) {
+		return
+	}
+	var mu sync.Mutex
+	var probes sync.WaitGroup
+	probed := chuterelay.LinksProbed{}
+	for _, u := range e.Upstreams {
+		probes.Go(func() {
+			reached := n.upstreams.AcceptsConnections(ctx, u.Address)
+			mu.Lock()
+			defer mu.Unlock()
+			if reached {
+				probed.Reached++
+			} else {
+				probed.Failed = append(probed.Failed, u.ID)
+			}
+		})
+	}
+	probes.Wait()
+	n.sendEvent(probed)
+}
+
+// logLinks logs that this node reaches no upstream any more, or that it does again.
+func (n *Node) logLinks(e chuterelay.LogLinks) {
+	n.cutOff.Store(e.CutOff)
+	if e.CutOff {
+		n.cutOffs.Add(1)
+		n.log.Warn().Strs("Failed", e.Failed).Msg("no upstream can be reached; requests are forwarded to other nodes")
+
+		return
+	}
+	n.log.Info().Msg("upstreams can be reached again")
+}
+
+// witnessUpstreams is the number of other upstreams of which one has to accept a connection before an
+// upstream that refuses connections counts as ended.
+const witnessUpstreams = 3
+
+// reachesOtherUpstream reports whether any of some other upstreams accepts connections. If none does, the
+// cause may be the links of this node.
+func (n *Node) reachesOtherUpstream(ctx context.Context, ended chutefleet.Upstream) bool {
+	var others []chutefleet.Upstream
+	n.Query(func(s chutecore.State) {
+		others = s.Relay().Fleet().RandomUpstreams(witnessUpstreams+1, float64(n.Now().UnixNano()%1000)/1000)
+	})
+	reached := make(chan bool, len(others))
+	asked := 0
+	for _, u := range others {
+		if u.ID == ended.ID || u.Address == ended.Address || asked == witnessUpstreams {
+			continue
+		}
+		asked++
+		n.spawn(func(context.Context) { reached <- n.upstreams.AcceptsConnections(ctx, u.Address) })
+	}
+	for range asked {
+		select {
+		case ok := <-reached:
+			if ok {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+
+	// Without any other upstream there is no evidence against the links.
+	return asked == 0
+}
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -97,6 +97,11 @@
 	// staleRefusals counts requests that the configuration does not allow, at a time when it may
 	// not have been the newest one.
 	staleRefusals atomic.Int64
+	// cutOff is true while this node reaches no upstream; cutOffs counts how often that began, and
+	// forwardedServed the requests that other nodes had this one serve.
+	cutOff          atomic.Bool
+	cutOffs         atomic.Int64
+	forwardedServed atomic.Int64
 	// evacuatedZoneCount is the number of zones that are evacuated now.
 	evacuatedZoneCount atomic.Int64
 	storeCalls         storeCalls
--- a/internal/chutegate/liveness.go
+++ b/internal/chutegate/liveness.go
@@ -35,7 +35,7 @@
 func (a *attempt) withLivenessCheck(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	a.recordActivity()
-	if a.send.Replaceable {
+	if a.send.Replaceable && a.send.Peer.Name == "" {
 		a.node.spawn(func(context.Context) {
 			for a.node.sleep(ctx, livenessCheckAfter) {
 				if a.node.Now().Sub(*a.lastActivity.Load()) >= livenessCheckAfter && a.upstreamGone(ctx) {
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -63,6 +63,10 @@
 		n.upstreams.CloseIdle(e.Address)
 	case chuterelay.Probe:
 		n.spawn(func(ctx context.Context) { n.probeUpstream(ctx, e) })
+	case chuterelay.ProbeLinks:
+		n.spawn(func(ctx context.Context) { n.probeLinks(ctx, e) })
+	case chuterelay.LogLinks:
+		n.logLinks(e)
 	case chuterelay.TickAt:
 		n.sendEventAt(e.At, chuterelay.Ticked{})
 	case chuterelay.LogUpstreamLimit:
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(ctx, upstreamEndedTimeout)
 	defer cancel()
 
-	return n.upstreams.HasEnded(ctx, u.Address)
+	return n.upstreams.HasEnded(ctx, u.Address) && n.reachesOtherUpstream(ctx, u)
 }
 
 // performQuarantineEffect performs the effects that concern requests which make upstreams crash.
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -66,11 +66,12 @@
 	ctx, release := a.withLivenessCheck(ctx)
 	defer release()
 	ended := chuterelay.AttemptEnded{Handle: s.Handle, Attempt: s.Attempt}
-	answer, err := a.node.upstreams.Exchange(ctx, Call{
-		Incoming: a.request.incoming, Upstream: s.Upstream, Workspace: s.Workspace,
-		TimeLeft: s.Deadline.Sub(a.node.Now()), Inputs: s.Inputs, LastEventID: a.request.lastEventID,
-		Fresh: s.FreshConnection, Priority: s.Priority,
-	})
+	answer, refusal, err := a.exchange(ctx)
+	if refusal != nil {
+		ended.End, ended.Refusal, ended.Detail = chuterelay.EndRefused, refusal, refusal.Reason
+
+		return ended
+	}
 	if err != nil {
 		ended = a.withFailure(ctx, ended, err)
 		ended.Silent = ended.End == chuterelay.EndSilent || asSendError(err).Silent
@@ -80,10 +81,12 @@
 	a.recordActivity()
 	defer func() { _ = answer.Body.Close() }()
 	ended.Load, ended.Cold, ended.Limit = answer.Load, answer.Cold, answer.Limit
-	if answer.Misaddressed {
+	switch {
+	case s.Peer.Name != "":
+	case answer.Misaddressed:
 		// Another incarnation has the address, so limit and notice are not those of the intended one.
 		ended.Limit = nil
-	} else {
+	default:
 		a.node.reportNotice(s.Upstream, answer.Notice)
 	}
 	if s.Streams && answer.Status == http.StatusOK && answer.Signed && answer.IsEventStream && !answer.Altered {
@@ -116,11 +119,26 @@
 	return ended
 }
 
+// exchange sends the request to its upstream, or to the peer that is to serve it.
+func (a *attempt) exchange(ctx context.Context) (Answer, *chuterelay.Refusal, error) {
+	s := a.send
+	if s.Peer.Name != "" {
+		return a.forwardExchange(ctx)
+	}
+	answer, err := a.node.upstreams.Exchange(ctx, Call{
+		Incoming: a.request.incoming, Upstream: s.Upstream, Workspace: s.Workspace,
+		TimeLeft: s.Deadline.Sub(a.node.Now()), Inputs: s.Inputs, LastEventID: a.request.lastEventID,
+		Fresh: s.FreshConnection, Priority: s.Priority,
+	})
+
+	return answer, nil, err
+}
+
 // withFailure adds to ended what a failed exchange means, and whether the upstream has ended.
 func (a *attempt) withFailure(ctx context.Context, ended chuterelay.AttemptEnded, err error) chuterelay.AttemptEnded {
 	ended.End = a.classifyError(ctx, err)
 	ended.Detail = err.Error()
-	ended.UpstreamEnded = ended.End == chuterelay.EndBroken && a.node.upstreamHasEnded(ctx, a.send.Upstream)
+	ended.UpstreamEnded = a.send.Peer.Name == "" && ended.End == chuterelay.EndBroken && a.node.upstreamHasEnded(ctx, a.send.Upstream)
 
 	return ended
 }
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -73,6 +73,11 @@
 
 		return
 	}
+	n.relay(ctx, in, submission, out)
+}
+
+// relay relays a request that the configuration allows, and returns as Serve does.
+func (n *Node) relay(ctx context.Context, in *IncomingRequest, submission chuterelay.Submission, out Output) {
 	req := &request{
 		incoming: in, pieces: make(chan streamPiece, maxQueuedPieces), result: make(chan requestResult, 1),
 		attempts: map[uint64]context.CancelFunc{}, bufferedAnswers: map[uint64]bufferedAnswer{}, lastEventID: in.LastEventID,
--- a/internal/chutegate/source.go
+++ b/internal/chutegate/source.go
@@ -108,8 +108,9 @@
 		OnLeaseEnd: func(token uint64) {
 			n.sendEventWith(chuterelay.JobCancelled{Token: token}, func() { delete(n.jobUpdates, token) })
 		},
-		OnTable: n.tableForFollower,
-		OnTell:  n.receiveReports,
+		OnTable:   n.tableForFollower,
+		OnForward: n.serveForwarded,
+		OnTell:    n.receiveReports,
 	}
 }
 
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -15,22 +15,34 @@
 		Submission: e.Submission, arrivedAt: st.now, targetAt: st.now.Add(e.Pipeline.Aim - waitedBefore), waitedBefore: waitedBefore,
 		regions: chuteroute.AllowedRegions(e.Pipeline, e.Workspace),
 	}
+	if f := e.Forwarded; f != nil {
+		r.isForwarded, r.possibleRuns, r.maybeReached, r.counted = true, f.PossibleRuns, f.PossibleRuns > 0, f.Counted
+		r.arrivedAt, r.targetAt = r.arrivedAt.Add(-f.Waited), r.targetAt.Add(-f.Waited)
+	}
 	r.callerLeavesAt = r.Deadline
 	if pipelineCallerWait := r.Pipeline.Patience; pipelineCallerWait > 0 {
-		r.callerLeavesAt = earlierOf(r.callerLeavesAt, st.now.Add(pipelineCallerWait))
+		r.callerLeavesAt = earlierOf(r.callerLeavesAt, r.arrivedAt.Add(pipelineCallerWait))
 	}
 	r.stages = make([]stageState, len(e.Pipeline.Stages))
 	r.pool = e.Pipeline.Target(st.randomFraction())
-	st.countFirstCalls(budgetKey{pool: r.pool}, 1)
+	for i := range r.stages {
+		// A stage without parts for this request is skipped.
+		r.stages[i].done = r.parts(i) == 0
+	}
+	if st.links.cutOff {
+		st.admitCutOff(r)
+
+		return
+	}
+	if !r.counted {
+		st.countFirstCalls(budgetKey{pool: r.pool}, 1)
+		r.counted = true
+	}
 	if refusal, refused := st.unservable(r); refused {
 		st.giveUp(r, refusal)
 
 		return
 	}
-	for i := range r.stages {
-		// A stage without parts for this request is skipped.
-		r.stages[i].done = r.parts(i) == 0
-	}
 	if st.blockedWhenStagesDone(r) {
 		st.giveUp(r, st.noUsableUpstreamRefusal(r.pool, r.regions))
 
@@ -57,6 +69,19 @@
 	st.advance(r)
 }
 
+// admitCutOff hands a request that arrives while this node reaches no upstream to another node. The peer
+// decides whether it can be served, and counts it.
+func (st *reduction) admitCutOff(r request) {
+	if refusal, refused := st.unservable(r); refused {
+		st.giveUp(r, refusal)
+
+		return
+	}
+	st.putRequest(r)
+	st.emit(SetDeadline{Handle: r.Handle, At: r.Deadline})
+	st.forwardOrRefuse(r, cutOffRefusal())
+}
+
 func earlierOf(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -216,6 +241,9 @@
 	}
 	st.uncountAttempt(r)
 	st.emit(CancelSend{Handle: r.Handle, Attempt: r.current.id})
+	if r.current.peer.Name != "" {
+		return
+	}
 	st.emit(Charge{
 		Attempt: r.current.id, Workspace: r.Workspace.Name, Pipeline: r.Pipeline.Name,
 		Stage: r.pool, Units: 1, Wasted: true,
@@ -224,6 +252,11 @@
 
 // uncountAttempt removes the current call from the fleet's counts of calls and prompt tokens.
 func (st *reduction) uncountAttempt(r request) {
+	if peer := r.current.peer.Name; peer != "" {
+		st.forwarding = st.forwarding.withInFlight(peer, -1)
+
+		return
+	}
 	st.fleet = st.fleet.WithTokensRead(r.current.upstream.ID, r.current.tokens).WithCallDone(r.current.upstream.ID)
 }
 
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -23,7 +23,7 @@
 		u, ok = st.chooseSide(untried)
 	}
 	if !ok {
-		st.giveUp(r, st.noUsableUpstreamRefusal(r.pool, r.regions))
+		st.noneUsable(r)
 
 		return
 	}
@@ -54,6 +54,20 @@
 	})
 }
 
+// noneUsable hands a request to another node if this one can't reach any upstream of its pool, which may be
+// a fault of its own links, and refuses it otherwise.
+func (st *reduction) noneUsable(r request) {
+	refusal := st.noUsableUpstreamRefusal(r.pool, r.regions)
+	silent := st.fleet.IsPoolSilent(r.pool, chutefleet.Use{Regions: r.regions}, st.now)
+	refusal.Elsewhere = r.isForwarded && (silent || st.links.suspected(st.now))
+	if st.links.suspected(st.now) || silent && r.forwards == 0 {
+		st.forwardOrRefuse(r, refusal)
+
+		return
+	}
+	st.giveUp(r, refusal)
+}
+
 // attemptBegan records that the caller has part of the answer. The upstream has read all inputs by
 // then, so their results are released.
 func (st *reduction) attemptBegan(e AttemptBegan) {
@@ -61,6 +75,12 @@
 	if !ok || r.current.id != e.Attempt {
 		return
 	}
+	if r.current.peer.Name != "" {
+		r.answerBegun, r.current.began = true, true
+		st.putRequest(r)
+
+		return
+	}
 	if !r.answerBegun {
 		st.logStep(StepAnswerBegun, r, func(n *LogStep) { n.Upstream = r.current.upstream.ID })
 		st.callTimes = st.callTimes.with(r, st.now.Sub(r.current.sentAt))
@@ -88,6 +108,11 @@
 	if !ok || r.current.id != e.Attempt {
 		return
 	}
+	if r.current.peer.Name != "" {
+		st.forwardEnded(r, e)
+
+		return
+	}
 	st.recordAttemptEnd(r, e)
 	st.countRolloutEnd(r, e)
 	st.uncountAttempt(r)
@@ -146,6 +171,10 @@
 // recordAttemptEnd updates the state of an upstream and its zone from the end of a call.
 func (st *reduction) recordAttemptEnd(r request, e AttemptEnded) {
 	id := r.current.upstream.ID
+	st.recordLink(r, e)
+	if st.links.cutOff && e.End.isConnectionFailure() {
+		return
+	}
 	st.recordZoneReply(r.current.upstream, e.Silent, e.End != EndUnreachable && e.End != EndSilent && e.End != EndBroken)
 	switch e.End {
 	case EndAnswered, EndInputGone:
@@ -169,6 +198,22 @@
 	st.recordLimit(r.current.upstream, e.Limit, r.current.sentAt)
 }
 
+// isConnectionFailure reports whether the end may be due to the connection alone.
+func (e AttemptEnd) isConnectionFailure() bool {
+	return e == EndUnreachable || e == EndSilent || e == EndBroken
+}
+
+// recordLink records what the end of a call shows about this node's links to upstreams.
+func (st *reduction) recordLink(r request, e AttemptEnded) {
+	switch {
+	case e.End == EndUnreachable, e.End == EndSilent, e.UpstreamEnded:
+		st.linkFailed(r.current.upstream.ID)
+	case r.atMostOnce() && !e.End.isConnectionFailure():
+		// Its connection was a new one.
+		st.linkOpened()
+	}
+}
+
 // recordLoad stores the load that an upstream reported, if it did.
 func (st *reduction) recordLoad(id string, load *Load) {
 	if load != nil {
@@ -190,6 +235,10 @@
 		st.endUnanswered(r, notRunRefusal("upstreams refused it: "+string(e.End)))
 	case !st.now.Add(r.callTime() / 2).Before(r.Deadline):
 		st.endUnanswered(r, failedRefusal("too little time is left to try again"))
+	case !ran && st.links.suspected(st.now) && r.possibleRuns == 0:
+		refusal := notRunRefusal("upstreams can't be reached: " + string(e.End))
+		refusal.Elsewhere = r.isForwarded
+		st.forwardOrRefuse(r, refusal)
 	case r.maybeReached && !st.mayRetry(r.pool):
 		st.refuseRetry(r)
 	default:
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -29,8 +29,12 @@
 
 // jobReceived queues a peer's job at this node's collector.
 func (st *reduction) jobReceived(e JobReceived) {
-	if st.draining {
-		st.emit(RejectJob{Token: e.Token, Reason: leavingReason, Leaving: true})
+	if st.draining || st.links.cutOff {
+		reason := leavingReason
+		if st.links.cutOff {
+			reason = cutOffReason
+		}
+		st.emit(RejectJob{Token: e.Token, Reason: reason, Leaving: true})
 
 		return
 	}
@@ -52,24 +56,24 @@
 	st.draining = true
 	st.peers.shuttingDown = true
 	for _, job := range st.collector.WaitingJobs() {
-		st.returnJob(job)
+		st.returnJob(job, leavingReason)
 	}
 }
 
-// returnJob gives up a job that another node will run.
-func (st *reduction) returnJob(job chutebatch.Job) {
+// returnJob gives up a job that another node will run, for a reason.
+func (st *reduction) returnJob(job chutebatch.Job, reason string) {
 	o, ok := st.origins.Get(job.ID)
 	if !ok {
 		return
 	}
 	st.dropJob(job.ID)
 	if o.jobRequestID != 0 {
-		st.jobFailed(JobFailed{JobRequestID: o.jobRequestID, Reason: leavingReason})
+		st.jobFailed(JobFailed{JobRequestID: o.jobRequestID, Reason: reason})
 
 		return
 	}
 	st.tokens = st.tokens.Delete(o.token)
-	st.emit(RejectJob{Token: o.token, Reason: leavingReason, Leaving: true})
+	st.emit(RejectJob{Token: o.token, Reason: reason, Leaving: true})
 }
 
 // leavingReason is the reason why a node that is shutting down does not run a job.
@@ -270,6 +274,16 @@
 // recordCallEnd updates the state of an upstream from the end of a call with parts.
 func (st *reduction) recordCallEnd(call chutebatch.Call, e CallEnded) {
 	st.fleet = st.fleet.WithCallDone(call.Upstream)
+	switch {
+	case e.Failure == chutefleet.FailureSilent || e.UpstreamEnded:
+		st.linkFailed(call.Upstream)
+	case e.End == chutebatch.CallAnswered:
+		// Each call with parts has a new connection.
+		st.linkOpened()
+	}
+	if st.links.cutOff {
+		return
+	}
 	if u, ok := st.fleet.Get(call.Upstream); ok {
 		st.recordZoneReply(u, e.Silent, e.End == chutebatch.CallAnswered)
 	}
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -41,6 +41,13 @@
 	// Streams says that events are passed on as they arrive.
 	Streams  bool
 	Priority int
+	// Peer is the node that is to serve the request, in place of an upstream; its name is empty if there
+	// is none. The fields below are for it: how many upstreams may have run the request, when it arrived,
+	// and whether it has been counted for the retry budget.
+	Peer         Peer
+	PossibleRuns int
+	ArrivedAt    time.Time
+	Counted      bool
 }
 
 // CancelSend ends an attempt whose answer is not needed any more.
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -36,6 +36,8 @@
 	Deadline time.Time
 	// CallerWait is how long the caller said that it waits for the answer; 0 if it did not say.
 	CallerWait time.Duration
+	// Forwarded is set if another node has received the request.
+	Forwarded *Forwarded
 }
 
 // ConfigAdopted reports a newer configuration.
@@ -228,6 +230,9 @@
 	Cold time.Duration
 	// Limit is what the upstream reported of the requests that it accepts; nil if nothing.
 	Limit *Limit
+	// Refusal is why the peer that the request was forwarded to does not answer it; nil if it does, and for
+	// calls to upstreams.
+	Refusal *Refusal
 	// Detail describes a failure for the log.
 	Detail string
 }
--- a/internal/chuterelay/logstep.go
+++ b/internal/chuterelay/logstep.go
@@ -19,6 +19,8 @@
 	// StepFailureDelivered: the caller got the upstream's own answer that it failed.
 	StepFailureDelivered Step = "answered with failure"
 	StepCancelled        Step = "cancelled"
+	// StepForwarded: another node is to serve the request.
+	StepForwarded Step = "forwarded"
 	// StepRetryRefused: the call is not sent again because the retry budget is used up.
 	StepRetryRefused Step = "repeat refused"
 )
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -53,8 +53,12 @@
 	// departedNodes maps the nodes that have left the list to the time until which they keep their
 	// share of what all nodes share.
 	departedNodes map[string]time.Time
-	// shuttingDown says that this node is shutting down and collects for nobody.
+	// inZone holds the nodes by availability zone.
+	inZone map[string][]Peer
+	// shuttingDown says that this node is shutting down, cutOff that it reaches no upstream; it collects
+	// for nobody then.
 	shuttingDown bool
+	cutOff       bool
 }
 
 // withListed applies a new list of nodes. Peers that are unchanged in it stay lost.
@@ -68,6 +72,10 @@
 	}
 	p.all = slices.Clone(all)
 	p.lost = next
+	p.inZone = map[string][]Peer{}
+	for _, peer := range all {
+		p.inZone[peer.Zone] = append(p.inZone[peer.Zone], peer)
+	}
 
 	return p
 }
@@ -218,7 +226,7 @@
 // skipped reports whether jobs must not be requested from a node now.
 func (p peers) skipped(peer Peer, now time.Time) bool {
 	if peer.Name == p.self.Name {
-		return p.shuttingDown
+		return p.shuttingDown || p.cutOff
 	}
 
 	return now.Before(p.lost[peer.Name].until)
--- a/internal/chuterelay/probe.go
+++ b/internal/chuterelay/probe.go
@@ -15,6 +15,9 @@
 // Without probes each node would find out by one request after the other that a zone is cut off,
 // and each of them would lose a third of a second.
 func (st *reduction) suspendSilent(id string) {
+	if st.links.cutOff {
+		return
+	}
 	st.fleet = st.fleet.WithFailure(id, chutefleet.FailureSilent, st.now)
 	u, ok := st.fleet.Get(id)
 	if _, probed := st.probing.Get(id); ok && !probed && !st.fleet.Evacuated(u.Zone) {
@@ -40,6 +43,7 @@
 	switch {
 	case st.fleet.Availability(e.Upstream, st.now).Reason.RemovesFromPool():
 	case e.Alive:
+		st.linkOpened()
 		st.recordReply(u.Zone)
 		st.fleet = st.fleet.WithSuccess(e.Upstream, st.now)
 		st.fillAllLanes()
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -62,7 +62,7 @@
 func (st *reduction) recordCrash(u chutefleet.Upstream, evidence string, suspects ...chutequarantine.Suspect) {
 	known, listed := st.fleet.Get(u.ID)
 	serving := listed && known.State == chutefleet.StateReady || st.fleet.IsReplaced(u.ID)
-	if !serving || len(suspects) == 0 {
+	if !serving || len(suspects) == 0 || st.links.cutOff {
 		return
 	}
 	crash := chutequarantine.Crash{Upstream: u.ID, Pool: u.Pool, Suspects: suspects}
--- a/internal/chuterelay/refusal.go
+++ b/internal/chuterelay/refusal.go
@@ -30,6 +30,8 @@
 	Reason string
 	// RetryAfter is the delay after which to retry; zero where that does not help.
 	RetryAfter time.Duration
+	// Elsewhere says that nothing has run and that another node may serve the request now.
+	Elsewhere bool
 }
 
 const (
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -39,8 +39,11 @@
 type attempt struct {
 	id       uint64
 	upstream chutefleet.Upstream
-	tokens   int64
-	sentAt   time.Time
+	// peer is the node that the request is forwarded to, in place of an upstream; its name is empty if
+	// there is none.
+	peer   Peer
+	tokens int64
+	sentAt time.Time
 	// began says that the first event of its answer has arrived.
 	began bool
 }
@@ -72,6 +75,13 @@
 	// lastEnd is how the last call ended; empty before the first has.
 	lastEnd        AttemptEnd
 	triedUpstreams []string
+	// isForwarded says that another node has received the request, counted that it has been counted for
+	// the retry budget.
+	isForwarded bool
+	counted     bool
+	// forwards counts the nodes that the request was forwarded to, forwardTried are their names.
+	forwards     int
+	forwardTried []string
 	// current is the call in progress; its id is 0 if there is none.
 	current attempt
 	// answerBegun says that the caller has part of the answer.
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -50,6 +50,9 @@
 	upstreamPaces *immutable.Map[string, upstreamPace]
 	// zoneSilence tracks which other zones are cut off from this node.
 	zoneSilence zoneSilence
+	// links tracks whether this node reaches upstreams at all.
+	links      upstreamLinks
+	forwarding forwarding
 	// probing are the silent upstreams that are being probed.
 	probing *immutable.Map[string, bool]
 	// waitReports are the waits of queues as last reported, localWaits those of this node's
@@ -180,6 +183,8 @@
 		st.attemptEnded(e)
 	case ProbeEnded:
 		st.probeEnded(e)
+	case LinksProbed:
+		st.linksProbed(e)
 	default:
 		st.applyClusterEvent(event)
 	}
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -1,6 +1,7 @@
 package chuteshare
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -59,6 +60,9 @@
 	OnLeaseEnd func(token uint64)
 	// OnTable returns this node's copy of a table of the store.
 	OnTable func(table string) TableState
+	// OnForward serves a request that another node has received, and returns when it has ended. Its
+	// context ends when nobody waits for the answer any more.
+	OnForward func(ctx context.Context, request ForwardRequest, out ForwardOutput)
 	// OnTell applies rows of one of the system's own tables.
 	OnTell func(told Announcement)
 	// Traffic counts the bytes of all messages; nil counts nothing.
@@ -105,7 +109,7 @@
 		h.Traffic = &Traffic{}
 	}
 	s := &Server{grpc: grpc.NewServer(
-		grpc.StatsHandler(h.Traffic),
+		grpc.StatsHandler(h.Traffic), grpc.MaxRecvMsgSize(maxForwardBytes),
 		grpc.ReadBufferSize(connBufferBytes),
 		grpc.WriteBufferSize(connBufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: connKeepalive, Timeout: connKeepalive}),
