Deal out the slots of brittle upstreams to all nodes

Cause: a missing capability. The field was not read; all nodes together sent as much as the queue used to take. Change: Server-Brittle is decoded in platform/, kept by chutefleet, announced with the upstream's limit. A brittle upstream that ends is no evidence against its requests. Why it works: what is in flight never exceeds the slots, so nothing waits and nothing is turned away, whatever N is. Not covered: 985 nodes were not simulated with brittle upstreams.

--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -37,6 +37,9 @@
 	// BlockCold: it is cold, and this node has used up its quota of the calls that it
 	// may get while cold.
 	BlockCold BlockReason = "Cold"
+	// BlockBrittle: it falls over if it has to turn calls away, and this node has as many calls there as
+	// it may.
+	BlockBrittle BlockReason = "Brittle"
 	// BlockLimited: it has a rate limit, and this node has used up its quota of it.
 	BlockLimited BlockReason = "Limited"
 )
@@ -66,10 +69,11 @@
 		return Availability{Reason: BlockUnlisted}
 	}
 
-	return f.availability(m, now)
+	return f.availability(m, false, now)
 }
 
-func (f Fleet) availability(m *member, now time.Time) Availability {
+// availability returns whether a member may get a call now; collecting says that the call is one with parts.
+func (f Fleet) availability(m *member, collecting bool, now time.Time) Availability {
 	switch {
 	case m.State != StateReady:
 		return Availability{Reason: BlockLeaving}
@@ -96,6 +100,11 @@
 			return a
 		}
 	}
+	if m.brittle.isSet {
+		if a := f.brittleAvailability(m, collecting, now); !a.IsAvailable() {
+			return a
+		}
+	}
 	if m.limit.isSet {
 		return f.limitAvailability(m, now)
 	}
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -103,6 +103,10 @@
 	silentFailures int
 	suspendedUntil time.Time
 	fullUntil      time.Time
+	// brittle is set while it says that it falls over if it has to turn calls away; fullAt is when it last
+	// had no room for a call.
+	brittle brittleness
+	fullAt  time.Time
 	// otherCalls is the number of other nodes' calls implied by its last load report.
 	otherCalls int
 	reportedAt time.Time
@@ -117,7 +121,7 @@
 // isZero reports whether the observation is as that of an upstream of which there is none.
 func (o *observation) isZero() bool {
 	return o.inFlight == 0 && o.unreadTokens == 0 && o.failures == 0 && o.silentFailures == 0 && o.suspendedUntil.IsZero() &&
-		o.fullUntil.IsZero() && o.reportedAt.IsZero() && o.warmup.coldUntil.IsZero() && o.warmup.presumedUntil.IsZero() && !o.limit.isSet
+		o.fullUntil.IsZero() && o.reportedAt.IsZero() && o.warmup.coldUntil.IsZero() && o.warmup.presumedUntil.IsZero() && !o.limit.isSet && !o.brittle.isSet
 }
 
 // saysNothing reports whether the observation no longer differs from none.
@@ -269,7 +273,7 @@
 func (f Fleet) WithFailure(id string, kind FailureKind, now time.Time) Fleet {
 	return f.withMember(id, func(m *member) {
 		if kind == FailureFull {
-			m.fullUntil = now.Add(fullDuration)
+			m.fullUntil, m.fullAt = now.Add(fullDuration), now
 
 			return
 		}
@@ -334,7 +338,7 @@
 		_, m, _ := i.Next()
 		view := UpstreamView{
 			Upstream: m.Upstream, InFlight: m.inFlight,
-			Failing: m.recentFailures(now), SaysLeaving: f.SaysLeaving(m.ID), RestUntil: f.RestUntil(m.ID), Availability: f.availability(m, now),
+			Failing: m.recentFailures(now), SaysLeaving: f.SaysLeaving(m.ID), RestUntil: f.RestUntil(m.ID), Availability: f.availability(m, false, now),
 		}
 		if m.limit.isSet {
 			view.Limit = &m.limit.Limit
--- a/internal/chutefleet/limit.go
+++ b/internal/chutefleet/limit.go
@@ -83,6 +83,9 @@
 		if m.limit.isSet {
 			f = f.withMember(m.ID, f.setQuota)
 		}
+		if m.brittle.isSet {
+			f = f.withMember(m.ID, f.setBrittleQuota)
+		}
 	}
 
 	return f
--- a/internal/chutefleet/limitrecord.go
+++ b/internal/chutefleet/limitrecord.go
@@ -16,6 +16,10 @@
 	// Limited means that it announces a limit, of PerSecond requests a second.
 	Limited   bool
 	PerSecond float64
+	// Brittle means that the upstream falls over if it has to turn more than Rejections calls away in a
+	// second.
+	Brittle    bool `json:",omitempty"`
+	Rejections int  `json:",omitempty"`
 	// Teller is the node that wrote the record, At its own time in milliseconds, which
 	// makes two of its records distinct.
 	Teller string
--- a/internal/chutefleet/report.go
+++ b/internal/chutefleet/report.go
@@ -57,7 +57,7 @@
 	mean := f.meanPoolLoad(pool, now)
 	var reports []LoadReport
 	for m := range f.observedMembers() {
-		if m.Pool != pool || !f.availability(m, now).IsAvailable() {
+		if m.Pool != pool || !f.availability(m, false, now).IsAvailable() {
 			continue
 		}
 		c := newCandidate(m, now)
@@ -82,7 +82,7 @@
 	for m := range f.observedMembers() {
 		switch {
 		case m.Pool != pool:
-		case f.availability(m, now).IsAvailable():
+		case f.availability(m, false, now).IsAvailable():
 			total += newCandidate(m, now).load
 		default:
 			available--
--- a/internal/chutefleet/use.go
+++ b/internal/chutefleet/use.go
@@ -12,6 +12,8 @@
 	Side Side
 	// Regions are those in which the call may run.
 	Regions chuteroute.Regions
+	// Collecting says that the call is one with parts, from the node that collects them for all others.
+	Collecting bool
 }
 
 // WithZoneRegions sets the region of each zone. The map must not be changed afterwards.
@@ -35,6 +37,6 @@
 	case !f.isOnSide(&m.Upstream, use.Side):
 		return Availability{Reason: BlockVersion}
 	default:
-		return f.availability(m, now)
+		return f.availability(m, use.Collecting, now)
 	}
 }
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -71,6 +71,9 @@
 		n.sendEventAt(e.At, chuterelay.Ticked{})
 	case chuterelay.LogUpstreamLimit:
 		n.logLimit(e)
+	case chuterelay.LogBrittle:
+		n.log.Warn().Str("Upstream", e.Upstream.ID).Str("Pool", e.Upstream.Pool).Str("Peer", e.Upstream.Address).Bool("Brittle", e.Brittle).
+			Int("Rejections", e.Rejections).Msg("upstream's room")
 	case chuterelay.LogNotice:
 		n.logNotice(e)
 	}
@@ -200,7 +203,7 @@
 	n.reportNotice(e.Upstream, answer.Notice)
 	ended := chuterelay.CallEnded{
 		ID: e.Call.ID, End: chutebatch.CallAnswered, PartEnds: answer.Ends,
-		Took: n.Now().Sub(now), Leaving: answer.Leaving, Limit: answer.Limit,
+		Took: n.Now().Sub(now), Leaving: answer.Leaving, Limit: answer.Limit, Brittle: answer.Brittle,
 	}
 	switch {
 	case err != nil:
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -91,6 +91,8 @@
 	Cold time.Duration
 	// Limit is the upstream's statement on how many requests it accepts; nil if it makes none.
 	Limit *chuterelay.Limit
+	// Brittle is what the upstream says of calls that it may have to turn away; nil if it is another one.
+	Brittle *chuterelay.Brittle
 	// Notice is what the upstream says about itself.
 	Notice chuterelay.Notice
 	Body   io.ReadCloser
@@ -123,6 +125,8 @@
 	Leaving bool
 	// Limit is the upstream's statement on how many requests it accepts; nil if it makes none.
 	Limit *chuterelay.Limit
+	// Brittle is what the upstream says of calls that it may have to turn away; nil if it is another one.
+	Brittle *chuterelay.Brittle
 	// Notice is what the upstream says about itself.
 	Notice chuterelay.Notice
 }
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -80,19 +80,19 @@
 	}
 	a.recordActivity()
 	defer func() { _ = answer.Body.Close() }()
-	ended.Load, ended.Cold, ended.Limit = answer.Load, answer.Cold, answer.Limit
+	ended.Load, ended.Cold, ended.Limit, ended.Brittle = answer.Load, answer.Cold, answer.Limit, answer.Brittle
 	switch {
 	case s.Peer.Name != "":
 	case answer.Misaddressed:
 		// Another incarnation has the address, so limit and notice are not those of the intended one.
-		ended.Limit = nil
+		ended.Limit, ended.Brittle = nil, nil
 	default:
 		a.node.reportNotice(s.Upstream, answer.Notice)
 	}
 	if s.Streams && answer.Status == http.StatusOK && answer.Signed && answer.IsEventStream && !answer.Altered {
 		// Load and limit were reported with the first event; by the end of the stream they are out
 		// of date.
-		ended.Load, ended.Limit = nil, nil
+		ended.Load, ended.Limit, ended.Brittle = nil, nil, nil
 		ended.Events, err = a.relayStream(ctx, answer)
 		ended.End = chuterelay.EndAnswered
 		if err != nil {
@@ -216,7 +216,7 @@
 		a.request.lastEventID = event.id
 		if count == 0 {
 			a.node.sendEvent(chuterelay.AttemptBegan{
-				Handle: a.send.Handle, Attempt: a.send.Attempt, Load: answer.Load, Limit: answer.Limit,
+				Handle: a.send.Handle, Attempt: a.send.Attempt, Load: answer.Load, Limit: answer.Limit, Brittle: answer.Brittle,
 			})
 		}
 		count++
--- a/internal/chutequota/allocator.go
+++ b/internal/chutequota/allocator.go
@@ -1,6 +1,7 @@
 package chutequota
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,6 +9,8 @@
 
 // Allocator computes one node's quotas from a list of nodes. It is immutable.
 type Allocator struct {
+	// nodes are the names of all listed nodes.
+	nodes []string
 	// nodeHashes are the hashes of the names of all listed nodes.
 	nodeHashes []uint64
 	selfHash   uint64
@@ -17,7 +20,7 @@
 
 // NewAllocator returns the allocator of the node named self for a list of the names of nodes.
 func NewAllocator(self string, nodes []string) Allocator {
-	a := Allocator{selfHash: xxhash.Sum64String(self), listed: slices.Contains(nodes, self)}
+	a := Allocator{nodes: nodes, selfHash: xxhash.Sum64String(self), listed: slices.Contains(nodes, self)}
 	for _, node := range nodes {
 		a.nodeHashes = append(a.nodeHashes, xxhash.Sum64String(node))
 	}
@@ -61,6 +64,25 @@
 	return quota
 }
 
+// Owners returns the names of the nodes that have a quota of a total, in no particular order. It looks at all
+// nodes.
+func (a Allocator) Owners(key string, total int) []string {
+	keyHash := xxhash.Sum64String(key)
+	order := make([]int, len(a.nodeHashes))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(i, j int) int {
+		return cmp.Compare(mix(keyHash^a.nodeHashes[j]), mix(keyHash^a.nodeHashes[i]))
+	})
+	owners := make([]string, 0, min(total, len(order)))
+	for _, i := range order[:min(max(0, total), len(order))] {
+		owners = append(owners, a.nodes[i])
+	}
+
+	return owners
+}
+
 // mix is a bijective hash of 64-bit values: the output function of SplitMix64.
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -59,7 +59,11 @@
 func (st *reduction) noneUsable(r request) {
 	refusal := st.noUsableUpstreamRefusal(r.pool, r.regions)
 	silent := st.fleet.IsPoolSilent(r.pool, chutefleet.Use{Regions: r.regions}, st.now)
-	refusal.Elsewhere = r.isForwarded && (silent || st.links.suspected(st.now))
+	brittle := st.fleet.IsShortOfBrittleRoom(r.pool, chutefleet.Use{Regions: r.regions}, st.now)
+	refusal.Elsewhere = r.isForwarded && (silent || brittle || st.links.suspected(st.now))
+	if brittle && st.forwardBrittle(r, refusal) {
+		return
+	}
 	if st.links.suspected(st.now) || silent && r.forwards == 0 {
 		st.forwardOrRefuse(r, refusal)
 
@@ -91,6 +95,7 @@
 	st.countRolloutAnswer(r.current.upstream, r.Pipeline.Name, func(c chutecanary.Counts) chutecanary.Counts { return c.WithAnswer(took) })
 	st.recordLoad(r.current.upstream.ID, e.Load)
 	st.recordLimit(r.current.upstream, e.Limit, r.current.sentAt)
+	st.recordBrittle(r.current.upstream, e.Brittle, r.current.sentAt)
 	st.recordReply(r.current.upstream.Zone)
 	st.fleet = st.fleet.WithTokensRead(r.current.upstream.ID, r.current.tokens).WithSuccess(r.current.upstream.ID, st.now)
 	r.current.tokens = 0
@@ -196,6 +201,7 @@
 	}
 	st.recordLoad(id, e.Load)
 	st.recordLimit(r.current.upstream, e.Limit, r.current.sentAt)
+	st.recordBrittle(r.current.upstream, e.Brittle, r.current.sentAt)
 }
 
 // isConnectionFailure reports whether the end may be due to the connection alone.
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -176,7 +176,7 @@
 // A shard whose upstreams are all gone or suspended is served by those of other zones, so that a
 // zone without healthy upstreams of a pool does not fail its requests.
 func (st *reduction) laneCandidates(lane chutebatch.Lane, side chutefleet.Side) []chutebatch.Candidate {
-	use := chutefleet.Use{Side: side, Regions: lane.Regions}
+	use := chutefleet.Use{Side: side, Regions: lane.Regions, Collecting: true}
 	if lane.Shard != "" && !st.zoneSilence.cutOff(lane.Shard, st.now) {
 		if inShard := st.candidatesOf(st.fleet.AvailableInPool(lane.Pool, lane.Shard, use, st.now)); len(inShard) > 0 {
 			return inShard
@@ -298,6 +298,7 @@
 	}
 	if u, ok := st.fleet.Get(call.Upstream); ok {
 		st.recordLimit(u, e.Limit, st.now.Add(-e.Took))
+		st.recordBrittle(u, e.Brittle, st.now.Add(-e.Took))
 	}
 	pace, _ := st.upstreamPaces.Get(call.Upstream)
 	st.upstreamPaces = st.upstreamPaces.Set(call.Upstream, pace.with(e, st.expectedCallTime(call)))
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -177,6 +177,8 @@
 	UpstreamEnded bool
 	// Limit is what the upstream reported of the requests that it accepts; nil if nothing.
 	Limit *Limit
+	// Brittle is what the upstream reported of calls that it may have to turn away; nil if nothing.
+	Brittle *Brittle
 }
 
 // AttemptBegan reports that the first event of a stream is on its way to the caller.
@@ -187,6 +189,8 @@
 	Load *Load
 	// Limit is what the upstream reported of the requests that it accepts; nil if nothing.
 	Limit *Limit
+	// Brittle is what the upstream reported of calls that it may have to turn away; nil if nothing.
+	Brittle *Brittle
 }
 
 // AttemptEnd is how a relayed call ended.
@@ -230,6 +234,8 @@
 	Cold time.Duration
 	// Limit is what the upstream reported of the requests that it accepts; nil if nothing.
 	Limit *Limit
+	// Brittle is what the upstream reported of calls that it may have to turn away; nil if nothing.
+	Brittle *Brittle
 	// Refusal is why the peer that the request was forwarded to does not answer it; nil if it does, and for
 	// calls to upstreams.
 	Refusal *Refusal
@@ -254,6 +260,14 @@
 	Unreadable string
 }
 
+// Brittle is what an answer reports of the calls that its upstream may have to turn away for want of room.
+type Brittle struct {
+	// Named says that the upstream falls over if it turns more than Rejections calls away in a second. An
+	// answer that does not name it means that the upstream is not brittle.
+	Named      bool
+	Rejections int
+}
+
 // Notice is what an answer says about its upstream itself.
 type Notice struct {
 	// Leaving says that the upstream takes no new calls until its process ends.
--- a/internal/chuterelay/forward.go
+++ b/internal/chuterelay/forward.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"azurechute.example/azurechute/internal/chutefleet"
 )
 
 const (
@@ -80,6 +82,11 @@
 
 		return
 	}
+	st.forwardTo(r, peer, refusal)
+}
+
+// forwardTo hands a request to a peer; the refusal is what the caller would get otherwise.
+func (st *reduction) forwardTo(r request, peer Peer, refusal Refusal) {
 	for i, stage := range r.stages {
 		if stage.jobRequestID != 0 {
 			r = st.dropStage(r, i)
@@ -155,7 +162,9 @@
 	r.current = attempt{}
 	switch {
 	case e.Refusal != nil && e.Refusal.Elsewhere:
-		st.forwarding = st.forwarding.withUnlinked(peer.Name, st.now)
+		if !st.fleet.IsShortOfBrittleRoom(r.pool, chutefleet.Use{Regions: r.regions}, st.now) {
+			st.forwarding = st.forwarding.withUnlinked(peer.Name, st.now)
+		}
 		st.putRequest(r)
 		st.forwardFailed(r, *e.Refusal)
 	case e.Refusal != nil:
--- a/internal/chuterelay/forward_sim_test.go
+++ b/internal/chuterelay/forward_sim_test.go
@@ -13,7 +13,7 @@
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
-var cutLarge = flag.Bool("sim.large", false, "also play cuts with 195, 400 and 985 nodes")
+var cutLarge = flag.Bool("sim.large", false, "also play cuts and brittle upstreams with up to 985 nodes")
 
 const (
 	// cutDuration is how long links are cut in a run, cutGrace the time in which a node has to have found
@@ -52,6 +52,10 @@
 	origins     map[uint64]simOrigin
 	cutFrom     time.Time
 	cutUntil    time.Time
+	// callUpstream replaces what happens to a call that reaches its upstream; nil for an answer.
+	callUpstream func(i int, s Send)
+	// onAnnounce is called with each limit that a node announces; nil for nothing.
+	onAnnounce func(i int, e AnnounceLimit)
 	// longestUnserved is the longest time that a first try at a cut off node took that was not served.
 	longestUnserved time.Duration
 }
@@ -120,6 +124,10 @@
 		w.ended(i, e.Handle, nil)
 	case Refuse:
 		w.ended(i, e.Handle, &e.Refusal)
+	case AnnounceLimit:
+		if w.onAnnounce != nil {
+			w.onAnnounce(i, e)
+		}
 	case ProbeLinks:
 		w.after(e.At.Sub(w.now), func() { w.probe(i, e) })
 	case Probe:
@@ -147,6 +155,11 @@
 	if r, ok := w.nodes[i].requests.Get(s.Handle); ok {
 		w.runs[r.ID]++
 	}
+	if w.callUpstream != nil {
+		w.callUpstream(i, s)
+
+		return
+	}
 	w.after(w.between(20*time.Millisecond, 100*time.Millisecond), func() {
 		w.on(i, AttemptEnded{Handle: s.Handle, Attempt: s.Attempt, End: EndAnswered, HasAnswer: true})
 	})
--- a/internal/chuterelay/limits.go
+++ b/internal/chuterelay/limits.go
@@ -74,12 +74,13 @@
 func (st *reduction) announceLimit(u chutefleet.Upstream) {
 	limit, limited := st.fleet.Limit(u.ID)
 	last, announced := st.announcedLimits.Get(u.ID)
-	changed := limited != last.Limited || math.Abs(limit.PerSecond-last.PerSecond) > minLimitChange*last.PerSecond
+	rejections, brittle := st.fleet.Brittle(u.ID)
+	changed := brittle != last.Brittle || limited != last.Limited || math.Abs(limit.PerSecond-last.PerSecond) > minLimitChange*last.PerSecond
 	if !changed || announced && st.now.Sub(last.at) < limitAnnounceInterval {
 		return
 	}
 	announcement := chutefleet.LimitRecord{
-		Upstream: u.ID, Limited: limited, PerSecond: limit.PerSecond, Teller: st.settings.Self.Name, At: st.now.UnixMilli(),
+		Upstream: u.ID, Limited: limited, PerSecond: limit.PerSecond, Brittle: brittle, Rejections: rejections, Teller: st.settings.Self.Name, At: st.now.UnixMilli(),
 	}
 	st.rememberAnnouncedLimit(announcement)
 	st.emit(AnnounceLimit{Limit: announcement})
@@ -109,6 +110,7 @@
 	if !listed {
 		return
 	}
+	st.applyAnnouncedBrittle(u, limit)
 	before, limited := st.fleet.Limit(u.ID)
 	if limit.Limited {
 		st.fleet = st.fleet.WithLimit(u.ID, limit.PerSecond, st.now, st.now)
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -53,8 +53,9 @@
 	// departedNodes maps the nodes that have left the list to the time until which they keep their
 	// share of what all nodes share.
 	departedNodes map[string]time.Time
-	// inZone holds the nodes by availability zone.
+	// inZone holds the nodes by availability zone, byName by their names.
 	inZone map[string][]Peer
+	byName map[string]Peer
 	// shuttingDown says that this node is shutting down, cutOff that it reaches no upstream; it collects
 	// for nobody then.
 	shuttingDown bool
@@ -72,8 +73,9 @@
 	}
 	p.all = slices.Clone(all)
 	p.lost = next
-	p.inZone = map[string][]Peer{}
+	p.inZone, p.byName = map[string][]Peer{}, map[string]Peer{}
 	for _, peer := range all {
+		p.byName[peer.Name] = peer
 		p.inZone[peer.Zone] = append(p.inZone[peer.Zone], peer)
 	}
 
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -58,11 +58,12 @@
 // recordCrash records that an upstream ended while it ran requests of this node.
 //
 // An upstream that was leaving, or had left the list already, ended on request, whatever it still
-// ran: the list entry of one that crashes expires seconds later.
+// ran: the list entry of one that crashes expires seconds later. One that is brittle ends for want of room.
 func (st *reduction) recordCrash(u chutefleet.Upstream, evidence string, suspects ...chutequarantine.Suspect) {
 	known, listed := st.fleet.Get(u.ID)
 	serving := listed && known.State == chutefleet.StateReady || st.fleet.IsReplaced(u.ID)
-	if !serving || len(suspects) == 0 || st.links.cutOff {
+	_, brittle := st.fleet.Brittle(u.ID)
+	if !serving || len(suspects) == 0 || st.links.cutOff || brittle {
 		return
 	}
 	crash := chutequarantine.Crash{Upstream: u.ID, Pool: u.Pool, Suspects: suspects}
