Run all stages again of a request that was forwarded and comes back

Cause: forwarding gave back the jobs of stages, and left stages as done whose results a later stage had taken in and freed. A request that came back from its peers asked for the later stage again, with nothing as its input. Evidence: TestForwardedRequestComesBack asks for stage 1 first without the mend, and for stage 0 with it. Change: all stages of a forwarded request start anew. Why it works: no stage counts as done whose results this node does not hold.

--- a/internal/chuterelay/forward.go
+++ b/internal/chuterelay/forward.go
@@ -87,10 +87,8 @@
 
 // forwardTo hands a request to a peer; the refusal is what the caller would get otherwise.
 func (st *reduction) forwardTo(r request, peer Peer, refusal Refusal) {
-	for i, stage := range r.stages {
-		if stage.jobRequestID != 0 {
-			r = st.dropStage(r, i)
-		}
+	for i := range r.stages {
+		r = st.dropStage(r, i)
 	}
 	r.forwards++
 	r.forwardTried = append(r.forwardTried[:len(r.forwardTried):len(r.forwardTried)], peer.Name)
@@ -105,9 +103,12 @@
 	})
 }
 
-// dropStage gives a stage's job and results back; the peer runs all stages again.
+// dropStage gives a stage's job and results back. The peer runs all stages again, and so does this node if
+// the request comes back: results that a later stage has taken in are gone.
 func (st *reduction) dropStage(r request, i int) request {
-	st.dropJobRequest(r.stages[i].jobRequestID, r.stages[i].results)
+	if id := r.stages[i].jobRequestID; id != 0 {
+		st.dropJobRequest(id, r.stages[i].results)
+	}
 
 	return r.withStage(i, stageState{done: r.parts(i) == 0})
 }
--- a/internal/chuterelay/forward_test.go
+++ b/internal/chuterelay/forward_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
@@ -232,3 +233,38 @@
 func (n *node) endForward(s Send, refusal Refusal) {
 	n.on(AttemptEnded{Handle: s.Handle, Attempt: s.Attempt, End: EndRefused, Refusal: &refusal})
 }
+
+// Guards against a stage that is asked for without its inputs, when a request comes back that was forwarded
+// after later stages had taken in and freed what earlier ones had made.
+func TestForwardedRequestComesBack(t *testing.T) {
+	n := newNode(t)
+	n.on(PeersListed{Peers: []Peer{self, peerIn("n2", "z1")}})
+	n.on(Arrived{Submission: streamRequest(1, chuteroute.Resumable)})
+	r, _ := n.state.requests.Get(1)
+	r = r.withStage(0, stageState{done: true})
+	r = r.withStage(1, stageState{jobRequestID: 77})
+	n.state.requests = n.state.requests.Set(1, r)
+	st := reduction{State: n.state, now: n.now}
+	st.forwardOrRefuse(r, cutOffRefusal())
+	n.state, n.effects = st.State, st.effects
+	forwarded := takeOne[Send](n)
+	n.Assert(forwarded.Peer.Name, qt.Equals, "n2")
+	n.effects = nil
+	n.endForward(forwarded, Refusal{Kind: RefusedNotRun, Elsewhere: true})
+	for _, job := range append(takeJobs(n), n.state.collector.WaitingJobs()...) {
+		n.Assert(job.Stage, qt.Equals, 0)
+		n.Assert(job.Key, qt.Equals, "k")
+	}
+	r, _ = n.state.requests.Get(1)
+	n.Assert(r.stages[0].done, qt.IsFalse)
+}
+
+// takeJobs removes and returns the jobs that were requested from peers.
+func takeJobs(n *node) []chutebatch.Job {
+	var jobs []chutebatch.Job
+	for _, e := range takeAll[RequestJob](n) {
+		jobs = append(jobs, e.Job)
+	}
+
+	return jobs
+}
