Count a peer's silence only while its answer is waited for

What callers saw: nothing reported; streams of callers that read slowly would have been broken off behind a hop. Cause: the timer that gives a silent peer up ran while the node was not reading from it. Change: the timer runs only during a read. A peer of an earlier build, or a request that is too large, counts as never reached. Why it works: signs of life that are unread say nothing about the peer.

--- a/internal/chuterelay/brittle_sim_test.go
+++ b/internal/chuterelay/brittle_sim_test.go
@@ -31,11 +31,11 @@
 
 // brittleUpstream is a simulated upstream that falls over if it turns many calls away.
 type brittleUpstream struct {
-	running, waiting int
-	queue            []func()
-	rejectedAt       []time.Time
-	goneUntil        time.Time
-	served           int
+	running    int
+	queue      []func()
+	rejectedAt []time.Time
+	goneUntil  time.Time
+	served     int
 }
 
 // brittleWorld is nodes in front of a pool of brittle upstreams.
--- a/internal/chuteshare/forward.go
+++ b/internal/chuteshare/forward.go
@@ -9,7 +9,9 @@
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/status"
 
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
 )
@@ -254,25 +256,37 @@
 // next returns the next update that is no sign of life.
 func (b *forwardBody) next() (*chutesharepb.ForwardUpdate, error) {
 	for {
-		update, err := b.stream.Recv()
+		update, err := b.receive()
 		if err != nil {
 			return nil, err
 		}
-		if b.silence != nil {
-			b.silence.Reset(keepaliveTimeout)
-		}
 		if update.GetKind() != chutesharepb.ForwardUpdate_KIND_WAITING {
 			return update, nil
 		}
 	}
 }
 
-// fail ends the call and returns its error.
+// receive returns the next update. The peer's silence counts only while this node waits for it: a slow caller
+// leaves updates unread for as long as it likes.
+func (b *forwardBody) receive() (*chutesharepb.ForwardUpdate, error) {
+	if b.silence == nil {
+		return b.stream.Recv()
+	}
+	b.silence.Reset(keepaliveTimeout)
+	defer b.silence.Stop()
+
+	return b.stream.Recv()
+}
+
+// fail ends the call before any answer and returns its error.
 func (b *forwardBody) fail(ctx context.Context, address string, err error) error {
 	silent := errors.Is(context.Cause(ctx), errPeerSilent)
 	_ = b.Close()
+	// A peer of an earlier build has no such method, and a request that is too large is not read.
+	code := status.Code(err)
+	unsent := code == codes.Unimplemented || code == codes.ResourceExhausted
 
-	return &ForwardError{Silent: silent, Err: oops.In("share").With("step", "forward", "peer", address).Wrap(err)}
+	return &ForwardError{Unsent: unsent, Silent: silent, Err: oops.In("share").With("step", "forward", "peer", address).Wrap(err)}
 }
 
 // Read returns io.EOF only after the peer has said that the body is whole.
--- a/internal/chuteshare/share_test.go
+++ b/internal/chuteshare/share_test.go
@@ -25,6 +25,8 @@
 	tokens  atomic.Uint64
 	table   atomic.Pointer[TableState]
 	changed chan struct{}
+	// forward serves forwarded requests.
+	forward func(ctx context.Context, request ForwardRequest, out ForwardOutput)
 }
 
 // setTable replaces the server's table and notifies the followers of the previous one.
@@ -52,6 +54,7 @@
 		},
 		OnLeaseEnd: func(token uint64) { c.dropped <- token },
 		OnTable:    func(string) TableState { return *c.table.Load() },
+		OnForward:  func(ctx context.Context, request ForwardRequest, out ForwardOutput) { c.forward(ctx, request, out) },
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
