Find a request's pipeline by its prefix and not by going over all of its host

Cause: Match compared a path with the prefix of each pipeline of the host. Change: an index by host and prefix, which is asked for each part of the path that ends in a slash, longest first. Why it works: every prefix ends in a slash.

--- a/internal/chuteroute/config.go
+++ b/internal/chuteroute/config.go
@@ -30,7 +30,8 @@
 	Keyed  bool
 	Limits Limits
 
-	byHost map[string][]int
+	// byHost maps a host and a prefix to the index of the pipeline.
+	byHost map[string]map[string]int
 }
 
 // Pipeline is one kind of request: stages that run first, then one call that is relayed to the caller.
@@ -149,9 +150,15 @@
 
 // WithIndex returns the configuration ready for Match.
 func (c Config) WithIndex() Config {
-	c.byHost = make(map[string][]int)
-	for i, p := range c.Pipelines {
-		c.byHost[p.Host] = append(c.byHost[p.Host], i)
+	c.byHost = make(map[string]map[string]int)
+	for i := range c.Pipelines {
+		p := &c.Pipelines[i]
+		if c.byHost[p.Host] == nil {
+			c.byHost[p.Host] = make(map[string]int)
+		}
+		if _, taken := c.byHost[p.Host][p.Prefix]; !taken {
+			c.byHost[p.Host][p.Prefix] = i
+		}
 	}
 
 	return c
@@ -159,18 +166,14 @@
 
 // Match returns the pipeline of the host with the longest prefix of the path.
 func (c Config) Match(host, path string) (Pipeline, bool) {
-	best := -1
-	for _, i := range c.byHost[hostName(host)] {
-		p := &c.Pipelines[i]
-		if strings.HasPrefix(path, p.Prefix) && (best < 0 || len(p.Prefix) > len(c.Pipelines[best].Prefix)) {
-			best = i
+	byPrefix := c.byHost[hostName(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if i, ok := byPrefix[path[:end+1]]; ok {
+			return c.Pipelines[i], true
 		}
 	}
-	if best < 0 {
-		return Pipeline{}, false
-	}
 
-	return c.Pipelines[best], true
+	return Pipeline{}, false
 }
 
 // hostName strips a port and the case of a Host header.
--- a/internal/chuteroute/config_test.go
+++ b/internal/chuteroute/config_test.go
@@ -1,6 +1,7 @@
 package chuteroute
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -61,3 +62,21 @@
 	p := Pipeline{Stages: []Stage{{}, {}, {After: []int{1}}, {After: []int{2}}}}
 	c.Assert(p.Leaves(), qt.DeepEquals, []int{0, 3})
 }
+
+// BenchmarkMatch has one host with many pipelines, as a configuration that has grown.
+func BenchmarkMatch(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		var cfg Config
+		for i := range n {
+			cfg.Pipelines = append(cfg.Pipelines, Pipeline{Name: fmt.Sprint("p", i), Host: "h.example", Prefix: fmt.Sprint("/p", i, "/")})
+		}
+		cfg = cfg.WithIndex()
+		b.Run(fmt.Sprint(n, " pipelines"), func(b *testing.B) {
+			for b.Loop() {
+				if _, ok := cfg.Match("h.example", "/p7/x/y"); !ok {
+					b.Fatal("no pipeline matches")
+				}
+			}
+		})
+	}
+}
