End a probe of a node's links with the first upstream that accepts a connection

What callers saw: nothing reported; by reading, while a zone is cut off, a probe lasted as long as its slowest connection attempt, 0.35 s, and requests were forwarded meanwhile although the node's own links worked. Cause: the probe waited for all four upstreams. Change: it reports as soon as one accepts; the check of other upstreams beside a crash shares the code. Why it works: one upstream that accepts a connection shows that the links are not all cut.

--- a/internal/chutegate/forward.go
+++ b/internal/chutegate/forward.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync"
+	"slices"
 
 	"azurechute.example/azurechute/internal/chutecore"
 	"azurechute.example/azurechute/internal/chutefleet"
@@ -107,30 +107,41 @@
 	}
 }
 
-// probeLinks checks, at the time given, how many of some upstreams accept connections.
+// probeLinks checks, at the time given, whether any of some upstreams accepts connections. It reports as soon
+// as one does.
 func (n *Node) probeLinks(ctx context.Context, e chuterelay.ProbeLinks) {
 	if !n.sleep(ctx, e.At.Sub(n.Now())) {
 		return
 	}
-	var mu sync.Mutex
-	var probes sync.WaitGroup
-	probed := chuterelay.LinksProbed{}
-	for _, u := range e.Upstreams {
-		probes.Go(func() {
-			reached := n.upstreams.AcceptsConnections(ctx, u.Address)
-			mu.Lock()
-			defer mu.Unlock()
-			if reached {
-				probed.Reached++
-			} else {
-				probed.Failed = append(probed.Failed, u.ID)
-			}
-		})
+	probed := chuterelay.LinksProbed{Reached: n.anyAccepts(ctx, e.Upstreams)}
+	if !probed.Reached {
+		for _, u := range e.Upstreams {
+			probed.Failed = append(probed.Failed, u.ID)
+		}
 	}
-	probes.Wait()
 	n.sendEvent(probed)
 }
 
+// anyAccepts reports whether any of some upstreams accepts connections.
+func (n *Node) anyAccepts(ctx context.Context, upstreams []chutefleet.Upstream) bool {
+	accepted := make(chan bool, len(upstreams))
+	for _, u := range upstreams {
+		n.spawn(func(context.Context) { accepted <- n.upstreams.AcceptsConnections(ctx, u.Address) })
+	}
+	for range upstreams {
+		select {
+		case ok := <-accepted:
+			if ok {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+
+	return false
+}
+
 // logLinks logs that this node reaches no upstream any more, or that it does again.
 func (n *Node) logLinks(e chuterelay.LogLinks) {
 	n.cutOff.Store(e.CutOff)
@@ -152,28 +163,10 @@
 func (n *Node) reachesOtherUpstream(ctx context.Context, ended chutefleet.Upstream) bool {
 	var others []chutefleet.Upstream
 	n.Query(func(s chutecore.State) {
-		others = s.Relay().Fleet().RandomUpstreams(witnessUpstreams+1, float64(n.Now().UnixNano()%1000)/1000)
+		others = s.Relay().Fleet().RandomUpstreams(witnessUpstreams, float64(n.Now().UnixNano()%1000)/1000)
 	})
-	reached := make(chan bool, len(others))
-	asked := 0
-	for _, u := range others {
-		if u.ID == ended.ID || u.Address == ended.Address || asked == witnessUpstreams {
-			continue
-		}
-		asked++
-		n.spawn(func(context.Context) { reached <- n.upstreams.AcceptsConnections(ctx, u.Address) })
-	}
-	for range asked {
-		select {
-		case ok := <-reached:
-			if ok {
-				return true
-			}
-		case <-ctx.Done():
-			return false
-		}
-	}
+	others = slices.DeleteFunc(others, func(u chutefleet.Upstream) bool { return u.ID == ended.ID || u.Address == ended.Address })
 
 	// Without any other upstream there is no evidence against the links.
-	return asked == 0
+	return len(others) == 0 || n.anyAccepts(ctx, others)
 }
--- a/internal/chuterelay/links.go
+++ b/internal/chuterelay/links.go
@@ -100,7 +100,7 @@
 func (st *reduction) linksProbed(e LinksProbed) {
 	st.links.probing = false
 	switch {
-	case e.Reached == 0:
+	case !e.Reached:
 		st.links.reached = 0
 		if !st.links.cutOff {
 			st.cutOff(e)
@@ -114,7 +114,7 @@
 		st.probeLinks(linkProbeInterval / 2)
 	default:
 		st.links, st.peers.cutOff = upstreamLinks{}, false
-		st.emit(LogLinks{Failed: e.Failed})
+		st.emit(LogLinks{})
 		st.fillAllLanes()
 	}
 }
@@ -160,9 +160,10 @@
 	At        time.Time
 }
 
-// LinksProbed reports how many upstreams of a probe accepted a connection, and those that did not.
+// LinksProbed reports whether any upstream of a probe accepted a connection; Failed are those that did not, if
+// none did.
 type LinksProbed struct {
-	Reached int
+	Reached bool
 	Failed  []string
 }
 
