--- a/internal/chuterelay/brittle_sim_test.go
+++ b/internal/chuterelay/brittle_sim_test.go
@@ -192,7 +192,7 @@
 		{nodes: 195, upstreams: 4, senders: 195, load: 1.4, minServed: 0.5},
 		{nodes: 195, upstreams: 4, senders: 195, load: 0.4, minServed: 0.3},
 	}
-	if *cutLarge {
+	if *simLarge {
 		tests = append(tests, load{nodes: 36, upstreams: 40, senders: 36, load: 1.4, minServed: 0.5}, load{nodes: 985, upstreams: 4, senders: 985, load: 1.4, minServed: 0.5})
 	}
 	for _, test := range tests {
--- a/internal/chuterelay/forward_sim_test.go
+++ b/internal/chuterelay/forward_sim_test.go
@@ -13,7 +13,7 @@
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
-var cutLarge = flag.Bool("sim.large", false, "also play cuts and brittle upstreams with up to 985 nodes")
+var simLarge = flag.Bool("sim.large", false, "also play cuts and brittle upstreams with up to 985 nodes")
 
 const (
 	// cutDuration is how long links are cut in a run, cutGrace the time in which a node has to have found
@@ -276,7 +276,7 @@
 // the nodes cut off, up to two thirds.
 func TestCutOffNodes(t *testing.T) {
 	sizes := []int{8, 36}
-	if *cutLarge {
+	if *simLarge {
 		sizes = append(sizes, 195, 400, 985)
 	}
 	for _, size := range sizes {
