Go on with a broken stream through another node once this one is cut off

What callers saw: nothing reported; by reading, a repeatable request whose call broke while its node lost its links was sent to upstreams that could not be reached until its attempts were used up, and failed. Cause: only requests that had certainly not run were forwarded after a failure. Change: a cut off node hands over whatever it would send. The retry is checked and counted by the peer alone; the origin counted it too. Measured: TestStreamGoesOnThroughPeer fails without the change and passes with it; TestForward, TestCutOffNodes pass. Why it works: the peer is told how many upstreams may have run the request, and the stream's last event.

--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -14,6 +14,11 @@
 
 		return
 	}
+	if st.links.cutOff {
+		st.forwardOrRefuse(r, cutOffRefusal())
+
+		return
+	}
 	u, ok := st.chooseSide(r)
 	if !ok && len(r.triedUpstreams) > 0 {
 		// All other upstreams failed the request too, or are gone: one that was tried may have
--- a/internal/chuterelay/forward.go
+++ b/internal/chuterelay/forward.go
@@ -212,10 +212,8 @@
 		st.giveUp(r, failedRefusal("the call may have run: "+string(e.End)))
 	case r.possibleRuns >= r.maxPossibleRuns():
 		st.giveUp(r, failedRefusal("all attempts failed: "+string(e.End)))
-	case !st.mayRetry(r.pool):
-		st.refuseRetry(r)
 	default:
-		st.countRetries(budgetKey{pool: r.pool}, 1)
+		// The next peer checks and counts the retry.
 		st.forwardFailed(r, cutOffRefusal())
 	}
 }
--- a/internal/chuterelay/forward_test.go
+++ b/internal/chuterelay/forward_test.go
@@ -268,3 +268,20 @@
 
 	return jobs
 }
+
+// Guards against a stream that is broken off for good because its node loses its links while it runs.
+func TestStreamGoesOnThroughPeer(t *testing.T) {
+	n := newNode(t)
+	n.on(PeersListed{Peers: []Peer{self, peerIn("n2", "z1")}})
+	r := streamRequest(1, chuteroute.Resumable)
+	r.Parts, r.Pipeline.Stages = nil, nil
+	n.on(Arrived{Submission: r})
+	local := takeOne[Send](n)
+	n.on(AttemptBegan{Handle: 1, Attempt: local.Attempt})
+	n.failLinks()
+	n.endCall(local, EndBroken)
+	forwarded := takeOne[Send](n)
+	n.Assert(forwarded.Peer.Name, qt.Equals, "n2")
+	n.Assert(forwarded.Resume, qt.IsTrue)
+	n.Assert(forwarded.PossibleRuns, qt.Equals, 1)
+}
