Never call a forwarded request not run that has run at the peer

Cause: the peer turned 'not run' into 'failed', as it must, and left the word that another node may serve the request, which the origin took for 'not run'. Change: that word goes only with 'not run', and the origin heeds it only then. Measured: the test, TestForward, TestCutOffNodes pass. Why it works: a refusal that may follow a run can no longer be taken for one that does not.

--- a/internal/chuterelay/forward.go
+++ b/internal/chuterelay/forward.go
@@ -162,7 +162,7 @@
 	st.uncountAttempt(r)
 	r.current = attempt{}
 	switch {
-	case e.Refusal != nil && e.Refusal.Elsewhere:
+	case e.Refusal != nil && e.Refusal.Elsewhere && e.Refusal.Kind == RefusedNotRun:
 		if !st.fleet.IsShortOfBrittleRoom(r.pool, chutefleet.Use{Regions: r.regions}, st.now) {
 			st.forwarding = st.forwarding.withUnlinked(peer.Name, st.now)
 		}
--- a/internal/chuterelay/forward_test.go
+++ b/internal/chuterelay/forward_test.go
@@ -285,3 +285,30 @@
 	n.Assert(forwarded.Resume, qt.IsTrue)
 	n.Assert(forwarded.PossibleRuns, qt.Equals, 1)
 }
+
+// Guards against a caller that is told that its request has not run, although it has run at the peer before that
+// could reach no upstream any more.
+func TestForwardedRequestThatHasRun(t *testing.T) {
+	t.Run("the peer claims nothing", func(t *testing.T) {
+		n := newNode(t)
+		r := plainRequest(1, chuteroute.Repeatable)
+		r.Forwarded = &Forwarded{Node: "n2"}
+		n.on(Arrived{Submission: r})
+		n.endCall(takeOne[Send](n), EndBroken)
+		n.endCall(takeOne[Send](n), EndUnreachable)
+		for _, s := range takeAll[Send](n) {
+			n.endCall(s, EndUnreachable)
+		}
+		refusal := takeOne[Refuse](n).Refusal
+		n.Assert(refusal.Kind, qt.Equals, RefusedFailed)
+		n.Assert(refusal.Elsewhere, qt.IsFalse)
+	})
+
+	t.Run("the origin believes no claim that it may run elsewhere", func(t *testing.T) {
+		n := newCutOffNode(t, peerIn("n2", "z1"), peerIn("n3", "z1"))
+		n.on(Arrived{Submission: plainRequest(1, chuteroute.Repeatable)})
+		n.endForward(takeOne[Send](n), Refusal{Kind: RefusedFailed, Elsewhere: true})
+		expectNo[Send](n)
+		n.Assert(takeOne[Refuse](n).Refusal.Kind, qt.Equals, RefusedFailed)
+	})
+}
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -228,6 +228,7 @@
 	if r.possibleRuns > 0 && refusal.Kind == RefusedNotRun {
 		refusal.Kind = RefusedFailed
 	}
+	refusal.Elsewhere = refusal.Elsewhere && refusal.Kind == RefusedNotRun
 	st.logStep(StepRefused, r, func(n *LogStep) {
 		n.Fingerprint, n.Reason, n.Wait = r.Fingerprint, string(refusal.Kind)+": "+refusal.Reason, refusal.RetryAfter
 	})
