Compute the parts of a brittle upstream's slots once, not with each answer

What callers saw: nothing; found while reading the change. At 985 nodes and thousands of brittle upstreams each answer would have hashed all nodes' names for every limited and brittle upstream that the node had heard of. Cause: each answer that says so set the owners of limits anew. Change: the part is computed at the first word, and by the list of nodes as it changes; later words only renew the time. Why it works: the part depends on the nodes and the slots alone.

--- a/internal/chutefleet/brittle.go
+++ b/internal/chutefleet/brittle.go
@@ -29,12 +29,15 @@
 	quota int
 }
 
-// WithBrittle records that the answer to a call sent at sentAt says that an upstream falls over if it has to
-// turn more than a number of calls away in a second.
+// WithBrittle records that an upstream says that it falls over if it has to turn more than a number of calls
+// away in a second. The quota is computed at the first word of it, and when the owners change.
 func (f Fleet) WithBrittle(id string, rejections int, now time.Time) Fleet {
 	return f.withMember(id, func(m *member) {
-		m.brittle = brittleness{isSet: true, rejections: rejections, heardAt: now}
-		f.setBrittleQuota(m)
+		if !m.brittle.isSet {
+			m.brittle.isSet = true
+			f.setBrittleQuota(m)
+		}
+		m.brittle.rejections, m.brittle.heardAt = rejections, now
 	})
 }
 
--- a/internal/chuterelay/brittle.go
+++ b/internal/chuterelay/brittle.go
@@ -21,7 +21,7 @@
 		return
 	}
 	if brittle.Named {
-		st.fleet = st.fleet.WithLimitOwners(st.peers.sharers(st.now)).WithBrittle(u.ID, brittle.Rejections, st.now)
+		st.fleet = st.fleet.WithBrittle(u.ID, brittle.Rejections, st.now)
 	} else {
 		st.fleet = st.fleet.WithoutBrittle(u.ID, sentAt)
 	}
