Finish requests in flight when SIGTERM comes twice

What callers would see: a node that gets SIGTERM twice, from a supervisor or from an operator beside one, ends at once, and its requests in flight are lost. Cause: the program gave both signals their default action back after the first one, so that a second interrupt ends it; a second SIGTERM did the same. Change: only an interrupt gets its default action back.

--- a/cmd/azurechute/main.go
+++ b/cmd/azurechute/main.go
@@ -25,22 +25,24 @@
 func run() int {
 	// Asked to read its settings again while it starts, a process would end by the
 	// signal's default action; so this comes before all else.
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 
-	// The first signal asks for a graceful end; a second one ends the process at once.
+	// The first signal asks for a graceful end, which has a time limit. A second interrupt ends the process at
+	// once. A second SIGTERM does not: a supervisor may send it twice, and requests in flight would be lost.
 	go func() {
 		<-ctx.Done()
-		stop()
+		signal.Notify(signals, syscall.SIGTERM)
+		signal.Reset(os.Interrupt)
 	}()
 
 	app := chutecli.New(version())
 	app.Serve = serve
-	app.Relay = func(ctx context.Context, path string) error { return relay(ctx, path, reload) }
+	app.Relay = func(ctx context.Context, path string) error { return relay(ctx, path, signals) }
 	app.ReadLedger = chuteplatform.ReadLedger
 	app.ReadZones = chuteplatform.ReadZones
 	app.ReadRollouts = chuteplatform.ReadRollouts
@@ -66,14 +68,14 @@
 }
 
 // relay runs a node on the platform with the settings in a file.
-func relay(ctx context.Context, path string, reload <-chan os.Signal) error {
+func relay(ctx context.Context, path string, signals <-chan os.Signal) error {
 	log := chutelog.New(os.Stdout, chutelog.Settings{
 		Rate: chutelog.DefaultRate, Burst: chutelog.DefaultBurst, Level: zerolog.InfoLevel,
 	}, clockwork.NewRealClock())
 	defer func() { _ = log.Close() }()
 	log.Info().Str("Build", version()).Msg("starting")
 
-	return chuteplatform.Serve(ctx, path, reload, log.Logger)
+	return chuteplatform.Serve(ctx, path, signals, log.Logger)
 }
 
 // version returns the module's version, or the commit that a build from a checkout was made of.
