Let a node that starts again learn the limits that it announced itself

What callers see: after a node's process starts again it sends freely to upstreams whose limits this node itself had found out and announced, until it has their answers. Cause: announcements of a node of the same name were left out as its own ones that come back from the store; the announcer is a node, not a process. Change: an announcement of this node is left out only if this process has made one about the upstream. Test: TestLimitTold "a process applies what the process before of its node has announced, but not its own" failed before (not limited) and passes. Why it works: a new process has announced nothing, so it takes every record.

--- a/internal/chuterelay/limits.go
+++ b/internal/chuterelay/limits.go
@@ -96,7 +96,7 @@
 // limitsAnnounced applies the limits that other nodes have announced.
 func (st *reduction) limitsAnnounced(limits []chutefleet.LimitRecord) {
 	for _, limit := range limits {
-		if limit.Teller == st.settings.Self.Name {
+		if st.hasAnnounced(limit) {
 			continue
 		}
 		st.rememberAnnouncedLimit(limit)
@@ -104,6 +104,15 @@
 	}
 }
 
+// hasAnnounced reports whether an announcement is one of this node, and this process has made one about the
+// upstream: it comes back from the store, and may be older than what this node knows. A process that has made none
+// learns from those of the process before.
+func (st *reduction) hasAnnounced(limit chutefleet.LimitRecord) bool {
+	last, _ := st.announcedLimits.Get(limit.Upstream)
+
+	return limit.Teller == st.settings.Self.Name && last.Teller == limit.Teller
+}
+
 // applyAnnouncedLimit applies an announced limit, if its upstream is listed.
 func (st *reduction) applyAnnouncedLimit(limit chutefleet.LimitRecord) {
 	u, listed := st.fleet.Get(limit.Upstream)
--- a/internal/chuterelay/limits_test.go
+++ b/internal/chuterelay/limits_test.go
@@ -48,6 +48,21 @@
 		c.Assert(limited, qt.IsFalse)
 	})
 
+	t.Run("a process applies what the process before of its node has announced, but not its own", func(t *testing.T) {
+		// Guards against a node that starts again and takes the limits that it found out for none.
+		c := qt.New(t)
+		again := newNode(t)
+		own := announced
+		own.Teller, own.Limited = again.state.settings.Self.Name, true
+		again.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{own}})
+		_, limited := again.state.Fleet().Limit(own.Upstream)
+		c.Assert(limited, qt.IsTrue)
+		own.Limited = false
+		again.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{own}})
+		_, limited = again.state.Fleet().Limit(own.Upstream)
+		c.Assert(limited, qt.IsTrue)
+	})
+
 	t.Run("an announcement about an upstream that is not listed yet applies once it is", func(t *testing.T) {
 		c := qt.New(t)
 		other := newNode(t)
