Announce nothing about an upstream's process that is no longer listed

What callers see: all nodes send freely to an upstream that names a limit, for as long as it takes until one of them has its answer again. Cause: an answer that names a limit came from a process that had meanwhile been replaced in the node's list. The node has no entry for it, so it announced that this process has no limit; nodes whose lists were older dropped the limit. Change: what an answer says of a limit is left out if its upstream's process is not listed. Nothing is known of it that could be told. Test: TestLimitOfReplacedProcess failed before (one announcement) and passes.

--- a/internal/chuterelay/limits.go
+++ b/internal/chuterelay/limits.go
@@ -35,7 +35,7 @@
 
 // recordLimit updates an upstream's limit from the answer to a call.
 func (st *reduction) recordLimit(u chutefleet.Upstream, limit *Limit, sentAt time.Time) {
-	if limit == nil {
+	if _, listed := st.fleet.Get(u.ID); limit == nil || !listed {
 		return
 	}
 	before, limited := st.fleet.Limit(u.ID)
--- a/internal/chuterelay/limits_test.go
+++ b/internal/chuterelay/limits_test.go
@@ -120,3 +120,16 @@
 	n.Assert(refusal.Reason, qt.Contains, "2 Limited")
 	n.Assert(refusal.RetryAfter >= maxLimitRetryAfter/2, qt.IsTrue, qt.Commentf("%v", refusal.RetryAfter))
 }
+
+func TestLimitOfReplacedProcess(t *testing.T) {
+	// Guards against a node that announces that an upstream has no limit because it lists its process no more.
+	n := newNode(t)
+	name := plainPool + "0"
+	n.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{{Upstream: name, Limited: true, PerSecond: 2, Teller: "n2"}}})
+	before, _ := n.state.Fleet().Get(name)
+	n.restart(name)
+	n.pass(limitAnnounceInterval)
+	st := reduction{State: n.state, now: n.now}
+	st.recordLimit(before, &Limit{Named: true, PerSecond: 2}, n.now)
+	n.Assert(st.effects, qt.HasLen, 0)
+}
