Begin an upstream's next process with the limit of the one before

What callers see: an upstream that names a limit and starts again gets calls without any limit from all nodes, until each has an answer of the new process; if its answers are lost meanwhile, for as long as that takes. Cause: what is known of a limit belonged to one incarnation and was dropped with it, and announcements were remembered by incarnation, so nodes that start did not apply those of the process before. Announcements carry the name and the start of the process and are remembered by name; those of an earlier process apply to a later one and take nothing back. A change of the list looks up its own entries only; before, it walked all announcements. Why it works: no node is ever without what was last said of an upstream by any process of it, and sending to it always counts.

--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -147,6 +147,8 @@
 	replacedIDs  *immutable.Map[string, struct{}]
 	// missing holds the names of upstreams that are not in the list any more and are kept for now.
 	missing *immutable.Map[string, struct{}]
+	// departed holds, by name, what is known of upstreams whose entries are gone.
+	departed *immutable.Map[string, departedUpstream]
 	// evacuated holds the zones whose upstreams get no calls; the map is replaced, never
 	// modified.
 	evacuated map[string]bool
@@ -167,7 +169,8 @@
 		zone: zone, members: immutable.NewMap[string, *member](nil), observed: immutable.NewMap[string, struct{}](nil),
 		pools: map[string]poolIndex{}, incarnations: immutable.NewMap[string, string](nil),
 		replacedIDs: immutable.NewMap[string, struct{}](nil), missing: immutable.NewMap[string, struct{}](nil),
-		notices: immutable.NewMap[string, notice](nil), observedLimit: minObservedLimit,
+		departed: immutable.NewMap[string, departedUpstream](nil),
+		notices:  immutable.NewMap[string, notice](nil), observedLimit: minObservedLimit,
 	}
 }
 
--- a/internal/chutefleet/limitrecord.go
+++ b/internal/chutefleet/limitrecord.go
@@ -1,6 +1,7 @@
 package chutefleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -11,8 +12,12 @@
 
 // LimitRecord is a stored row by which one node tells the others of an upstream's limit.
 type LimitRecord struct {
-	// Upstream is the id of the incarnation.
-	Upstream string
+	// Upstream is the id of the incarnation, Name the upstream's name, and StartedAt when the incarnation
+	// started, in milliseconds since 1970 by its own clock; the latter two are empty in records of nodes with
+	// older software.
+	Upstream  string
+	Name      string `json:",omitempty"`
+	StartedAt int64  `json:",omitempty"`
 	// Limited means that it announces a limit, of PerSecond requests a second.
 	Limited   bool
 	PerSecond float64
@@ -26,6 +31,22 @@
 	At     int64
 }
 
+// NewLimitRecord returns the record of an upstream's incarnation without anything stated.
+func NewLimitRecord(u Upstream) LimitRecord {
+	record := LimitRecord{Upstream: u.ID, Name: u.Name}
+	if !u.StartedAt.IsZero() {
+		record.StartedAt = u.StartedAt.UnixMilli()
+	}
+
+	return record
+}
+
+// Subject returns what the record is remembered by: the upstream's name, or the incarnation's id if the name is not
+// known.
+func (r LimitRecord) Subject() string {
+	return cmp.Or(r.Name, r.Upstream)
+}
+
 // LimitKey returns the key of the limit record of an upstream.
 func LimitKey(upstream string) string {
 	return limitKeyPrefix + upstream
--- a/internal/chutefleet/list.go
+++ b/internal/chutefleet/list.go
@@ -64,11 +64,11 @@
 		case known && keepMissing:
 			f.missing = f.missing.Set(name, struct{}{})
 		case known:
-			f = f.withoutMember(id)
+			f = f.withoutEntry(id, now)
 		}
 	}
 	if f.missing.Len() > 0 && !keepMissing {
-		f = f.withoutMissing()
+		f = f.withoutMissing(now)
 	}
 	slices.SortFunc(replaced, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 
@@ -76,11 +76,11 @@
 }
 
 // withoutMissing removes the upstreams that are not in the list any more.
-func (f Fleet) withoutMissing() Fleet {
+func (f Fleet) withoutMissing(now time.Time) Fleet {
 	for i := f.missing.Iterator(); !i.Done(); {
 		name, _, _ := i.Next()
 		id, _ := f.incarnations.Get(name)
-		f = f.withoutMember(id)
+		f = f.withoutEntry(id, now)
 	}
 	f.missing = immutable.NewMap[string, struct{}](nil)
 
@@ -108,11 +108,13 @@
 		// sent the list, read it before the restart.
 		return f, nil
 	case ok && u.ID != known.ID:
-		// The process has restarted; what was observed of the previous one does not
-		// apply to it.
+		// The process has restarted.
 		previous = known
 		f = f.withoutMember(known.ID)
 		next.replacedID = known.ID
+		next.observation = known.inherited()
+	case !ok:
+		f, next.observation = f.takeDeparted(u.Name, now)
 	}
 	if ok && previous == nil {
 		*next = *known
@@ -148,6 +150,15 @@
 	return f
 }
 
+// withoutEntry removes an upstream whose entry is gone; an unknown id changes nothing.
+func (f Fleet) withoutEntry(id string, now time.Time) Fleet {
+	if m, ok := f.members.Get(id); ok {
+		f = f.withDeparted(m, now)
+	}
+
+	return f.withoutMember(id)
+}
+
 // withoutMember removes an upstream; an unknown id changes nothing.
 func (f Fleet) withoutMember(id string) Fleet {
 	m, ok := f.members.Get(id)
@@ -167,6 +178,16 @@
 	return f
 }
 
+// Current returns the listed incarnation of an upstream; false if its name is not listed.
+func (f Fleet) Current(name string) (Upstream, bool) {
+	id, listed := f.incarnations.Get(name)
+	if !listed {
+		return Upstream{}, false
+	}
+
+	return f.Get(id)
+}
+
 // IsReplaced reports whether an incarnation is the previous one of a listed upstream.
 func (f Fleet) IsReplaced(id string) bool {
 	_, replaced := f.replacedIDs.Get(id)
--- a/internal/chuterelay/limit_sim_test.go
+++ b/internal/chuterelay/limit_sim_test.go
@@ -43,6 +43,10 @@
 	informedCalls []time.Time
 	allCalls      []time.Time
 	informedAt    map[int]time.Time
+	// incarnations counts the processes that have had the upstream's name. Answers to calls that arrive before
+	// answersLostUntil are lost.
+	incarnations     int
+	answersLostUntil time.Time
 }
 
 // reportedLimit is a limit that an upstream reports from a given time on.
@@ -81,6 +85,8 @@
 	// including the dropped ones.
 	announcementsLost bool
 	announcements     int
+	// stored holds the limit records that a node reads at its start, by key.
+	stored map[string]chutefleet.LimitRecord
 	// checkAllCalls applies the bound to the calls of all nodes, including those that have not
 	// received the limit in a response.
 	checkAllCalls bool
@@ -94,7 +100,7 @@
 func newLimitWorld(t testing.TB, seed uint64, nodes, upstreams int) *limitWorld {
 	w := &limitWorld{
 		C: qt.New(t), simClock: newSimClock(seed), upstreams: map[string]*limitedUpstream{}, excusedUntil: map[int]time.Time{},
-		triesByHandle: map[uint64]int{},
+		triesByHandle: map[uint64]int{}, stored: map[string]chutefleet.LimitRecord{},
 	}
 	var list []chutefleet.Upstream
 	for i := range upstreams {
@@ -130,8 +136,16 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case Send:
+			if e.Peer.Name != "" {
+				// Other nodes take no requests over here.
+				w.after(time.Millisecond, func() { w.on(i, AttemptEnded{Handle: e.Handle, Attempt: e.Attempt, End: EndUnreachable}) })
+
+				continue
+			}
 			// A call reaches its upstream with a delay after the node has chosen the upstream.
 			w.after(w.between(time.Millisecond, 100*time.Millisecond), func() { w.arrive(i, e) })
+		case ProbeLinks:
+			w.after(e.At.Sub(w.now)+time.Millisecond, func() { w.on(i, LinksProbed{Reached: true}) })
 		case AnnounceLimit:
 			w.announceLimit(i, e)
 		case Refuse:
@@ -143,6 +157,7 @@
 // announceLimit delivers a node's announcement to the other nodes unless announcements are lost.
 func (w *limitWorld) announceLimit(from int, e AnnounceLimit) {
 	w.announcements++
+	w.stored[chutefleet.LimitKey(e.Limit.Upstream)] = e.Limit
 	for i := range w.nodes {
 		if i != from && !w.announcementsLost {
 			w.after(w.between(time.Millisecond, 50*time.Millisecond), func() {
@@ -154,7 +169,7 @@
 
 // arrive delivers a call to its upstream, which responds after a delay.
 func (w *limitWorld) arrive(i int, s Send) {
-	u := w.upstreams[s.Upstream.ID]
+	u := w.upstreams[s.Upstream.Name]
 	informedAt, informed := u.informedAt[i]
 	if !u.limitedSince.IsZero() && w.now.Sub(u.limitedSince) >= limitGrace {
 		u.allCalls = append(u.allCalls, w.now)
@@ -166,6 +181,13 @@
 			w.checkCalls(u, u.informedCalls)
 		}
 	}
+	if w.now.Before(u.answersLostUntil) {
+		w.after(w.between(time.Millisecond, 50*time.Millisecond), func() {
+			w.on(i, AttemptEnded{Handle: s.Handle, Attempt: s.Attempt, End: EndBroken})
+		})
+
+		return
+	}
 	limit := &Limit{Named: u.limit >= 0, PerSecond: max(0, u.limit)}
 	w.after(w.between(50*time.Millisecond, 300*time.Millisecond), func() {
 		if limit.Named && !informed {
--- a/internal/chuterelay/limits.go
+++ b/internal/chuterelay/limits.go
@@ -73,34 +73,39 @@
 // the limit is over.
 func (st *reduction) announceLimit(u chutefleet.Upstream) {
 	limit, limited := st.fleet.Limit(u.ID)
-	last, announced := st.announcedLimits.Get(u.ID)
 	rejections, brittle := st.fleet.Brittle(u.ID)
+	announcement := chutefleet.NewLimitRecord(u)
+	announcement.Limited, announcement.PerSecond = limited, limit.PerSecond
+	announcement.Brittle, announcement.Rejections = brittle, rejections
+	announcement.Teller, announcement.At = st.settings.Self.Name, st.now.UnixMilli()
+	last, announced := st.announcedLimits.Get(announcement.Subject())
 	changed := brittle != last.Brittle || limited != last.Limited || math.Abs(limit.PerSecond-last.PerSecond) > minLimitChange*last.PerSecond
 	if !changed || announced && st.now.Sub(last.at) < limitAnnounceInterval {
 		return
 	}
-	announcement := chutefleet.LimitRecord{
-		Upstream: u.ID, Limited: limited, PerSecond: limit.PerSecond, Brittle: brittle, Rejections: rejections, Teller: st.settings.Self.Name, At: st.now.UnixMilli(),
-	}
 	st.rememberAnnouncedLimit(announcement)
 	st.emit(AnnounceLimit{Limit: announcement})
 }
 
-func (st *reduction) rememberAnnouncedLimit(limit chutefleet.LimitRecord) {
+// rememberAnnouncedLimit remembers an announcement; false if one about a later incarnation is known.
+func (st *reduction) rememberAnnouncedLimit(limit chutefleet.LimitRecord) bool {
+	if last, known := st.announcedLimits.Get(limit.Subject()); known && last.StartedAt > limit.StartedAt {
+		return false
+	}
 	if st.announcedLimits.Len() >= maxAnnouncedLimits {
 		st.announcedLimits = immutable.NewMap[string, announcedLimit](nil)
 	}
-	st.announcedLimits = st.announcedLimits.Set(limit.Upstream, announcedLimit{LimitRecord: limit, at: st.now})
+	st.announcedLimits = st.announcedLimits.Set(limit.Subject(), announcedLimit{LimitRecord: limit, at: st.now})
+
+	return true
 }
 
 // limitsAnnounced applies the limits that other nodes have announced.
 func (st *reduction) limitsAnnounced(limits []chutefleet.LimitRecord) {
 	for _, limit := range limits {
-		if st.hasAnnounced(limit) {
-			continue
+		if !st.hasAnnounced(limit) && st.rememberAnnouncedLimit(limit) {
+			st.applyAnnouncedLimit(limit)
 		}
-		st.rememberAnnouncedLimit(limit)
-		st.applyAnnouncedLimit(limit)
 	}
 }
 
@@ -108,17 +113,22 @@
 // upstream: it comes back from the store, and may be older than what this node knows. A process that has made none
 // learns from those of the process before.
 func (st *reduction) hasAnnounced(limit chutefleet.LimitRecord) bool {
-	last, _ := st.announcedLimits.Get(limit.Upstream)
+	last, _ := st.announcedLimits.Get(limit.Subject())
 
 	return limit.Teller == st.settings.Self.Name && last.Teller == limit.Teller
 }
 
 // applyAnnouncedLimit applies an announced limit, if its upstream is listed.
 func (st *reduction) applyAnnouncedLimit(limit chutefleet.LimitRecord) {
-	u, listed := st.fleet.Get(limit.Upstream)
-	if !listed {
-		return
+	if u, listed := st.fleet.Get(limit.Upstream); listed {
+		st.applyLimitOfIncarnation(u, limit)
+	} else if u, listed := st.fleet.Current(limit.Name); listed {
+		st.applyLimitOfPredecessor(u, limit)
 	}
+}
+
+// applyLimitOfIncarnation applies what is announced of a listed incarnation.
+func (st *reduction) applyLimitOfIncarnation(u chutefleet.Upstream, limit chutefleet.LimitRecord) {
 	st.applyAnnouncedBrittle(u, limit)
 	before, limited := st.fleet.Limit(u.ID)
 	if limit.Limited {
@@ -129,13 +139,35 @@
 	st.logLimitChange(u, before, limited, LogUpstreamLimit{AnnouncedBy: limit.Teller})
 }
 
-// applyLimitsOfNewUpstreams applies the remembered limits of upstreams that were not listed
-// before.
-func (st *reduction) applyLimitsOfNewUpstreams(before chutefleet.Fleet) {
-	for i := st.announcedLimits.Iterator(); !i.Done(); {
-		id, announced, _ := i.Next()
-		if _, known := before.Get(id); !known {
-			st.applyAnnouncedLimit(announced.LimitRecord)
+// applyLimitOfPredecessor applies what is announced of an earlier incarnation of a listed upstream. It holds until
+// an answer of the listed one says otherwise, and takes nothing back.
+func (st *reduction) applyLimitOfPredecessor(u chutefleet.Upstream, limit chutefleet.LimitRecord) {
+	if u.StartedAt.UnixMilli() <= limit.StartedAt {
+		return
+	}
+	if _, brittle := st.fleet.Brittle(u.ID); limit.Brittle && !brittle {
+		st.fleet = st.fleet.WithBrittle(u.ID, limit.Rejections, st.now)
+	}
+	before, limited := st.fleet.Limit(u.ID)
+	if limit.Limited && !limited {
+		st.fleet = st.fleet.WithLimit(u.ID, limit.PerSecond, st.now, st.now)
+	}
+	st.logLimitChange(u, before, limited, LogUpstreamLimit{AnnouncedBy: limit.Teller})
+}
+
+// applyLimitsOfNewUpstreams applies the remembered limits of those entries of a change whose incarnations were
+// not listed before.
+func (st *reduction) applyLimitsOfNewUpstreams(entries []chutefleet.Upstream, before chutefleet.Fleet) {
+	for i := range entries {
+		if _, known := before.Get(entries[i].ID); known {
+			continue
+		}
+		for _, subject := range []string{entries[i].Name, entries[i].ID} {
+			if announced, ok := st.announcedLimits.Get(subject); ok {
+				st.applyAnnouncedLimit(announced.LimitRecord)
+
+				break
+			}
 		}
 	}
 }
--- a/internal/chuterelay/limits_test.go
+++ b/internal/chuterelay/limits_test.go
@@ -67,7 +67,7 @@
 		c := qt.New(t)
 		other := newNode(t)
 		announced := announced
-		announced.Upstream, announced.Limited = "late", true
+		announced.Upstream, announced.Name, announced.Limited = "late", "late", true
 		other.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{announced}})
 		list := append(testUpstreams(), chutefleet.Upstream{ID: "late", Name: "late", Pool: plainPool, State: chutefleet.StateReady})
 		other.on(UpstreamsListed{Upstreams: list})
@@ -121,6 +121,69 @@
 	n.Assert(refusal.RetryAfter >= maxLimitRetryAfter/2, qt.IsTrue, qt.Commentf("%v", refusal.RetryAfter))
 }
 
+// Guards against nodes that treat an upstream's new process as unlimited, or go on with a limit that the new
+// process does not have.
+func TestLimitOfNextProcess(t *testing.T) {
+	name := plainPool + "0"
+	stated := func(id string, startedAt int64, limited bool) chutefleet.LimitRecord {
+		return chutefleet.LimitRecord{Upstream: id, Name: name, StartedAt: startedAt, Limited: limited, PerSecond: 2, Teller: "n2"}
+	}
+	expectLimited := func(n *node, id string, limited bool) {
+		n.Helper()
+		_, isLimited := n.state.Fleet().Limit(id)
+		n.Assert(isLimited, qt.Equals, limited)
+	}
+
+	t.Run("an answer without a limit ends it, and the others are told", func(t *testing.T) {
+		n := newNode(t)
+		n.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{stated(name, 0, true)}})
+		id := n.restart(name)[0]
+		expectLimited(n, id, true)
+		n.pass(limitAnnounceInterval)
+		u, _ := n.state.Fleet().Get(id)
+		st := reduction{State: n.state, now: n.now}
+		st.recordLimit(u, &Limit{}, n.now)
+		n.state, n.effects = st.State, st.effects
+		expectLimited(n, id, false)
+		told := takeOne[AnnounceLimit](n).Limit
+		n.Assert(told.Limited, qt.IsFalse)
+
+		other := newNode(t)
+		other.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{stated(name, 0, true)}})
+		other.restart(name)
+		told.Teller = "n2"
+		other.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{told}})
+		expectLimited(other, id, false)
+		other.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{stated(name, 0, true)}})
+		expectLimited(other, id, false)
+	})
+
+	t.Run("a node that starts applies what the process before has stated", func(t *testing.T) {
+		n := newNode(t)
+		id := n.restart(name)[0]
+		n.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{stated(name, 0, true)}})
+		expectLimited(n, id, true)
+	})
+
+	t.Run("the records of several processes count in the order of their starts", func(t *testing.T) {
+		for _, order := range [][]chutefleet.LimitRecord{
+			{stated(name, 0, true), stated(name+"@2", 2, false)},
+			{stated(name+"@2", 2, false), stated(name, 0, true)},
+		} {
+			n := newNode(t)
+			n.on(LimitsAnnounced{Limits: order})
+			expectLimited(n, n.restart(name)[0], false)
+		}
+	})
+
+	t.Run("the end of a limit of the process before takes nothing back", func(t *testing.T) {
+		n := newNode(t)
+		id := n.restart(name)[0]
+		n.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{stated(id, 2, true), stated(name, 0, false)}})
+		expectLimited(n, id, true)
+	})
+}
+
 func TestLimitOfReplacedProcess(t *testing.T) {
 	// Guards against a node that announces that an upstream has no limit because it lists its process no more.
 	n := newNode(t)
--- a/internal/chuterelay/restart.go
+++ b/internal/chuterelay/restart.go
@@ -19,7 +19,7 @@
 	for _, u := range replaced {
 		st.upstreamRestarted(u)
 	}
-	st.applyLimitsOfNewUpstreams(before)
+	st.applyLimitsOfNewUpstreams(change.Entries, before)
 	st.fillAllLanes()
 }
 
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -64,7 +64,7 @@
 	callTimes callTimes
 	// callerWaits distinguishes callers that resend a request from new ones.
 	callerWaits callerWaits
-	// announcedLimits maps an upstream to the last announcement of its limit among nodes.
+	// announcedLimits maps an upstream's name to the last announcement of its limit among nodes.
 	announcedLimits *immutable.Map[string, announcedLimit]
 	quarantine      chutequarantine.Quarantine
 	rollouts        rollouts
