Do not take the fall of a brittle upstream for a crash once its next process is listed

What callers would see: requests that were running when a brittle upstream fell over are suspected of having crashed it, and refused after three such falls. Cause: a fall is told from a crash by whether the upstream is brittle, which was asked of the incarnation that ended; the list had replaced it already. Change: the question goes to the upstream's current process, which inherits whether it is brittle; its slots are those of its own entry (TestBrittleNextProcess). Why it works: a fall and the entry of the next process may come in either order.

--- a/internal/chutefleet/brittle_test.go
+++ b/internal/chutefleet/brittle_test.go
@@ -59,3 +59,17 @@
 		qt.Assert(t, f.Availability("u", now.Add(brittleLifetime)).IsAvailable(), qt.IsTrue)
 	})
 }
+
+// Guards against a new process that gets calls without any bound until it says that it is brittle.
+func TestBrittleNextProcess(t *testing.T) {
+	c := qt.New(t)
+	f, now := brittleFleet("n0", 1, 8)
+	again := Upstream{ID: "u2", Name: "u", Pool: "p", Zone: "z", Slots: 4, State: StateReady, StartedAt: now}
+	f = f.WithCallSent("u", 0, now).WithList([]Upstream{again}, false, now)
+	sent := 0
+	for ; f.Availability("u2", now).IsAvailable(); sent++ {
+		f = f.WithCallSent("u2", 0, now)
+	}
+	c.Assert(sent, qt.Equals, 3)
+	c.Assert(f.WithoutBrittle("u2", now).Availability("u2", now).IsAvailable(), qt.IsTrue)
+}
--- a/internal/chutefleet/list.go
+++ b/internal/chutefleet/list.go
@@ -139,6 +139,11 @@
 		m.observation = &o
 		f.setListedCold(m, previousCold, now)
 	}
+	if m.brittle.isSet {
+		o := *m.observation
+		m.observation = &o
+		f.setBrittleQuota(m)
+	}
 	f = f.withPut(m).withIndexed(&m.Upstream)
 	if id, known := f.incarnations.Get(m.Name); !known || id != m.ID {
 		f.incarnations = f.incarnations.Set(m.Name, m.ID)
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -62,8 +62,7 @@
 func (st *reduction) recordCrash(u chutefleet.Upstream, evidence string, suspects ...chutequarantine.Suspect) {
 	known, listed := st.fleet.Get(u.ID)
 	serving := listed && known.State == chutefleet.StateReady || st.fleet.IsReplaced(u.ID)
-	_, brittle := st.fleet.Brittle(u.ID)
-	if !serving || len(suspects) == 0 || st.links.cutOff || brittle {
+	if !serving || len(suspects) == 0 || st.links.cutOff || st.isBrittle(u) {
 		return
 	}
 	crash := chutequarantine.Crash{Upstream: u.ID, Pool: u.Pool, Suspects: suspects}
@@ -76,6 +75,14 @@
 	st.scheduleJudgement()
 }
 
+// isBrittle reports whether an upstream is brittle, also if another process has its name already.
+func (st *reduction) isBrittle(u chutefleet.Upstream) bool {
+	current, _ := st.fleet.Current(u.Name)
+	_, brittle := st.fleet.Brittle(current.ID)
+
+	return brittle
+}
+
 // recordCallCrash records that an upstream ended while it ran a call with parts.
 func (st *reduction) recordCallCrash(u chutefleet.Upstream, call chutebatch.Call, evidence string) {
 	st.recordCrash(u, evidence, callSuspects(call)...)
--- a/internal/chuterelay/quarantine_test.go
+++ b/internal/chuterelay/quarantine_test.go
@@ -337,3 +337,13 @@
 
 	return ended
 }
+
+func TestFallOfBrittleUpstream(t *testing.T) {
+	// Guards against innocent requests that are suspected because a brittle upstream fell over, and the list had
+	// its next process before the calls broke.
+	n := newNode(t)
+	s := n.submit(n.withFingerprint(plainRequest(1, chuteroute.Unrepeatable), "p"))
+	n.on(LimitsAnnounced{Limits: []chutefleet.LimitRecord{{Upstream: s.Upstream.ID, Brittle: true, Rejections: 4, Teller: "n2"}}})
+	n.restart(s.Upstream.Name)
+	expectNo[AnnounceCrash](n)
+}
