Keep a rest when the entry of the process that asked for it comes late

Cause: rests are kept by incarnation. n0 got the refusal of e1's third process while its list still had the second one (the store was unavailable; two other nodes had the third one's entry two seconds before). When the entry came the rest was dropped with the second process, which had not asked for it. Change: a rest that was asked for less than 10 s before the entry of the next process arrives holds for that process too; it still ends by time alone. An older one is the predecessor's and is dropped as before. Why it works: whichever of the two processes asked, the calls are held back until the end that was asked for. Not covered: an upstream that says that it leaves under its predecessor's id is asked once more after its entry has come.

--- a/internal/chutefleet/list.go
+++ b/internal/chutefleet/list.go
@@ -113,8 +113,9 @@
 		f = f.withoutMember(known.ID)
 		next.replacedID = known.ID
 		next.observation = known.inherited()
+		f = f.withInheritedRest(known.ID, u.ID, now)
 	case !ok:
-		f, next.observation = f.takeDeparted(u.Name, now)
+		f = f.withReturned(next, u.Name, u.ID, now)
 	}
 	if ok && previous == nil {
 		*next = *known
--- a/internal/chutefleet/notice.go
+++ b/internal/chutefleet/notice.go
@@ -11,8 +11,9 @@
 type notice struct {
 	// leaving is final.
 	leaving bool
-	// restUntil is when the rest that it has asked this node for is over.
-	restUntil time.Time
+	// restUntil is when the rest that it has asked this node for is over, restAskedAt when it did.
+	restUntil   time.Time
+	restAskedAt time.Time
 	// heardAt is when it last said anything.
 	heardAt time.Time
 }
@@ -50,7 +51,7 @@
 func (f Fleet) WithRest(id string, until, now time.Time) Fleet {
 	return f.withNotice(id, now, func(heard *notice) {
 		if until.After(heard.restUntil) {
-			heard.restUntil = until
+			heard.restUntil, heard.restAskedAt = until, now
 		}
 	})
 }
--- a/internal/chutefleet/successor.go
+++ b/internal/chutefleet/successor.go
@@ -6,12 +6,16 @@
 	// departedLifetime is how long what is known of an upstream is kept after its entry is gone. Entries
 	// expire while the platform's store is unavailable, and an upstream may start again under its name.
 	departedLifetime = time.Hour
+	// maxEntryDelay is how long after the start of a process its entry may reach this node; entries do not
+	// change while the store is unavailable.
+	maxEntryDelay = 10 * time.Second
 	// maxDeparted bounds the upstreams without an entry of which something is kept.
 	maxDeparted = 1024
 )
 
 // departedUpstream is what is kept of an upstream whose entry is gone.
 type departedUpstream struct {
+	id    string
 	known *observation
 	at    time.Time
 }
@@ -31,16 +35,27 @@
 	return &observation{limit: o.limit, brittle: o.brittle}
 }
 
+// withInheritedRest lets a rest that an incarnation has asked for hold for the next one, if that one may have asked
+// for it: calls reach a new process under the id of the one before until this node has its entry.
+func (f Fleet) withInheritedRest(previous, next string, now time.Time) Fleet {
+	heard, _ := f.notices.Get(previous)
+	if !now.Before(heard.restUntil) || now.Sub(heard.restAskedAt) >= maxEntryDelay {
+		return f
+	}
+
+	return f.WithRest(next, heard.restUntil, heard.restAskedAt)
+}
+
 // withDeparted keeps what the next incarnation of a removed member inherits.
 func (f Fleet) withDeparted(m *member, now time.Time) Fleet {
 	known := m.inherited()
-	if known == unobserved {
+	if known == unobserved && !now.Before(f.RestUntil(m.ID)) {
 		return f
 	}
 	if f.departed.Len() >= maxDeparted {
 		f.departed = f.departed.Delete(f.oldestDeparted())
 	}
-	f.departed = f.departed.Set(m.Name, departedUpstream{known: known, at: now})
+	f.departed = f.departed.Set(m.Name, departedUpstream{id: m.ID, known: known, at: now})
 
 	return f
 }
@@ -57,16 +72,17 @@
 	return oldest
 }
 
-// takeDeparted returns what a new member inherits from an upstream of its name whose entry was gone.
-func (f Fleet) takeDeparted(name string, now time.Time) (Fleet, *observation) {
+// withReturned lets a new member inherit from an upstream of its name whose entry was gone.
+func (f Fleet) withReturned(m *member, name, id string, now time.Time) Fleet {
 	d, ok := f.departed.Get(name)
 	if !ok {
-		return f, unobserved
+		return f
 	}
 	f.departed = f.departed.Delete(name)
 	if now.Sub(d.at) >= departedLifetime {
-		return f, unobserved
+		return f
 	}
+	m.observation = d.known
 
-	return f, d.known
+	return f.withInheritedRest(d.id, id, now)
 }
