Suspect calls that may have reached an upstream's next process of its crash

What callers see: a request that crashes no upstream is set aside at all nodes. Cause: while a node's list has an upstream's ended process, its calls reach the next one under the old id. When the list changes they are ended and held against the process before alone. If one of them then crashes the next process, the requests that broke with it are its only suspects. The innocent stream was set aside for e0@2, e1 and e0. At e1 and e0 the crashing request is a suspect as well, by n3. Why it works: with the crashing request on record at each end the two can't be told apart by three ends, and a fourth decides. Cost: a suspect and a time for each call that a restart ends, at most some seconds.

--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -13,6 +13,9 @@
 // seconds.
 const crashRetryAfter = 5 * time.Second
 
+// strayEvidence is the evidence in the log for suspects that another node's crash report lacks.
+const strayEvidence = "calls to the process before may have reached it"
+
 // quarantineRefusal refuses a request that is quarantined for the given time from now.
 func quarantineRefusal(retryAfter time.Duration) Refusal {
 	return Refusal{
@@ -65,6 +68,9 @@
 	if !serving || len(suspects) == 0 || st.links.cutOff || st.isBrittle(u) {
 		return
 	}
+	if listed {
+		suspects = append(suspects, st.strays.suspects(u.Name, st.now)...)
+	}
 	crash := chutequarantine.Crash{Upstream: u.ID, Pool: u.Pool, Suspects: suspects}
 	var isNew bool
 	if st.quarantine, isNew = st.quarantine.WithCrash(crash, true, st.now); !isNew {
@@ -105,6 +111,7 @@
 func (st *reduction) quarantineAnnounced(e QuarantineAnnounced) {
 	for _, c := range e.Crashes {
 		st.quarantine, _ = st.quarantine.WithCrash(c, false, st.now)
+		st.addStraySuspects(c)
 	}
 	for _, j := range e.Judgements {
 		var isNew bool
@@ -116,6 +123,21 @@
 	st.scheduleJudgement()
 }
 
+// addStraySuspects adds this node's stray calls to the suspects of a crash that another node has announced.
+func (st *reduction) addStraySuspects(c chutequarantine.Crash) {
+	u, listed := st.fleet.Get(c.Upstream)
+	suspects := st.strays.suspects(u.Name, st.now)
+	if !listed || len(suspects) == 0 {
+		return
+	}
+	var isNew bool
+	crash := chutequarantine.Crash{Upstream: c.Upstream, Pool: c.Pool, Suspects: suspects}
+	if st.quarantine, isNew = st.quarantine.WithCrash(crash, true, st.now); isNew {
+		st.emit(LogCrash{Crash: crash, Evidence: strayEvidence})
+		st.emit(AnnounceCrash{Crash: st.quarantine.KnownCrash(c.Upstream)})
+	}
+}
+
 // scheduleJudgement schedules the next judgement of crashes.
 func (st *reduction) scheduleJudgement() {
 	at := st.quarantine.JudgeAt()
--- a/internal/chuterelay/quarantine_test.go
+++ b/internal/chuterelay/quarantine_test.go
@@ -347,3 +347,67 @@
 	n.restart(s.Upstream.Name)
 	expectNo[AnnounceCrash](n)
 }
+
+func TestStrayCalls(t *testing.T) {
+	// Guards against innocent requests that are the only suspects of a crash: the call of the request that caused it
+	// reached the upstream's next process under the id of the one before.
+	restartUnder := func(t *testing.T, fingerprint string) (*node, string) {
+		n := newNode(t)
+		s := n.submit(n.withFingerprint(plainRequest(1, chuteroute.Unrepeatable), fingerprint))
+		id := n.restart(s.Upstream.Name)[0]
+		takeAll[AnnounceCrash](n)
+
+		return n, id
+	}
+	expectSuspects := func(n *node, upstream string, fingerprints ...string) {
+		n.Helper()
+		var got []string
+		crash := takeOne[AnnounceCrash](n).Crash
+		for _, s := range crash.Suspects {
+			got = append(got, s.Fingerprint)
+		}
+		n.Assert(crash.Upstream, qt.Equals, upstream)
+		n.Assert(got, qt.ContentEquals, fingerprints)
+	}
+	crashOf := func(upstream string) QuarantineAnnounced {
+		return QuarantineAnnounced{Crashes: []chutequarantine.Crash{{
+			Upstream: upstream, Pool: plainPool, Suspects: []chutequarantine.Suspect{{Fingerprint: "innocent"}},
+		}}}
+	}
+
+	t.Run("a crash that this node sees", func(t *testing.T) {
+		n, id := restartUnder(t, "poison")
+		for handle := uint64(2); ; handle++ {
+			s := n.submit(n.withFingerprint(plainRequest(handle, chuteroute.Unrepeatable), "innocent"))
+			if s.Upstream.ID == id {
+				n.reportCrash(s)
+
+				break
+			}
+		}
+		expectSuspects(n, id, "innocent", "poison")
+	})
+
+	t.Run("a crash that another node announces", func(t *testing.T) {
+		n, id := restartUnder(t, "poison")
+		n.on(crashOf(id))
+		expectSuspects(n, id, "innocent", "poison")
+		n.on(crashOf(id))
+		expectNo[AnnounceCrash](n)
+	})
+
+	t.Run("a crash long after the restart", func(t *testing.T) {
+		n, id := restartUnder(t, "poison")
+		n.pass(strayCallTime)
+		n.on(crashOf(id))
+		expectNo[AnnounceCrash](n)
+	})
+
+	t.Run("upstreams whose calls have ended are dropped", func(t *testing.T) {
+		calls := newStrayCalls()
+		for i := range 2 * maxStrayUpstreams {
+			calls = calls.with(fmt.Sprint(i), chutequarantine.Suspect{}, start.Add(time.Duration(i)*strayCallTime))
+		}
+		qt.Assert(t, calls.byName.Len() <= maxStrayUpstreams, qt.IsTrue)
+	})
+}
--- a/internal/chuterelay/restart.go
+++ b/internal/chuterelay/restart.go
@@ -37,6 +37,9 @@
 	st.remakeResultsOf(u)
 	if u.State == chutefleet.StateReady {
 		for _, call := range st.collector.CallsAt(u.ID) {
+			for _, suspect := range callSuspects(call) {
+				st.strays = st.strays.with(u.Name, suspect, st.now)
+			}
 			st.recordCallCrash(u, call, restartedReason)
 		}
 	}
@@ -55,6 +58,7 @@
 		if r.current.id == 0 || r.current.upstream.ID != u.ID {
 			continue
 		}
+		st.strays = st.strays.with(u.Name, r.suspect(), st.now)
 		st.emit(CancelSend{Handle: r.Handle, Attempt: r.current.id})
 		st.attemptEnded(AttemptEnded{
 			Handle: r.Handle, Attempt: r.current.id, End: EndBroken, UpstreamEnded: u.State == chutefleet.StateReady,
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -67,6 +67,7 @@
 	// announcedLimits maps an upstream's name to the last announcement of its limit among nodes.
 	announcedLimits *immutable.Map[string, announcedLimit]
 	quarantine      chutequarantine.Quarantine
+	strays          strayCalls
 	rollouts        rollouts
 	// judgeAt is when the next JudgeDue event is due; zero if none is.
 	judgeAt time.Time
@@ -100,6 +101,7 @@
 		announcedLimits: immutable.NewMap[string, announcedLimit](nil),
 
 		quarantine: chutequarantine.New(),
+		strays:     newStrayCalls(),
 		random:     *rand.NewPCG(s.Seed, s.Seed),
 	}
 }
