Weigh a crash less against a request of which upstreams survive many calls

What callers see: the most frequent request, which crashes no upstream, is set aside at all nodes while two others crash upstreams and its pool fails or refuses everything. Cause: three ends at which a request ran are enough for a verdict. A frequent one runs at nearly every end, whoever caused it, and what clears it is an answered run, of which there is none in such seconds. Two requests that crash upstreams in turn have reached three ends each only after up to five. Change: each report of a crash carries, for each suspect, how many of its calls upstreams survived in the last 10 to 20 s at that node: answered, refused, or broken though the upstream accepts connections. If a suspect has 8 or more and another one a quarter of that or less, the crash counts a quarter against it. The probe after a broken call tells three outcomes apart in place of two. What a request that is alone at its crashes, or beside others that are as frequent, needs is unchanged. Why it works: the request that ends each upstream that runs it has few survived calls; who has many was there by chance, or needs more evidence. One that is mostly refused and ends upstreams beside others is still found, after twelve.

--- a/internal/chutegate/forward.go
+++ b/internal/chutegate/forward.go
@@ -126,7 +126,7 @@
 func (n *Node) anyAccepts(ctx context.Context, upstreams []chutefleet.Upstream) bool {
 	accepted := make(chan bool, len(upstreams))
 	for _, u := range upstreams {
-		n.spawn(func(context.Context) { accepted <- n.upstreams.AcceptsConnections(ctx, u.Address) })
+		n.spawn(func(context.Context) { accepted <- n.upstreams.acceptsConnections(ctx, u.Address) })
 	}
 	for range upstreams {
 		select {
--- a/internal/chutegate/liveness.go
+++ b/internal/chutegate/liveness.go
@@ -54,7 +54,7 @@
 // failed in a row.
 func (a *attempt) upstreamGone(ctx context.Context) bool {
 	for range requiredFailedChecks {
-		if a.node.upstreams.AcceptsConnections(ctx, a.send.Upstream.Address) || ctx.Err() != nil {
+		if a.node.upstreams.acceptsConnections(ctx, a.send.Upstream.Address) || ctx.Err() != nil {
 			return false
 		}
 	}
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -209,7 +209,7 @@
 	case err != nil:
 		ended.End, ended.Failure = classifyPartsFailure(err)
 		ended.Silent = asSendError(err).Silent
-		ended.UpstreamEnded = ended.End == chutebatch.CallLost && !ended.Silent && n.upstreamHasEnded(ctx, e.Upstream)
+		ended.UpstreamEnded = ended.End == chutebatch.CallLost && !ended.Silent && n.checkUpstream(ctx, e.Upstream) == AddressRefuses
 		n.log.Debug().Err(err).Str("Upstream", e.Upstream.ID).Str("Pool", e.Upstream.Pool).
 			Int("Parts", len(parts)).Msg("call with parts failed")
 	case answer.Refused:
@@ -237,7 +237,7 @@
 	if !n.sleep(ctx, e.At.Sub(n.Now())) {
 		return
 	}
-	n.sendEvent(chuterelay.ProbeEnded{Upstream: e.Upstream.ID, Alive: n.upstreams.AcceptsConnections(ctx, e.Upstream.Address)})
+	n.sendEvent(chuterelay.ProbeEnded{Upstream: e.Upstream.ID, Alive: n.upstreams.acceptsConnections(ctx, e.Upstream.Address)})
 }
 
 // freeResults tells an upstream that results are no longer needed.
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -141,6 +141,24 @@
 	Inputs   []string
 }
 
+// AddressState is what an attempt to open a connection shows about an address.
+type AddressState string
+
+// The states of an address.
+const (
+	// AddressAccepts: a process accepts connections.
+	AddressAccepts AddressState = "Accepts"
+	// AddressRefuses: the VM can be reached, and no process listens.
+	AddressRefuses AddressState = "Refuses"
+	// AddressSilent: neither; this proves nothing.
+	AddressSilent AddressState = "Silent"
+)
+
+// acceptsConnections reports whether a process accepts connections at an address.
+func (u Upstreams) acceptsConnections(ctx context.Context, address string) bool {
+	return u.ProbeAddress(ctx, address) == AddressAccepts
+}
+
 // Upstreams holds the functions that call upstreams; all fields must be set.
 type Upstreams struct {
 	// Exchange sends a call and returns the answer; its error is a *SendError.
@@ -150,11 +168,8 @@
 	// FreeResults tells an upstream which results are no longer needed, and returns what its answer
 	// says about itself.
 	FreeResults func(ctx context.Context, u chutefleet.Upstream, refs []string) (chuterelay.Notice, error)
-	// HasEnded reports whether the process that was at an address has ended, which is certain only
-	// if the VM is reachable and refuses connections. No answer proves nothing.
-	HasEnded func(ctx context.Context, address string) bool
-	// AcceptsConnections reports whether anything accepts connections at an address.
-	AcceptsConnections func(ctx context.Context, address string) bool
+	// ProbeAddress opens a connection to an address and returns what that shows.
+	ProbeAddress func(ctx context.Context, address string) AddressState
 	// CloseIdle closes the unused connections to an address.
 	CloseIdle func(address string)
 	// TrimIdle closes connections that have been idle for too long.
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// upstreamEndedTimeout bounds the check whether an upstream's process has ended. A refused
+	// upstreamProbeTimeout bounds the check whether an upstream's process has ended. A refused
 	// connection takes one round trip to the VM, and the caller's request waits for it before it is
 	// sent elsewhere.
-	upstreamEndedTimeout = 100 * time.Millisecond
+	upstreamProbeTimeout = 100 * time.Millisecond
 	// reportBatchDelay is how long reports are collected before they are sent. An engine that
 	// crashes breaks tens of calls within milliseconds.
 	reportBatchDelay = 10 * time.Millisecond
@@ -50,13 +50,17 @@
 	maxQuarantineRows      = 8192
 )
 
-// upstreamHasEnded reports whether the upstream's process has ended, as opposed to just a
-// connection to it.
-func (n *Node) upstreamHasEnded(ctx context.Context, u chutefleet.Upstream) bool {
-	ctx, cancel := context.WithTimeout(ctx, upstreamEndedTimeout)
+// checkUpstream returns what the address of an upstream shows after a call to it broke. AddressRefuses means that
+// its process has ended, as opposed to just a connection to it.
+func (n *Node) checkUpstream(ctx context.Context, u chutefleet.Upstream) AddressState {
+	ctx, cancel := context.WithTimeout(ctx, upstreamProbeTimeout)
 	defer cancel()
+	state := n.upstreams.ProbeAddress(ctx, u.Address)
+	if state == AddressRefuses && !n.reachesOtherUpstream(ctx, u) {
+		return AddressSilent
+	}
 
-	return n.upstreams.HasEnded(ctx, u.Address) && n.reachesOtherUpstream(ctx, u)
+	return state
 }
 
 // performQuarantineEffect performs the effects that concern requests which make upstreams crash.
@@ -85,10 +89,12 @@
 // logCrash logs one line for each upstream that ended, and one for further suspects of that crash.
 func (n *Node) logCrash(e chuterelay.LogCrash) {
 	suspects := make([]string, 0, len(e.Crash.Suspects))
+	survived := make([]int, 0, len(e.Crash.Suspects))
 	for _, s := range e.Crash.Suspects {
 		suspects = append(suspects, s.Fingerprint)
+		survived = append(survived, s.Survived)
 	}
-	n.log.Warn().Str("Upstream", e.Crash.Upstream).Str("Pool", e.Crash.Pool).Strs("Suspects", suspects).
+	n.log.Warn().Str("Upstream", e.Crash.Upstream).Str("Pool", e.Crash.Pool).Strs("Suspects", suspects).Ints("Survived", survived).
 		Str("Evidence", e.Evidence).Msg("upstream ended under requests")
 }
 
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -134,11 +134,14 @@
 	return answer, nil, err
 }
 
-// withFailure adds to ended what a failed exchange means, and whether the upstream has ended.
+// withFailure adds to ended what a failed exchange means, and whether the upstream has ended or goes on.
 func (a *attempt) withFailure(ctx context.Context, ended chuterelay.AttemptEnded, err error) chuterelay.AttemptEnded {
 	ended.End = a.classifyError(ctx, err)
 	ended.Detail = err.Error()
-	ended.UpstreamEnded = a.send.Peer.Name == "" && ended.End == chuterelay.EndBroken && a.node.upstreamHasEnded(ctx, a.send.Upstream)
+	if a.send.Peer.Name == "" && ended.End == chuterelay.EndBroken {
+		state := a.node.checkUpstream(ctx, a.send.Upstream)
+		ended.UpstreamEnded, ended.UpstreamAlive = state == AddressRefuses, state == AddressAccepts
+	}
 
 	return ended
 }
--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -22,6 +23,14 @@
 	// quarantine a request by itself, because a request that many callers send is running at every
 	// upstream when all of them lose power.
 	maxIncidentWeight = 2
+	// A request of which upstreams have survived minFrequentCalls calls in SurvivalWindow may be running at any
+	// crash by chance. Such a crash is doubtful evidence against it if another suspect has frequentFactor times
+	// fewer calls survived: it takes doubtfulCrashes of them to count for one.
+	minFrequentCalls = 8
+	frequentFactor   = 4
+	doubtfulCrashes  = 4
+	// SurvivalWindow is the time for which calls that upstreams survive are counted.
+	SurvivalWindow = 10 * time.Second
 	// judgeDelay is the age at which an incident is judged. By then all of its crashes are known,
 	// and all nodes have reported their suspects.
 	judgeDelay = incidentWindow + 50*time.Millisecond
@@ -107,13 +116,13 @@
 			continue
 		}
 		upstreams := q.EvidenceAgainst(fingerprint)
-		if weight := evidenceWeight(upstreams, incidents); weight >= minCrashes {
-			candidates = append(candidates, candidate{upstreams: upstreams, weight: weight})
+		if weight := q.weightAgainst(fingerprint, upstreams, incidents); weight >= minCrashes {
+			candidates = append(candidates, candidate{fingerprint: fingerprint, upstreams: upstreams, weight: weight})
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
 	for _, a := range candidates {
-		indistinct := q.commonSuspects(a.upstreams)
+		indistinct := q.commonSuspects(a)
 		if len(indistinct) > 1 && a.weight < minCrashesOfPair {
 			continue
 		}
@@ -130,8 +139,39 @@
 
 // candidate is the evidence against a request that has enough crashes.
 type candidate struct {
-	upstreams []string
-	weight    int
+	fingerprint string
+	upstreams   []string
+	weight      int
+}
+
+// weightAgainst returns the number of crashes that the ends of the given upstreams count for against a request.
+func (q Quarantine) weightAgainst(fingerprint string, upstreams []string, incidents map[string]*incident) int {
+	var certain, doubtful []string
+	for _, u := range upstreams {
+		if q.isDoubtful(u, fingerprint) {
+			doubtful = append(doubtful, u)
+		} else {
+			certain = append(certain, u)
+		}
+	}
+
+	return evidenceWeight(certain, incidents) + evidenceWeight(doubtful, incidents)/doubtfulCrashes
+}
+
+// isDoubtful reports whether a request may have been running at a crash by chance: it is frequent, and another
+// suspect is far less so.
+func (q Quarantine) isDoubtful(upstream, fingerprint string) bool {
+	c, _ := q.crashes.Get(upstream)
+	survived, least := 0, math.MaxInt
+	for _, s := range c.Suspects {
+		if s.Fingerprint == fingerprint {
+			survived = s.Survived
+		} else {
+			least = min(least, s.Survived)
+		}
+	}
+
+	return survived >= minFrequentCalls && least <= survived/frequentFactor
 }
 
 // evidenceWeight returns the number of crashes that the ends of the given upstreams count for: one
@@ -188,14 +228,19 @@
 	return slices.Compact(all)
 }
 
-// commonSuspects returns the requests that were running at the crashes of all given upstreams, as
-// far as all of these crashes still count against them. They are sorted by fingerprint.
-func (q Quarantine) commonSuspects(upstreams []string) []Suspect {
-	first, _ := q.crashes.Get(upstreams[0])
+// commonSuspects returns the requests that can't be told apart from a candidate: they were running at the same
+// crashes, as far as all of these still count against them, and are frequent at the same ones. They are sorted by
+// fingerprint.
+func (q Quarantine) commonSuspects(a candidate) []Suspect {
+	first, _ := q.crashes.Get(a.upstreams[0])
 	var all []Suspect
 	for _, s := range first.Suspects {
 		evidence := q.EvidenceAgainst(s.Fingerprint)
-		if !slices.ContainsFunc(upstreams, func(u string) bool { return !slices.Contains(evidence, u) }) {
+		differs := func(u string) bool {
+			return !slices.Contains(evidence, u) || q.isDoubtful(u, s.Fingerprint) != q.isDoubtful(u, a.fingerprint)
+		}
+		if !slices.ContainsFunc(a.upstreams, differs) {
+			s.Survived = 0
 			all = append(all, s)
 		}
 	}
--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -31,6 +31,9 @@
 	Fingerprint string
 	Workspace   string
 	Pipeline    string
+	// Survived is the number of its calls of the last SurvivalWindow, at the node that reports the crash, after
+	// which the upstream's process went on.
+	Survived int `json:",omitempty"`
 }
 
 // Crash describes the end of an upstream's process while it was running requests.
@@ -78,6 +81,17 @@
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Fingerprint == fingerprint })
 }
 
+// withSurvived returns the crash with a suspect's highest reported count of survived calls.
+func (c crashRecord) withSurvived(s Suspect) crashRecord {
+	i := slices.IndexFunc(c.Suspects, func(known Suspect) bool { return known.Fingerprint == s.Fingerprint })
+	if c.Suspects[i].Survived < s.Survived {
+		c.Suspects = slices.Clone(c.Suspects)
+		c.Suspects[i].Survived = s.Survived
+	}
+
+	return c
+}
+
 // judgementRecord is a judgement with the time when this node learned of it.
 type judgementRecord struct {
 	Judgement
@@ -125,7 +139,12 @@
 	known.Suspects = slices.Clip(known.Suspects)
 	isNew := !ok
 	for _, s := range c.Suspects {
-		if len(known.Suspects) >= maxSuspects || known.hasSuspect(s.Fingerprint) {
+		if known.hasSuspect(s.Fingerprint) {
+			known = known.withSurvived(s)
+
+			continue
+		}
+		if len(known.Suspects) >= maxSuspects {
 			continue
 		}
 		isNew = true
--- a/internal/chutequarantine/quarantine_test.go
+++ b/internal/chutequarantine/quarantine_test.go
@@ -177,6 +177,79 @@
 	})
 }
 
+// crashBeside adds the crash of an upstream under a request that never survived, beside one of which upstreams
+// survived many calls, and advances the clock until it is judged.
+func (h *harness) crashBeside(poison, frequent string) {
+	h.crashCount++
+	all := suspects(poison, frequent)
+	all[1].Survived = 10 * minFrequentCalls
+	h.q, _ = h.q.WithCrash(Crash{Upstream: fmt.Sprint("u", h.crashCount), Pool: "engines", Suspects: all}, true, h.now)
+	h.advance(judgeDelay)
+}
+
+// Guards against an innocent request that is quarantined because it is so frequent that it runs beside every crash,
+// while its pool answers nothing that would clear it.
+func TestFrequentRequest(t *testing.T) {
+	t.Run("the poison request is found after three crashes", func(t *testing.T) {
+		h := newHarness(t)
+		for range 3 {
+			h.crashBeside("p", "frequent")
+		}
+		h.assertQuarantined("p")
+	})
+
+	t.Run("two poison requests in turn are found", func(t *testing.T) {
+		h := newHarness(t)
+		for range 3 {
+			h.crashBeside("p", "frequent")
+			h.crashBeside("q", "frequent")
+		}
+		h.assertQuarantined("p", "q")
+	})
+
+	t.Run("unlike requests beside it change nothing", func(t *testing.T) {
+		h := newHarness(t)
+		for i := range 5 {
+			h.crashBeside(fmt.Sprint("once", i), "frequent")
+		}
+		h.assertQuarantined()
+	})
+
+	t.Run("a frequent request that is alone at three crashes is quarantined", func(t *testing.T) {
+		h := newHarness(t)
+		for range 3 {
+			h.crashCount++
+			all := suspects("frequent")
+			all[0].Survived = 10 * minFrequentCalls
+			h.q, _ = h.q.WithCrash(Crash{Upstream: fmt.Sprint("u", h.crashCount), Suspects: all}, true, h.now)
+			h.advance(judgeDelay)
+		}
+		h.assertQuarantined("frequent")
+	})
+
+	t.Run("a frequent request that crashes upstreams beside others is quarantined in the end", func(t *testing.T) {
+		// Without this, a poison request that overloaded upstreams mostly refuse would crash them without end.
+		h := newHarness(t)
+		for i := range minCrashes * doubtfulCrashes {
+			h.assertQuarantined()
+			h.crashBeside(fmt.Sprint("once", i), "frequent")
+		}
+		h.assertQuarantined("frequent")
+	})
+
+	t.Run("the highest count that nodes report counts", func(t *testing.T) {
+		h := newHarness(t)
+		for range 3 {
+			u := h.crash("p", "frequent")
+			all := suspects("frequent")
+			all[0].Survived = minFrequentCalls
+			h.q, _ = h.q.WithCrash(Crash{Upstream: u, Suspects: all}, false, h.now)
+			h.advance(judgeDelay)
+		}
+		h.assertQuarantined("p")
+	})
+}
+
 func TestReports(t *testing.T) {
 	t.Run("an answered request is cleared", func(t *testing.T) {
 		h := newHarness(t)
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -128,6 +128,8 @@
 	st.uncountAttempt(r)
 	if e.UpstreamEnded {
 		st.recordCrash(r.current.upstream, e.describe(), r.suspect())
+	} else if e.UpstreamAlive || e.End.isFromUpstream() {
+		st.survived = st.survived.with(r.Fingerprint, st.now)
 	}
 	st.emit(Charge{
 		Attempt: e.Attempt, Workspace: r.Workspace.Name, Pipeline: r.Pipeline.Name, Stage: r.pool,
@@ -178,6 +180,16 @@
 	}
 }
 
+// isFromUpstream reports whether the end is an answer or a refusal of the upstream itself.
+func (e AttemptEnd) isFromUpstream() bool {
+	switch e {
+	case EndAnswered, EndErrored, EndRefused, EndInputGone:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordAttemptEnd updates the state of an upstream and its zone from the end of a call.
 func (st *reduction) recordAttemptEnd(r request, e AttemptEnded) {
 	id := r.current.upstream.ID
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -237,8 +237,13 @@
 	u, _ := st.fleet.Get(call.Upstream)
 	st.recordCallEnd(call, e)
 	st.countPartsCall(u, call, e)
-	if e.UpstreamEnded {
+	switch {
+	case e.UpstreamEnded:
 		st.recordCallCrash(u, call, "a call with parts broke")
+	case e.End == chutebatch.CallAnswered, e.End == chutebatch.CallRefused:
+		for _, suspect := range callSuspects(call) {
+			st.survived = st.survived.with(suspect.Fingerprint, st.now)
+		}
 	}
 	budgetAccount := st.collectorAccount(call.Pool, st.now)
 	allowedRetries := st.retriesLeft(budgetAccount)
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -227,8 +227,10 @@
 	Silent bool
 	// Events counts the events sent to the caller in this attempt.
 	Events int
-	// UpstreamEnded says that the upstream's process has ended, not just the connection.
+	// UpstreamEnded says that the upstream's process has ended, not just the connection; UpstreamAlive says
+	// that it has not, though the connection broke.
 	UpstreamEnded bool
+	UpstreamAlive bool
 	Load          *Load
 	// Cold is how much longer the upstream reports to stay cold; 0 if it does not say.
 	Cold time.Duration
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -1,6 +1,7 @@
 package chuterelay
 
 import (
+	"slices"
 	"time"
 
 	"azurechute.example/azurechute/internal/chutebatch"
@@ -71,7 +72,7 @@
 	if listed {
 		suspects = append(suspects, st.strays.suspects(u.Name, st.now)...)
 	}
-	crash := chutequarantine.Crash{Upstream: u.ID, Pool: u.Pool, Suspects: suspects}
+	crash := chutequarantine.Crash{Upstream: u.ID, Pool: u.Pool, Suspects: st.withSurvived(suspects)}
 	var isNew bool
 	if st.quarantine, isNew = st.quarantine.WithCrash(crash, true, st.now); !isNew {
 		return
@@ -81,6 +82,16 @@
 	st.scheduleJudgement()
 }
 
+// withSurvived returns suspects with the numbers of their calls that upstreams survived.
+func (st *reduction) withSurvived(suspects []chutequarantine.Suspect) []chutequarantine.Suspect {
+	counted := slices.Clone(suspects)
+	for i := range counted {
+		counted[i].Survived = st.survived.count(counted[i].Fingerprint, st.now)
+	}
+
+	return counted
+}
+
 // isBrittle reports whether an upstream is brittle, also if another process has its name already.
 func (st *reduction) isBrittle(u chutefleet.Upstream) bool {
 	current, _ := st.fleet.Current(u.Name)
@@ -131,7 +142,7 @@
 		return
 	}
 	var isNew bool
-	crash := chutequarantine.Crash{Upstream: c.Upstream, Pool: c.Pool, Suspects: suspects}
+	crash := chutequarantine.Crash{Upstream: c.Upstream, Pool: c.Pool, Suspects: st.withSurvived(suspects)}
 	if st.quarantine, isNew = st.quarantine.WithCrash(crash, true, st.now); isNew {
 		st.emit(LogCrash{Crash: crash, Evidence: strayEvidence})
 		st.emit(AnnounceCrash{Crash: st.quarantine.KnownCrash(c.Upstream)})
--- a/internal/chuterelay/quarantine_sim_test.go
+++ b/internal/chuterelay/quarantine_sim_test.go
@@ -79,6 +79,8 @@
 	crashes      map[string]int
 	thirdCrashAt map[string]time.Time
 	lateSends    map[string]int
+	// refusing says that upstreams refuse all requests but those that crash them.
+	refusing bool
 	// answered counts the requests answered. wronglyQuarantined holds the fingerprints of innocent
 	// requests that were refused while quarantined.
 	answered           int
@@ -229,6 +231,11 @@
 	w.after(w.between(20*time.Millisecond, 200*time.Millisecond), func() {
 		if _, runs := u.calls[key]; runs && u.id == id {
 			delete(u.calls, key)
+			if w.refusing {
+				w.endCall(c, AttemptEnded{End: EndRefused})
+
+				return
+			}
 			w.endCall(c, AttemptEnded{End: EndAnswered, HasAnswer: true})
 		}
 	})
@@ -413,6 +420,38 @@
 	w.Check(w.answered > sent/2, qt.IsTrue, qt.Commentf("%d of %d innocent requests were answered", w.answered, sent))
 }
 
+// TestFrequentRequestAcrossNodes guards against an innocent request that is quarantined because it runs beside
+// every crash: one request of most callers, in a pool that refuses all requests but those that crash it.
+func TestFrequentRequestAcrossNodes(t *testing.T) {
+	sizes := []int{4, 36}
+	if *simLarge {
+		sizes = append(sizes, 195, 400)
+	}
+	for _, nodes := range sizes {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%d nodes, seed %d", nodes, seed), func(t *testing.T) {
+				w := newSimWorld(t, seed, nodes)
+				w.refusing, w.duration = true, 20*time.Second
+				w.every(100*time.Millisecond/time.Duration(nodes), func() { w.sendRequest("common", "again") })
+				w.after(5*time.Second, func() {
+					for i := range 2 {
+						w.every(time.Second, func() { w.sendRequest(fmt.Sprint("poison", i), "p") })
+					}
+				})
+				w.runUntil(start.Add(w.duration))
+				w.Check(w.wronglyQuarantined, qt.HasLen, 0)
+				for f, n := range w.lateSends {
+					w.Check(n <= maxLateSends, qt.IsTrue, qt.Commentf("%s was sent %d times after it should have been quarantined", f, n))
+				}
+				for f, n := range w.crashes {
+					_, found := w.nodes[0].state.quarantine.QuarantinedUntil(f)
+					w.Check(found && n <= 6, qt.IsTrue, qt.Commentf("%s crashed %d upstreams, quarantined: %v", f, n, found))
+				}
+			})
+		}
+	}
+}
+
 // TestQuarantineAcrossNodes simulates a pool of twelve upstreams behind several nodes, three
 // poison requests that are sent once a second to any node, and innocent ones, of which one is
 // sent by many callers and all others once. A refused innocent request is sent once more.
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -68,6 +68,7 @@
 	announcedLimits *immutable.Map[string, announcedLimit]
 	quarantine      chutequarantine.Quarantine
 	strays          strayCalls
+	survived        survivedCalls
 	rollouts        rollouts
 	// judgeAt is when the next JudgeDue event is due; zero if none is.
 	judgeAt time.Time
@@ -102,6 +103,7 @@
 
 		quarantine: chutequarantine.New(),
 		strays:     newStrayCalls(),
+		survived:   newSurvivedCalls(),
 		random:     *rand.NewPCG(s.Seed, s.Seed),
 	}
 }
