Take back a quarantine that later reports of its crashes refute

What callers see: a frequent innocent request is refused at all nodes because one node judged before it had the other suspects' reports. Change: a new report of a crash has the quarantines examined again that rest on it, and a node does not take over a verdict that its own reports refute. The simulation passes gossip on as nodes do, to whom it is new, twice. Test: TestFrequentRequest "a verdict that later reports refute is dropped". Why it works: all nodes come to the same reports, so the verdict that stands is the one by all of them.

--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -146,7 +146,13 @@
 
 // weightAgainst returns the number of crashes that the ends of the given upstreams count for against a request.
 func (q Quarantine) weightAgainst(fingerprint string, upstreams []string, incidents map[string]*incident) int {
-	var certain, doubtful []string
+	certain, doubtful := q.splitEvidence(fingerprint, upstreams)
+
+	return evidenceWeight(certain, incidents) + evidenceWeight(doubtful, incidents)/doubtfulCrashes
+}
+
+// splitEvidence returns the upstreams whose crashes are certain evidence against a request, and the others.
+func (q Quarantine) splitEvidence(fingerprint string, upstreams []string) (certain, doubtful []string) {
 	for _, u := range upstreams {
 		if q.isDoubtful(u, fingerprint) {
 			doubtful = append(doubtful, u)
@@ -155,7 +161,7 @@
 		}
 	}
 
-	return evidenceWeight(certain, incidents) + evidenceWeight(doubtful, incidents)/doubtfulCrashes
+	return certain, doubtful
 }
 
 // isDoubtful reports whether a request may have been running at a crash by chance: it is frequent, and another
--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -154,6 +154,7 @@
 		q.newSuspects = append(slices.Clip(q.newSuspects), s.Fingerprint)
 	}
 	q.crashes = q.crashes.Set(c.Upstream, known)
+	q = q.withoutRefuted(known)
 	if isNew && q.judgeAt.IsZero() {
 		q.judgeAt = now.Add(judgeDelay)
 	}
@@ -208,7 +209,7 @@
 	if ok && known.Verdict == j.Verdict && slices.Equal(known.Upstreams, j.Upstreams) {
 		return q, false
 	}
-	if j.Verdict == VerdictQuarantined && q.lacksEvidence(j) {
+	if j.Verdict == VerdictQuarantined && (q.lacksEvidence(j) || q.refutes(j)) {
 		return q, false
 	}
 	if !ok {
@@ -225,6 +226,25 @@
 	return q, true
 }
 
+// withoutRefuted drops the quarantines whose evidence has become too doubtful by what was reported of a crash since.
+func (q Quarantine) withoutRefuted(c crashRecord) Quarantine {
+	for _, s := range c.Suspects {
+		if j, ok := q.judgements.Get(s.Fingerprint); ok && j.Verdict == VerdictQuarantined && q.refutes(j.Judgement) {
+			q.judgements = q.judgements.Delete(s.Fingerprint)
+		}
+	}
+
+	return q
+}
+
+// refutes reports whether so much of a quarantine's evidence is doubtful, by what this node knows of the crashes, that
+// the rest is not enough.
+func (q Quarantine) refutes(j Judgement) bool {
+	certain, doubtful := q.splitEvidence(j.Fingerprint, j.Upstreams)
+
+	return len(doubtful) > 0 && len(certain)+len(doubtful)/doubtfulCrashes < minCrashes
+}
+
 // lacksEvidence reports whether so much of a judgement's evidence is void that the rest is not enough
 // for a quarantine.
 func (q Quarantine) lacksEvidence(j Judgement) bool {
--- a/internal/chutequarantine/quarantine_test.go
+++ b/internal/chutequarantine/quarantine_test.go
@@ -237,6 +237,27 @@
 		h.assertQuarantined("frequent")
 	})
 
+	t.Run("a verdict that later reports refute is dropped", func(t *testing.T) {
+		// Guards against a node that has not heard of the other suspects in time, and judges by what it has.
+		h := newHarness(t)
+		var upstreams []string
+		for range 3 {
+			h.crashCount++
+			upstreams = append(upstreams, fmt.Sprint("u", h.crashCount))
+			frequent := Suspect{Fingerprint: "frequent", Survived: minFrequentCalls}
+			h.q, _ = h.q.WithCrash(Crash{Upstream: upstreams[len(upstreams)-1], Suspects: []Suspect{frequent}}, true, h.now)
+			h.advance(judgeDelay)
+		}
+		h.assertQuarantined("frequent")
+		for _, u := range upstreams {
+			h.q, _ = h.q.WithCrash(Crash{Upstream: u, Suspects: suspects("p")}, false, h.now)
+		}
+		h.advance(judgeDelay)
+		h.assertQuarantined("p")
+		_, isNew := h.q.WithJudgement(Judgement{Suspect: suspects("frequent")[0], Verdict: VerdictQuarantined, Upstreams: upstreams}, h.now)
+		h.Assert(isNew, qt.IsFalse)
+	})
+
 	t.Run("the highest count that nodes report counts", func(t *testing.T) {
 		h := newHarness(t)
 		for range 3 {
--- a/internal/chuterelay/quarantine_sim_test.go
+++ b/internal/chuterelay/quarantine_sim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -51,6 +53,8 @@
 	submissions map[uint64]Submission
 	unwritten   []simRow
 	writing     bool
+	// passedOn holds the announcements that the node has passed on to others.
+	passedOn map[string]bool
 }
 
 // simRow is a crash or a judgement as stored, with the announcement that carries it.
@@ -114,7 +118,7 @@
 // startProcess starts a node's process, which reads the store.
 func (w *simWorld) startProcess(n *simNode) {
 	n.process++
-	n.submissions, n.unwritten, n.writing = map[uint64]Submission{}, nil, false
+	n.submissions, n.unwritten, n.writing, n.passedOn = map[uint64]Submission{}, nil, false, map[string]bool{}
 	n.state = NewState(Settings{
 		Self: Peer{Name: n.name, Zone: "z1"}, Retries: chutebudget.Settings{Ratio: 0.2, Slack: 50}, Seed: w.random.Uint64(),
 	})
@@ -256,7 +260,8 @@
 // endUpstream ends an upstream's process and all its calls, and restarts it later under a new ID.
 func (w *simWorld) endUpstream(u *simUpstream) {
 	u.down = true
-	for _, c := range u.calls {
+	for _, key := range slices.Sorted(maps.Keys(u.calls)) {
+		c := u.calls[key]
 		w.after(w.between(time.Millisecond, 10*time.Millisecond), func() { w.endCall(c, AttemptEnded{End: EndBroken, UpstreamEnded: true}) })
 	}
 	u.calls = map[string]simCall{}
@@ -288,16 +293,9 @@
 	}
 }
 
-// announce delivers a row to up to 17 random nodes directly, and to the store once that is reachable.
+// announce delivers a row to other nodes directly, and to the store once that is reachable.
 func (w *simWorld) announce(n *simNode, row simRow) {
-	for _, i := range w.random.Perm(len(w.nodes))[:min(17, len(w.nodes))] {
-		other := w.nodes[i]
-		w.after(w.between(time.Millisecond, 5*time.Millisecond), func() {
-			if !n.cut && !other.cut {
-				w.on(other, row.announcement)
-			}
-		})
-	}
+	w.gossip(n, row, gossipHops)
 	n.unwritten = append(n.unwritten, row)
 	if !n.writing {
 		n.writing = true
@@ -306,6 +304,30 @@
 	}
 }
 
+const (
+	// gossipFanout is the number of random nodes that a node tells directly, and gossipHops how often those to whom
+	// a row is new pass it on.
+	gossipFanout = 17
+	gossipHops   = 2
+)
+
+// gossip delivers a row to random nodes, which pass it on if it is new to them.
+func (w *simWorld) gossip(n *simNode, row simRow, hops int) {
+	for _, i := range w.random.Perm(len(w.nodes))[:min(gossipFanout, len(w.nodes))] {
+		other := w.nodes[i]
+		w.after(w.between(time.Millisecond, 5*time.Millisecond), func() {
+			if n.cut || other.cut {
+				return
+			}
+			w.on(other, row.announcement)
+			if text := fmt.Sprint(row.announcement); hops > 0 && !other.passedOn[text] {
+				other.passedOn[text] = true
+				w.gossip(other, row, hops-1)
+			}
+		})
+	}
+}
+
 // writeRows writes a node's rows to the store, which sends them to all nodes that reach it.
 func (w *simWorld) writeRows(n *simNode, process int) {
 	if n.process != process {
@@ -439,7 +461,7 @@
 					}
 				})
 				w.runUntil(start.Add(w.duration))
-				w.Check(w.wronglyQuarantined, qt.HasLen, 0)
+				w.Check(len(w.wronglyQuarantined), qt.Equals, 0)
 				for f, n := range w.lateSends {
 					w.Check(n <= maxLateSends, qt.IsTrue, qt.Commentf("%s was sent %d times after it should have been quarantined", f, n))
 				}
