Take a stream that ends by silence for a sign that its zone is cut off

What callers see: a request that is written to a kept connection into a cut off zone is delivered when the cut is over, to an upstream that has left meanwhile (DRAIN), while its caller was served elsewhere or told that it failed. Cause: a call without an answer counts as silence of its upstream's zone, a stream that went silent after its head did not, so the zone counted as cut off later than the streams showed it. Change: each failed call says whether it ended by silence, streams included. Test: TestSilentStream failed before (Silent is false) and passes.

--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -73,10 +73,7 @@
 		return ended
 	}
 	if err != nil {
-		ended = a.withFailure(ctx, ended, err)
-		ended.Silent = ended.End == chuterelay.EndSilent || asSendError(err).Silent
-
-		return ended
+		return a.withFailure(ctx, ended, err)
 	}
 	a.recordActivity()
 	defer func() { _ = answer.Body.Close() }()
@@ -138,6 +135,7 @@
 func (a *attempt) withFailure(ctx context.Context, ended chuterelay.AttemptEnded, err error) chuterelay.AttemptEnded {
 	ended.End = a.classifyError(ctx, err)
 	ended.Detail = err.Error()
+	ended.Silent = ended.End == chuterelay.EndSilent || asSendError(err).Silent
 	if a.send.Peer.Name == "" && ended.End == chuterelay.EndBroken {
 		state := a.node.checkUpstream(ctx, a.send.Upstream)
 		ended.UpstreamEnded, ended.UpstreamAlive = state == AddressRefuses, state == AddressAccepts
--- a/internal/chutegate/send_test.go
+++ b/internal/chutegate/send_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -75,3 +76,37 @@
 		c.Assert(<-second, qt.IsTrue)
 	})
 }
+
+// silentBody is the body of a stream whose connection goes silent after some text.
+type silentBody struct {
+	text io.Reader
+}
+
+func (b silentBody) Read(p []byte) (int, error) {
+	n, err := b.text.Read(p)
+	if err == io.EOF {
+		return n, &SendError{Silent: true, Err: os.ErrDeadlineExceeded}
+	}
+
+	return n, err
+}
+
+func (silentBody) Close() error {
+	return nil
+}
+
+func TestSilentStream(t *testing.T) {
+	// Guards against calls to a zone that is cut off: what is written to kept connections is delivered once the cut
+	// is over, also to upstreams that have left meanwhile.
+	c := qt.New(t)
+	answer := eventsAnswer("")
+	answer.Body = silentBody{text: strings.NewReader("id: 0\ndata: a\n\n")}
+	n := New(Settings{}, clockwork.NewFakeClock(), zerolog.Nop(), Store{}, Decoders{}, Upstreams{
+		Exchange: func(context.Context, Call) (Answer, error) { return answer, nil },
+	})
+	defer n.Stop()
+	a := &attempt{node: n, request: newTestRequest(), send: chuterelay.Send{Streams: true}}
+	ended := a.run(context.Background())
+	c.Assert(ended.End, qt.Equals, chuterelay.EndSilent)
+	c.Assert(ended.Silent, qt.IsTrue)
+}
