--- a/internal/chuterelay/forward_sim_test.go
+++ b/internal/chuterelay/forward_sim_test.go
@@ -13,7 +13,7 @@
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
-var simLarge = flag.Bool("sim.large", false, "also play cuts and brittle upstreams with up to 985 nodes")
+var simLarge = flag.Bool("sim.large", false, "also simulate up to 985 nodes")
 
 const (
 	// cutDuration is how long links are cut in a run, cutGrace the time in which a node has to have found
