Let a process that shuts down wait until others have its last cost counters

Callers' cost was lost: a node that ended told two others its last counters while it wrote them to the store, and ended as soon as the store had confirmed them; its end cancelled the calls to the others. If the store then came back from a copy without the rows, nobody could write them again.

Change: the copying is part of the write. The choice of random nodes is shared with gossip and reads.

--- a/internal/chutegate/ledger.go
+++ b/internal/chutegate/ledger.go
@@ -79,14 +79,20 @@
 	maxLedgerCopies  = 64
 )
 
-// copyLedger sends rows of cost counters to some other nodes. After this node has ended, nobody else could
-// write them again if the store loses them.
-func (n *Node) copyLedger(rows []chuteledger.Row) {
+// copyLedger sends rows of cost counters to some other nodes and waits for them. After this node has ended,
+// nobody else could write the rows again if the store loses them.
+func (n *Node) copyLedger(ctx context.Context, rows []chuteledger.Row) {
 	copies := make([]chutefeed.Row, 0, len(rows))
 	for _, row := range rows {
 		copies = append(copies, chutefeed.Row{Key: row.Key, Value: row.Body})
 	}
-	n.gossipToPeers(chuteshare.Announcement{Table: n.settings.Tables.Ledger, Rows: copies}, ledgerCopyFanout)
+	told := chuteshare.Announcement{Table: n.settings.Tables.Ledger, Rows: copies}
+	peers, _ := n.randomPeers(ledgerCopyFanout)
+	var calls sync.WaitGroup
+	for _, peer := range peers {
+		calls.Go(func() { n.tellPeer(ctx, peer, told) })
+	}
+	calls.Wait()
 }
 
 // ledgerCopies holds the last rows of cost counters of other nodes, by key.
@@ -146,11 +152,14 @@
 		rowsByKey[row.Key] = row
 		writes = append(writes, Row{Key: row.Key, Value: row.Body, Version: row.Version})
 	}
+	var copying sync.WaitGroup
 	if n.Draining() {
-		n.copyLedger(rows)
+		copying.Go(func() { n.copyLedger(ctx, rows) })
 	}
 	n.storeCalls.add(callCounters)
 	version, currentRows, err := n.store.ReplaceIfUnchanged(ctx, n.settings.Tables.Ledger, ledgerPartition(n.settings.Self.Name), writes)
+	// A process that shuts down ends once its rows count as written, which would cancel the copying.
+	copying.Wait()
 	if err != nil {
 		n.log.Warn().Err(err).Int("Rows", len(rows)).Msg("cost counters not confirmed; they are written again")
 
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -181,21 +181,31 @@
 
 // gossipToPeers sends rows to random other nodes, chosen anew at each call; fanout is their number.
 func (n *Node) gossipToPeers(told chuteshare.Announcement, fanout int) {
-	others := n.listedPeers()
-	others = slices.DeleteFunc(others, func(p chuterelay.Peer) bool { return p.Name == n.settings.Self.Name })
-	if len(others) > fanout {
-		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] }) //nolint:gosec // spreads gossip, no secret
-		others = others[:fanout]
-	} else {
+	peers, all := n.randomPeers(fanout)
+	if all {
 		// Every node gets the rows from this one, so nobody has to pass them on.
 		told.Hops = 0
 	}
-	for _, peer := range others {
-		n.spawn(func(ctx context.Context) {
-			if err := n.peers.Tell(ctx, peer.Address, told); err != nil {
-				n.log.Debug().Err(err).Str("Peer", peer.Name).Msg("reports could not be sent to a peer; it reads them from the store")
-			}
-		})
+	for _, peer := range peers {
+		n.spawn(func(ctx context.Context) { n.tellPeer(ctx, peer, told) })
+	}
+}
+
+// randomPeers returns other listed nodes, at most limit of them, and whether these are all.
+func (n *Node) randomPeers(limit int) (peers []chuterelay.Peer, all bool) {
+	peers = slices.DeleteFunc(n.listedPeers(), func(p chuterelay.Peer) bool { return p.Name == n.settings.Self.Name })
+	if len(peers) <= limit {
+		return peers, true
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] }) //nolint:gosec // spreads gossip, no secret
+
+	return peers[:limit], false
+}
+
+// tellPeer sends rows to a peer and returns once it has them or the call has failed.
+func (n *Node) tellPeer(ctx context.Context, peer chuterelay.Peer, told chuteshare.Announcement) {
+	if err := n.peers.Tell(ctx, peer.Address, told); err != nil {
+		n.log.Debug().Err(err).Str("Peer", peer.Name).Str("Table", told.Table).Msg("rows could not be sent to a peer; it reads them from the store")
 	}
 }
 
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -350,12 +348,7 @@
 
 // samplePeers returns up to peersPerFailedRead other nodes, chosen at random at each call.
 func (n *Node) samplePeers() []chuterelay.Peer {
-	others := n.listedPeers()
-	others = slices.DeleteFunc(others, func(p chuterelay.Peer) bool { return p.Name == n.settings.Self.Name })
-	if len(others) <= peersPerFailedRead {
-		return others
-	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] }) //nolint:gosec // spreads questions, no secret
+	peers, _ := n.randomPeers(peersPerFailedRead)
 
-	return others[:peersPerFailedRead]
+	return peers
 }
