Wait for late reports before a request is quarantined beside a likelier one

The trace: it and a crashing request ran at the same three ends, which takes a fourth to tell them apart; the node judged before another node's report had come that the crashing request was at the third end too, so that it had three ends against two. Few calls of it had survived, as its pool failed, so no end was doubtful.

Change: a request with three ends is judged two seconds after the last one, in place of 0.3 s, if another request that upstreams survived less often ran at all but one of them. If the report comes later still, the verdict is void, also one that another node announces. Among requests with as many ends the one that upstreams survived less often is judged first. A crash meanwhile is judged without delay.

Why it works: the crashing request never survives, so nothing holds its own verdict up; it is found after three ends as before. The delay stays below the 3 s in which all nodes have to know of a crashing request.

--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -31,6 +31,10 @@
 	doubtfulCrashes  = 4
 	// SurvivalWindow is the time for which calls that upstreams survive are counted.
 	SurvivalWindow = 10 * time.Second
+	// lateReportDelay is how long after its last crash a request with minCrashes is not judged yet if another one,
+	// of which upstreams have survived fewer calls, was running at all but one of its crashes: the report that it
+	// was at that one too may be late, as that of a node that is frozen or cut off for a moment.
+	lateReportDelay = 2 * time.Second
 	// judgeDelay is the age at which an incident is judged. By then all of its crashes are known,
 	// and all nodes have reported their suspects.
 	judgeDelay = incidentWindow + 50*time.Millisecond
@@ -44,7 +48,8 @@
 // Judge quarantines the requests that are found to cause crashes, and returns the judgements on
 // them. observed holds the fingerprints of those for which this node observed a crash itself.
 //
-// The request with the most crashes is quarantined first. The crashes at which it was running are
+// The request with the most crashes is quarantined first, and among those with as many the one of which upstreams
+// have survived the fewest calls. The crashes at which it was running are
 // attributed to it and no longer count against the other requests that were running there.
 func (q Quarantine) Judge(now time.Time) (judged Quarantine, judgements []Judgement, observed map[string]bool) {
 	if q.judgeAt.IsZero() || now.Before(q.judgeAt) {
@@ -55,11 +60,9 @@
 	incidents, q.judgeAt = q.incidents(now)
 	suspects := q.frequentSuspects()
 	for {
-		next := q.nextJudgements(suspects, incidents)
+		next, postponed := q.nextJudgements(suspects, incidents, now)
 		if len(next) == 0 {
-			q.newSuspects = q.suspectsJudgedSince(q.judgeAt)
-
-			return q, judgements, observed
+			return q.withPostponed(postponed), judgements, observed
 		}
 		for _, j := range next {
 			for _, u := range j.Upstreams {
@@ -72,6 +75,27 @@
 	}
 }
 
+// withPostponed returns the quarantine after all that could be judged has been, with the requests that are to be
+// judged later.
+func (q Quarantine) withPostponed(postponed []candidate) Quarantine {
+	q.newSuspects = q.suspectsJudgedSince(q.judgeAt)
+	for _, p := range postponed {
+		q = q.withJudgeAt(q.allReportedAt(p))
+		q.newSuspects = append(q.newSuspects, p.fingerprint)
+	}
+
+	return q
+}
+
+// withJudgeAt has Judge called at a time, or earlier if that is due already.
+func (q Quarantine) withJudgeAt(at time.Time) Quarantine {
+	if q.judgeAt.IsZero() || at.Before(q.judgeAt) {
+		q.judgeAt = at
+	}
+
+	return q
+}
+
 // incident is a set of crashes that happened at about the same time.
 type incident struct {
 	startedAt time.Time
@@ -108,8 +132,9 @@
 
 // nextJudgements returns judgements on the request with the most crashes and on those that can't be
 // told apart from it; none if no request has enough crashes. A request that can't be told apart from
-// another one needs minCrashesOfPair.
-func (q Quarantine) nextJudgements(suspects []string, incidents map[string]*incident) []Judgement {
+// another one needs minCrashesOfPair. The requests that are not judged yet because of lateReportDelay are
+// returned too.
+func (q Quarantine) nextJudgements(suspects []string, incidents map[string]*incident, now time.Time) (next []Judgement, postponed []candidate) {
 	var candidates []candidate
 	for _, fingerprint := range suspects {
 		if _, quarantined := q.QuarantinedUntil(fingerprint); quarantined {
@@ -117,24 +142,78 @@
 		}
 		upstreams := q.EvidenceAgainst(fingerprint)
 		if weight := q.weightAgainst(fingerprint, upstreams, incidents); weight >= minCrashes {
-			candidates = append(candidates, candidate{fingerprint: fingerprint, upstreams: upstreams, weight: weight})
+			candidates = append(candidates, candidate{
+				fingerprint: fingerprint, upstreams: upstreams, weight: weight, survived: q.mostSurvived(fingerprint, upstreams),
+			})
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.survived, b.survived))
+	})
 	for _, a := range candidates {
 		indistinct := q.commonSuspects(a)
 		if len(indistinct) > 1 && a.weight < minCrashesOfPair {
 			continue
 		}
+		if a.weight < minCrashesOfPair && q.hasRival(a.fingerprint, a.upstreams, 1) && now.Before(q.allReportedAt(a)) {
+			postponed = append(postponed, a)
+
+			continue
+		}
 		all := make([]Judgement, 0, len(indistinct))
 		for _, s := range indistinct {
 			all = append(all, Judgement{Suspect: s, Verdict: VerdictQuarantined, Upstreams: a.upstreams})
 		}
 
-		return all
+		return all, nil
+	}
+
+	return nil, postponed
+}
+
+// mostSurvived returns the highest number of calls of a request that upstreams had survived at one of the crashes.
+func (q Quarantine) mostSurvived(fingerprint string, upstreams []string) int {
+	most := 0
+	for _, u := range upstreams {
+		c, _ := q.crashes.Get(u)
+		most = max(most, c.survived(fingerprint))
+	}
+
+	return most
+}
+
+// allReportedAt returns when all reports on the crashes of a candidate count as known.
+func (q Quarantine) allReportedAt(a candidate) time.Time {
+	var last time.Time
+	for _, u := range a.upstreams {
+		if c, _ := q.crashes.Get(u); c.reportedAt.After(last) {
+			last = c.reportedAt
+		}
+	}
+
+	return last.Add(lateReportDelay)
+}
+
+// hasRival reports whether another request, of which upstreams have survived fewer calls, was running at the crashes of
+// a request, but for at most missing of them.
+func (q Quarantine) hasRival(fingerprint string, upstreams []string, missing int) bool {
+	crashes := map[string]int{}
+	for _, u := range upstreams {
+		c, _ := q.crashes.Get(u)
+		for _, s := range c.Suspects {
+			void, _ := q.voidEvidence.Get(s.Fingerprint)
+			if s.Survived < c.survived(fingerprint) && !slices.Contains(void, u) {
+				crashes[s.Fingerprint]++
+			}
+		}
+	}
+	for _, n := range crashes {
+		if n >= len(upstreams)-missing {
+			return true
+		}
 	}
 
-	return nil
+	return false
 }
 
 // candidate is the evidence against a request that has enough crashes.
@@ -142,6 +221,8 @@
 	fingerprint string
 	upstreams   []string
 	weight      int
+	// survived is the highest number of calls that upstreams had survived at one of the crashes.
+	survived int
 }
 
 // weightAgainst returns the number of crashes that the ends of the given upstreams count for against a request.
--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -81,6 +81,17 @@
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Fingerprint == fingerprint })
 }
 
+// survived returns the highest reported count of a suspect's survived calls; 0 if it is no suspect.
+func (c crashRecord) survived(fingerprint string) int {
+	for _, s := range c.Suspects {
+		if s.Fingerprint == fingerprint {
+			return s.Survived
+		}
+	}
+
+	return 0
+}
+
 // withSurvived returns the crash with a suspect's highest reported count of survived calls.
 func (c crashRecord) withSurvived(s Suspect) crashRecord {
 	i := slices.IndexFunc(c.Suspects, func(known Suspect) bool { return known.Fingerprint == s.Fingerprint })
@@ -155,8 +166,8 @@
 	}
 	q.crashes = q.crashes.Set(c.Upstream, known)
 	q = q.withoutRefuted(known)
-	if isNew && q.judgeAt.IsZero() {
-		q.judgeAt = now.Add(judgeDelay)
+	if isNew {
+		q = q.withJudgeAt(now.Add(judgeDelay))
 	}
 
 	return q, isNew
@@ -237,9 +248,12 @@
 	return q
 }
 
-// refutes reports whether so much of a quarantine's evidence is doubtful, by what this node knows of the crashes, that
-// the rest is not enough.
+// refutes reports whether a quarantine's evidence is not enough by what this node knows of the crashes: too much of it
+// is doubtful, or another request that upstreams survived less often was running at all of them.
 func (q Quarantine) refutes(j Judgement) bool {
+	if len(j.Upstreams) < minCrashesOfPair && q.hasRival(j.Fingerprint, j.Upstreams, 0) {
+		return true
+	}
 	certain, doubtful := q.splitEvidence(j.Fingerprint, j.Upstreams)
 
 	return len(doubtful) > 0 && len(certain)+len(doubtful)/doubtfulCrashes < minCrashes
--- a/internal/chutequarantine/quarantine_test.go
+++ b/internal/chutequarantine/quarantine_test.go
@@ -271,6 +271,107 @@
 	})
 }
 
+// crashUnder adds the crash of an upstream under requests, of which upstreams have survived one call of the request
+// "innocent", and returns its id.
+func (h *harness) crashUnder(fingerprints ...string) string {
+	h.crashCount++
+	upstream := fmt.Sprint("u", h.crashCount)
+	h.reportCrash(upstream, fingerprints...)
+
+	return upstream
+}
+
+// reportCrash adds a report on the crash of an upstream, as crashUnder does.
+func (h *harness) reportCrash(upstream string, fingerprints ...string) {
+	all := suspects(fingerprints...)
+	for i := range all {
+		if all[i].Fingerprint == "innocent" {
+			all[i].Survived = 1
+		}
+	}
+	h.q, _ = h.q.WithCrash(Crash{Upstream: upstream, Suspects: all}, true, h.now)
+}
+
+// crashUnderPair adds three crashes under a poison request and an innocent one, with the poison request missing in
+// the reports on the last one. It returns the ids of the upstreams.
+func (h *harness) crashUnderPair() []string {
+	var upstreams []string
+	for range 2 {
+		upstreams = append(upstreams, h.crashUnder("p", "innocent"))
+		h.advance(judgeDelay)
+	}
+
+	return append(upstreams, h.crashUnder("innocent"))
+}
+
+// Guards against an innocent request that is quarantined because the report that another one was running at the same
+// crash comes late: its node was frozen or cut off for a moment.
+func TestLateReport(t *testing.T) {
+	t.Run("a report that comes in time makes the two a pair", func(t *testing.T) {
+		h := newHarness(t)
+		upstreams := h.crashUnderPair()
+		h.advance(lateReportDelay - time.Millisecond)
+		h.assertQuarantined()
+		h.reportCrash(upstreams[2], "p")
+		h.advance(lateReportDelay)
+		h.assertQuarantined()
+		h.crashUnder("p")
+		h.advance(judgeDelay)
+		h.assertQuarantined("p")
+	})
+
+	t.Run("without one the request is quarantined", func(t *testing.T) {
+		h := newHarness(t)
+		h.crashUnderPair()
+		h.advance(judgeDelay)
+		h.assertQuarantined()
+		h.Assert(h.q.JudgeAt().Sub(h.now), qt.Equals, lateReportDelay-judgeDelay)
+		h.advance(lateReportDelay - judgeDelay)
+		h.assertQuarantined("innocent")
+		h.Assert(h.q.JudgeAt().IsZero(), qt.IsTrue)
+	})
+
+	t.Run("a crash meanwhile is judged without delay", func(t *testing.T) {
+		h := newHarness(t)
+		h.crashUnderPair()
+		h.advance(judgeDelay)
+		h.crashUnder("p")
+		h.advance(judgeDelay)
+		h.assertQuarantined("p")
+	})
+
+	t.Run("of two with as many crashes the one that upstreams survived less often is judged first", func(t *testing.T) {
+		h := newHarness(t)
+		h.crashUnderPair()
+		h.advance(lateReportDelay - judgeDelay)
+		h.crashUnder("p")
+		h.advance(judgeDelay)
+		h.assertQuarantined("p")
+	})
+
+	t.Run("the poison request beside it is found without delay", func(t *testing.T) {
+		h := newHarness(t)
+		h.crashUnder("p", "innocent")
+		h.advance(judgeDelay)
+		h.crashUnder("p", "innocent")
+		h.advance(judgeDelay)
+		h.crashUnder("p")
+		h.advance(judgeDelay)
+		h.assertQuarantined("p")
+	})
+
+	t.Run("a report that comes later voids the verdict", func(t *testing.T) {
+		h := newHarness(t)
+		upstreams := h.crashUnderPair()
+		h.advance(lateReportDelay)
+		h.assertQuarantined("innocent")
+		h.reportCrash(upstreams[2], "p")
+		h.assertQuarantined()
+		_, isNew := h.q.WithJudgement(Judgement{Suspect: suspects("innocent")[0], Verdict: VerdictQuarantined, Upstreams: upstreams}, h.now)
+		h.Assert(isNew, qt.IsFalse)
+	})
+}
+
 func TestReports(t *testing.T) {
 	t.Run("an answered request is cleared", func(t *testing.T) {
 		h := newHarness(t)
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -152,7 +152,7 @@
 // scheduleJudgement schedules the next judgement of crashes.
 func (st *reduction) scheduleJudgement() {
 	at := st.quarantine.JudgeAt()
-	if at.IsZero() || !st.judgeAt.IsZero() {
+	if at.IsZero() || !st.judgeAt.IsZero() && !at.Before(st.judgeAt) {
 		return
 	}
 	st.judgeAt = at
--- a/internal/chuterelay/quarantine_test.go
+++ b/internal/chuterelay/quarantine_test.go
@@ -67,6 +67,29 @@
 	n.Assert(held, qt.Equals, want)
 }
 
+// Guards against a crash that is judged late because another judgement waits for late reports.
+func TestJudgementDuringWait(t *testing.T) {
+	n := newNode(t)
+	report := func(upstream string, suspects ...chutequarantine.Suspect) {
+		n.on(QuarantineAnnounced{Crashes: []chutequarantine.Crash{{Upstream: upstream, Pool: plainPool, Suspects: suspects}}})
+	}
+	innocent, poison := chutequarantine.Suspect{Fingerprint: "i", Survived: 1}, chutequarantine.Suspect{Fingerprint: "p"}
+	report("a", innocent, poison)
+	n.judgeCrashes()
+	report("b", innocent, poison)
+	n.judgeCrashes()
+	report("c", innocent)
+	n.judgeCrashes()
+	n.expectHeld("i", false)
+	waitsUntil := n.state.judgeAt
+	n.Assert(waitsUntil.After(n.now), qt.IsTrue)
+	report("d", poison)
+	n.Assert(n.state.judgeAt.Before(waitsUntil), qt.IsTrue)
+	n.judgeCrashes()
+	n.expectHeld("p", true)
+	n.expectHeld("i", false)
+}
+
 func TestQuarantine(t *testing.T) {
 	t.Run("a request is refused at once when upstreams have ended while they ran it for other nodes", func(t *testing.T) {
 		// Three nodes saw one end each. The caller's request arrives at a fourth node, which
