--- a/internal/chuteproof/control_claims_test.go
+++ b/internal/chuteproof/control_claims_test.go
@@ -225,7 +225,7 @@
 	}
 	p.settle(tr.rt)
 	// Without faults only a busy machine makes calls slow; that must not count against the nodes.
-	last := tr.nodes(p, naive, chutetable.DefaultTimeout)[0]
+	last := tr.nodes(p, naive, undisturbedTimeout)[0]
 	for i := range tr.keys {
 		a := &claimAttempt{key: claimKey(i), act: actFinish}
 		last.attempt(context.Background(), a)
--- a/internal/chuteproof/control_race_test.go
+++ b/internal/chuteproof/control_race_test.go
@@ -117,7 +117,7 @@
 func (tr raceTrace) play(make func(client *chutetable.Client) publish) ending {
 	p := newPlatform(tr.rt)
 	var j judgement
-	first := ourPublish(p.client(chutetable.DefaultTimeout))
+	first := ourPublish(p.client(undisturbedTimeout))
 	if _, err := first(context.Background(), operatorSet(1), 0, "first"); err != nil {
 		tr.rt.Fatal(err)
 	}
@@ -185,7 +185,7 @@
 }
 
 func readBook(rt *rapid.T, p *platform) book {
-	client := p.client(chutetable.DefaultTimeout)
+	client := p.client(undisturbedTimeout)
 	rows, err := client.Scan(context.Background(), "read book", "config/", 0)
 	if err != nil {
 		rt.Fatal(err)
