Share the steps of the tests of frequent requests

Two subtests built the same crashes and reports line by line, and a comment of load_test.go spoke of a benchmark where the names say it. No check, count or bound changed; the tests of chutequarantine pass.

--- a/internal/chutebatch/load_test.go
+++ b/internal/chutebatch/load_test.go
@@ -346,8 +346,7 @@
 }
 
 const (
-	// testSeeds and benchmarkSeeds are the numbers of random loads that the tests and
-	// the benchmark simulate for each case.
+	// testSeeds and benchmarkSeeds are the numbers of random loads that are simulated for each case.
 	testSeeds      = 1
 	benchmarkSeeds = 4
 )
--- a/internal/chutequarantine/frequent_test.go
+++ b/internal/chutequarantine/frequent_test.go
@@ -8,14 +8,27 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// reportFrequent adds the crash of an upstream under one request, of which upstreams have survived some calls, and
-// returns the upstream's id.
-func (h *harness) reportFrequent(survived int) string {
-	h.crashCount++
-	upstream := fmt.Sprint("u", h.crashCount)
-	h.q, _ = h.q.WithCrash(Crash{Upstream: upstream, Suspects: []Suspect{{Fingerprint: "frequent", Survived: survived}}}, true, h.now)
+// crashUnderFrequent adds three crashes, one after the other, under one request of which upstreams have survived some
+// calls. It returns the ids of the upstreams.
+func (h *harness) crashUnderFrequent(survived int) []string {
+	var upstreams []string
+	for range 3 {
+		h.crashCount++
+		upstream := fmt.Sprint("u", h.crashCount)
+		frequent := Suspect{Fingerprint: "frequent", Survived: survived}
+		h.q, _ = h.q.WithCrash(Crash{Upstream: upstream, Suspects: []Suspect{frequent}}, true, h.now)
+		h.advance(judgeDelay)
+		upstreams = append(upstreams, upstream)
+	}
 
-	return upstream
+	return upstreams
+}
+
+// reportPoison adds another node's reports that a poison request was running at crashes.
+func (h *harness) reportPoison(upstreams []string) {
+	for _, u := range upstreams {
+		h.q, _ = h.q.WithCrash(Crash{Upstream: u, Suspects: suspects("p")}, false, h.now)
+	}
 }
 
 // crashBeside adds the crash of an upstream under a request that never survived, beside one of which upstreams
@@ -58,10 +71,7 @@
 
 	t.Run("a frequent request that is alone at three crashes is quarantined", func(t *testing.T) {
 		h := newHarness(t)
-		for range 3 {
-			h.reportFrequent(10 * minFrequentCalls)
-			h.advance(judgeDelay)
-		}
+		h.crashUnderFrequent(10 * minFrequentCalls)
 		h.assertQuarantined()
 		h.advance(lateReportDelay - judgeDelay)
 		h.assertQuarantined("frequent")
@@ -69,15 +79,9 @@
 
 	t.Run("it is not quarantined if reports on the others at its crashes come late", func(t *testing.T) {
 		h := newHarness(t)
-		var upstreams []string
-		for range 3 {
-			upstreams = append(upstreams, h.reportFrequent(minFrequentCalls))
-			h.advance(judgeDelay)
-		}
+		upstreams := h.crashUnderFrequent(minFrequentCalls)
 		h.advance(lateReportDelay - judgeDelay - time.Millisecond)
-		for _, u := range upstreams {
-			h.q, _ = h.q.WithCrash(Crash{Upstream: u, Suspects: suspects("p")}, false, h.now)
-		}
+		h.reportPoison(upstreams)
 		h.advance(judgeDelay)
 		h.assertQuarantined("p")
 	})
@@ -95,16 +99,10 @@
 	t.Run("a verdict that later reports refute is dropped", func(t *testing.T) {
 		// Guards against a node that has not heard of the other suspects in time, and judges by what it has.
 		h := newHarness(t)
-		var upstreams []string
-		for range 3 {
-			upstreams = append(upstreams, h.reportFrequent(minFrequentCalls))
-			h.advance(judgeDelay)
-		}
+		upstreams := h.crashUnderFrequent(minFrequentCalls)
 		h.advance(lateReportDelay - judgeDelay)
 		h.assertQuarantined("frequent")
-		for _, u := range upstreams {
-			h.q, _ = h.q.WithCrash(Crash{Upstream: u, Suspects: suspects("p")}, false, h.now)
-		}
+		h.reportPoison(upstreams)
 		h.advance(judgeDelay)
 		h.assertQuarantined("p")
 		_, isNew := h.q.WithJudgement(Judgement{Suspect: suspects("frequent")[0], Verdict: VerdictQuarantined, Upstreams: upstreams}, h.now)
