Do not call a request not run that another node has

The trace: n0, whose upstreams were all suspended, forwarded the request to n3, which sent it to p0; 2 ms later n0 heard that the request is quarantined, ended the forwarding and refused it. A refusal tells "failed" if a call of this node may have run, and a request at another node did not count.

Change: it does. Any refusal while a request is forwarded says that it failed; the refusals that the other node gives are judged before, as they were. "it is quarantined while the peer has it" (TestForwardedRequestThatHasRun) fails on the code before.

--- a/internal/chuterelay/forward.go
+++ b/internal/chuterelay/forward.go
@@ -69,6 +69,12 @@
 	return !r.isForwarded && r.forwards < maxForwards && (r.possibleRuns == 0 || !r.atMostOnce())
 }
 
+// mayHaveRun reports whether an upstream may have run a request: a call was sent to one, or the request is forwarded
+// and the other node may have sent one.
+func (r request) mayHaveRun() bool {
+	return r.possibleRuns > 0 || r.current.peer.Name != ""
+}
+
 // forwardOrRefuse hands a request to another node, or refuses it if there is none.
 func (st *reduction) forwardOrRefuse(r request, refusal Refusal) {
 	if !r.canForward() {
--- a/internal/chuterelay/forward_test.go
+++ b/internal/chuterelay/forward_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
@@ -304,6 +305,17 @@
 		n.Assert(refusal.Elsewhere, qt.IsFalse)
 	})
 
+	t.Run("it is quarantined while the peer has it", func(t *testing.T) {
+		n := newCutOffNode(t, peerIn("n2", "z1"), peerIn("n3", "z1"))
+		n.on(Arrived{Submission: n.withFingerprint(plainRequest(1, chuteroute.Unrepeatable), "p")})
+		n.Assert(takeOne[Send](n).Peer.Name, qt.Not(qt.Equals), "")
+		n.on(QuarantineAnnounced{Judgements: []chutequarantine.Judgement{{
+			Suspect: chutequarantine.Suspect{Fingerprint: "p"}, Verdict: chutequarantine.VerdictQuarantined, Upstreams: []string{"a", "b", "c"},
+		}}})
+		takeOne[CancelSend](n)
+		n.Assert(takeOne[Refuse](n).Refusal.Kind, qt.Equals, RefusedFailed)
+	})
+
 	t.Run("the origin believes no claim that it may run elsewhere", func(t *testing.T) {
 		n := newCutOffNode(t, peerIn("n2", "z1"), peerIn("n3", "z1"))
 		n.on(Arrived{Submission: plainRequest(1, chuteroute.Repeatable)})
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -225,7 +225,7 @@
 
 // giveUp ends a request without an answer.
 func (st *reduction) giveUp(r request, refusal Refusal) {
-	if r.possibleRuns > 0 && refusal.Kind == RefusedNotRun {
+	if r.mayHaveRun() && refusal.Kind == RefusedNotRun {
 		refusal.Kind = RefusedFailed
 	}
 	refusal.Elsewhere = refusal.Elsewhere && refusal.Kind == RefusedNotRun
