--- a/internal/chuteshare/forward_test.go
+++ b/internal/chuteshare/forward_test.go
@@ -57,12 +57,12 @@
 	t.Run("a caller that leaves ends the request", func(t *testing.T) {
 		s := startServer(t)
 		ended := make(chan struct{})
-		s.forward = func(ctx context.Context, _ ForwardRequest, _ ForwardOutput) {
-			<-ctx.Done()
+		ctx, cancel := context.WithCancel(context.Background())
+		s.forward = func(requestCtx context.Context, _ ForwardRequest, _ ForwardOutput) {
+			cancel()
+			<-requestCtx.Done()
 			close(ended)
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		time.AfterFunc(20*time.Millisecond, cancel)
 		_, err := newClient(t).Forward(ctx, s.address, newForwardRequest(), true)
 		qt.Assert(t, err, qt.IsNotNil)
 		<-ended
