Log the software version of the upstream of a call, and take-ups of streams

The logs could not tell the three hypotheses apart: no line named a version, and none said that a request takes up the stream of an earlier one.

No decision changes.

Cost: a few dozen bytes of log a call.

--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -34,6 +34,9 @@
 	// LastEventID is the number of the last event that the caller received when it sent the request
 	// before; -1 if there is none.
 	LastEventID int
+	// Resumes is the ID of the sending that brought the first event of the stream that the caller takes
+	// up; empty if it names none.
+	Resumes string
 	// Affinity identifies the part of the prompt that other requests share.
 	Affinity     string
 	PromptTokens int64
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -73,6 +73,9 @@
 
 		return
 	}
+	if in.LastEventID >= 0 || in.Resumes != "" {
+		n.log.Info().Str("Request", in.ID).Str("Resumes", in.Resumes).Int("LastEvent", in.LastEventID).Msg("take-up")
+	}
 	n.relay(ctx, in, submission, out)
 }
 
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -47,7 +47,7 @@
 	st.countRolloutCall(u, r.Pipeline.Name, r.atMostOnce())
 	st.putRequest(r)
 	st.logStep(StepSent, r, func(n *LogStep) {
-		n.Upstream, n.Peer, n.Zone = u.ID, u.Address, u.Zone
+		n.Upstream, n.UpstreamVersion, n.Peer, n.Zone = u.ID, u.Version, u.Address, u.Zone
 		if r.maybeReached {
 			n.RepeatOf, n.Budget = r.lastEnd, st.budgetForLog(r.pool)
 		}
--- a/internal/chuterelay/logstep.go
+++ b/internal/chuterelay/logstep.go
@@ -50,7 +50,9 @@
 	// requested from.
 	Upstream string
 	Peer     string
-	Zone     string
+	// UpstreamVersion is the upstream's software version. It is set when the call is sent.
+	UpstreamVersion string
+	Zone            string
 	// Evacuated are the zones to which nothing is sent. It is set when the request is admitted.
 	Evacuated []string
 	// Age is the time since the request arrived. Left is the time until its deadline.
