--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -23,8 +23,8 @@
 	BlockUnreadable BlockReason = "Unreadable"
 	// BlockEvacuated: the operator has evacuated its zone.
 	BlockEvacuated BlockReason = "Evacuated"
-	// BlockVersion: a rollout bars its version, or its version is new and the orders that may concern
-	// it are not known yet.
+	// BlockVersion: the call is bound to another version, a rollout bars its version, or its version is new
+	// and the orders that may concern it are not known yet.
 	BlockVersion BlockReason = "Version"
 	// BlockRegion: the call must not run in its region.
 	BlockRegion BlockReason = "Region"
--- a/internal/chutefleet/use.go
+++ b/internal/chutefleet/use.go
@@ -14,6 +14,9 @@
 	Regions chuteroute.Regions
 	// Collecting says that the call is one with parts, from the node that collects them for all others.
 	Collecting bool
+	// Bound says that the call may run at upstreams of Version alone.
+	Bound   bool
+	Version string
 }
 
 // WithZoneRegions sets the region of each zone. The map must not be changed afterwards.
@@ -34,7 +37,7 @@
 	switch {
 	case !f.allowsZone(use, m.Zone):
 		return Availability{Reason: BlockRegion}
-	case !f.isOnSide(&m.Upstream, use.Side):
+	case use.Bound && m.Version != use.Version, !f.isOnSide(&m.Upstream, use.Side):
 		return Availability{Reason: BlockVersion}
 	default:
 		return f.availability(m, use.Collecting, now)
--- a/internal/chutegate/forward.go
+++ b/internal/chutegate/forward.go
@@ -10,6 +10,7 @@
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteshare"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 // forwardExchange has a peer serve the request, and returns its answer, or its refusal. Errors are of type
@@ -26,6 +27,7 @@
 		Wait: in.Wait, LastEventID: a.request.lastEventID, Affinity: in.Affinity, PromptTokens: in.PromptTokens, Parts: in.Parts,
 		PartKey: in.PartKey, Left: s.Deadline.Sub(now), Waited: now.Sub(s.ArrivedAt), PossibleRuns: s.PossibleRuns,
 		ConfigVersion: version, Node: n.settings.Self.Name, Counted: s.Counted,
+		Binding: a.request.binding,
 	}, s.Replaceable)
 	if err != nil {
 		return Answer{}, nil, forwardSendError(err)
@@ -37,7 +39,7 @@
 	}
 
 	// The peer has checked whose answer it is, and that the upstream has signed it.
-	return Answer{Status: answer.Status, Header: answer.Header, Signed: true, IsEventStream: answer.Streams, Body: answer.Body}, nil, nil
+	return Answer{Status: answer.Status, Header: answer.Header, Signed: true, IsEventStream: answer.Streams, Binding: answer.Binding, Body: answer.Body}, nil, nil
 }
 
 // forwardSendError converts the error of a forwarded request.
@@ -73,15 +75,18 @@
 		return
 	}
 	submission.Deadline = n.Now().Add(f.Left)
+	submission.Binding = f.Binding
 	submission.Forwarded = &chuterelay.Forwarded{Node: f.Node, Waited: f.Waited, PossibleRuns: f.PossibleRuns, Counted: f.Counted}
 	n.log.Info().Str("Request", f.ID).Str("Peer", f.Node).Int64("LeftMs", f.Left.Milliseconds()).Msg("received from a node without upstreams")
 	n.relay(ctx, in, submission, Output{
 		WriteAnswer: func(status int, h http.Header, body []byte) {
-			_ = errors.Join(out.Begin(status, h, false), out.Write(body), out.End()) // fails if nobody waits
+			_ = errors.Join(out.Begin(status, h), out.Write(body), out.End()) // fails if nobody waits
 		},
-		BeginStream: func(status int, h http.Header) { _ = out.Begin(status, h, true) }, // the next event fails as well
-		WriteEvent:  out.Write,
-		EndStream:   func() { _ = out.End() }, // fails if nobody waits
+		BeginStream: func(status int, h http.Header, b chutestream.Binding) {
+			_ = out.BeginStream(status, h, b) // the next event fails as well
+		},
+		WriteEvent: out.Write,
+		EndStream:  func() { _ = out.End() }, // fails if nobody waits
 		AbortStream: func() {
 			refuse(chuterelay.Refusal{Kind: chuterelay.RefusedFailed, Reason: "the stream was broken off"})
 		},
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -18,6 +18,7 @@
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
 	"azurechute.example/azurechute/internal/chuteshare"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 const (
@@ -118,6 +119,8 @@
 	storeEra atomic.Uint64
 	// departedLedgers holds the last cost counters of nodes that have shut down.
 	departedLedgers ledgerCopies
+	// streams knows which version began streams that can be taken up.
+	streams *streams
 
 	runContext context.Context
 	cancelRun  context.CancelFunc
@@ -158,7 +161,7 @@
 		requiredLoaded: make(chan struct{}), quarantineLoaded: make(chan struct{}),
 		rolloutOrdered: make(chan struct{}), rolloutsLoaded: make(chan struct{}),
 		storeCalls:  newStoreCalls(),
-		gossipQueue: newReportQueue(), storeQueue: newReportQueue(),
+		gossipQueue: newReportQueue(), storeQueue: newReportQueue(), streams: newStreams(streamNode(settings.Self)),
 	}
 	identity := chutecore.Identity{
 		Node: settings.Self.Name, Zone: settings.Self.Zone, PeerAddress: settings.Self.Address,
@@ -231,6 +234,7 @@
 	n.spawn(n.registerNode)
 	n.spawn(n.trimConnections)
 	n.spawn(n.flushLedger)
+	n.spawn(n.performStreamEffects)
 }
 
 // Stop ends all background tasks and cuts off requests in flight.
@@ -260,6 +264,7 @@
 	}
 	n.log.Info().Msg("draining")
 	n.sendEvent(chuterelay.DrainStarted{})
+	n.reduceStreams(chutestream.DrainStarted{})
 	n.spawn(func(ctx context.Context) {
 		defer close(removed)
 		ctx, cancel := context.WithTimeout(ctx, removeRowTimeout)
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -13,6 +13,7 @@
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 // watchConfig keeps the configuration and the evacuated zones up to date, which are rows of one
@@ -277,6 +278,7 @@
 		n.nodes.Store(&peers)
 		n.nodesLoadedOnce.Do(func() { close(n.nodesLoaded) })
 		n.sendEvent(chuterelay.PeersListed{Peers: peers})
+		n.reduceStreams(chutestream.NodesListed{Nodes: streamNodes(peers)})
 	})
 }
 
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -43,6 +43,7 @@
 	n.meter.Gauge("zones_evacuated", func() float64 { return float64(n.evacuatedZoneCount.Load()) })
 	n.addUpstreamGauges()
 	n.storeCalls.addGauges(n.meter.Gauge)
+	n.addStreamGauges()
 	n.meter.Gauge("upstreams_ended_under_requests_total", func() float64 { return float64(n.upstreamCrashes.Load()) })
 	n.meter.Gauge("requests_quarantined", func() float64 {
 		held := 0
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -13,6 +13,7 @@
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 // IncomingRequest is one request as the platform's HTTP server has decoded it.
@@ -34,6 +35,8 @@
 	// LastEventID is the number of the last event that the caller received when it sent the request
 	// before; -1 if there is none.
 	LastEventID int
+	// TakesUp says that the caller has events of the stream from an earlier sending.
+	TakesUp bool
 	// Resumes is the ID of the sending that brought the first event of the stream that the caller takes
 	// up; empty if it names none.
 	Resumes string
@@ -50,9 +53,9 @@
 type Output struct {
 	// WriteAnswer writes a complete answer.
 	WriteAnswer func(status int, h http.Header, body []byte)
-	// BeginStream writes the head of a stream, WriteEvent one event, and EndStream the regular end
+	// BeginStream writes the head of a stream that is bound to b, WriteEvent one event, and EndStream the regular end
 	// of the stream.
-	BeginStream func(status int, h http.Header)
+	BeginStream func(status int, h http.Header, b chutestream.Binding)
 	WriteEvent  func(event []byte) error
 	EndStream   func()
 	// AbortStream ends a stream that has begun, in a way that can't be taken for a regular end.
@@ -89,7 +92,9 @@
 	// Altered is true if the body is not in the bytes that the upstream produced.
 	Altered       bool
 	IsEventStream bool
-	Load          *chuterelay.Load
+	// Binding is what a peer says that the stream is bound to; zero for upstreams.
+	Binding chutestream.Binding
+	Load    *chuterelay.Load
 	// Cold is how much longer the upstream says that it stays cold; 0 if it does not say.
 	Cold time.Duration
 	// Limit is the upstream's statement on how many requests it accepts; nil if it makes none.
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -122,6 +122,10 @@
 	if s.Peer.Name != "" {
 		return a.forwardExchange(ctx)
 	}
+	if !a.request.binding.Allows(a.upstreamBinding()) {
+		// An attempt that was cancelled has passed events on before the reducer heard of them.
+		return Answer{}, nil, errOtherVersion
+	}
 	answer, err := a.node.upstreams.Exchange(ctx, Call{
 		Incoming: a.request.incoming, Upstream: s.Upstream, Workspace: s.Workspace,
 		TimeLeft: s.Deadline.Sub(a.node.Now()), Inputs: s.Inputs, LastEventID: a.request.lastEventID,
@@ -133,8 +137,13 @@
 
 // withFailure adds to ended what a failed exchange means, and whether the upstream has ended or goes on.
 func (a *attempt) withFailure(ctx context.Context, ended chuterelay.AttemptEnded, err error) chuterelay.AttemptEnded {
-	ended.End = a.classifyError(ctx, err)
 	ended.Detail = err.Error()
+	if errors.Is(err, errOtherVersion) && a.send.Peer.Name == "" {
+		ended.End, ended.Binding = chuterelay.EndOtherVersion, a.request.binding
+
+		return ended
+	}
+	ended.End = a.classifyError(ctx, err)
 	ended.Silent = ended.End == chuterelay.EndSilent || asSendError(err).Silent
 	if a.send.Peer.Name == "" && ended.End == chuterelay.EndBroken {
 		state := a.node.checkUpstream(ctx, a.send.Upstream)
@@ -147,6 +156,7 @@
 var (
 	errAnswerTooLong = errors.New("the answer is longer than this node holds")
 	errEventOrder    = errors.New("an event is missing, doubled or cut off")
+	errOtherVersion  = errors.New("the caller has events of another software version")
 )
 
 // classifyAnswer returns what a complete answer means, and whether it may be passed on.
@@ -205,25 +215,31 @@
 		if a.request.lastEventID >= 0 && event.id != a.request.lastEventID+1 {
 			return count, errEventOrder
 		}
-		if !a.request.headSent {
-			if !a.emit(ctx, streamPiece{isHead: true, status: answer.Status, header: answer.Header}) {
-				return count, ctx.Err()
-			}
-			a.request.headSent = true
+		if count == 0 && !a.bind(answer) {
+			return count, errOtherVersion
 		}
-		if !a.emit(ctx, streamPiece{event: event.bytes}) {
+		if !a.emitHead(ctx, answer) || !a.emit(ctx, streamPiece{event: event.bytes}) {
 			return count, ctx.Err()
 		}
 		a.request.lastEventID = event.id
 		if count == 0 {
 			a.node.sendEvent(chuterelay.AttemptBegan{
-				Handle: a.send.Handle, Attempt: a.send.Attempt, Load: answer.Load, Limit: answer.Limit, Brittle: answer.Brittle,
+				Handle: a.send.Handle, Attempt: a.send.Attempt, Binding: answer.Binding, Load: answer.Load, Limit: answer.Limit, Brittle: answer.Brittle,
 			})
 		}
 		count++
 	}
 }
 
+// emitHead passes the head of the answer on unless that has been done; false means that the attempt was cancelled.
+func (a *attempt) emitHead(ctx context.Context, answer Answer) bool {
+	if !a.request.headSent {
+		a.request.headSent = a.emit(ctx, streamPiece{isHead: true, status: answer.Status, header: answer.Header, binding: a.request.binding})
+	}
+
+	return a.request.headSent
+}
+
 // emit passes one piece to the goroutine that serves the caller; false means that the attempt was
 // cancelled.
 func (a *attempt) emit(ctx context.Context, piece streamPiece) bool {
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -10,6 +10,7 @@
 
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 const (
@@ -38,6 +39,11 @@
 	streamLock  sync.Mutex
 	lastEventID int
 	headSent    bool
+	// binding is what the stream is bound to by the events that the caller has.
+	binding chutestream.Binding
+	// stream is what the stream is known by at all nodes; nil if it can't be taken up or another node has
+	// received the request.
+	stream *chutestream.ID
 }
 
 // streamPiece is one piece of a stream for the caller: its head or an event.
@@ -45,7 +51,9 @@
 	isHead bool
 	status int
 	header http.Header
-	event  []byte
+	// binding is what the stream is bound to; it belongs to the head.
+	binding chutestream.Binding
+	event   []byte
 }
 
 // bufferedAnswer is a complete answer of an upstream.
@@ -73,8 +81,10 @@
 
 		return
 	}
-	if in.LastEventID >= 0 || in.Resumes != "" {
-		n.log.Info().Str("Request", in.ID).Str("Resumes", in.Resumes).Int("LastEvent", in.LastEventID).Msg("take-up")
+	if refusal := n.bindTakeUp(ctx, in, &submission); refusal != nil {
+		out.Refuse(*refusal)
+
+		return
 	}
 	n.relay(ctx, in, submission, out)
 }
@@ -84,6 +94,7 @@
 	req := &request{
 		incoming: in, pieces: make(chan streamPiece, maxQueuedPieces), result: make(chan requestResult, 1),
 		attempts: map[uint64]context.CancelFunc{}, bufferedAnswers: map[uint64]bufferedAnswer{}, lastEventID: in.LastEventID,
+		binding: submission.Binding, stream: streamOf(in, submission),
 	}
 	n.sendEventWith(chuterelay.Arrived{Submission: submission}, func() { n.requests[submission.Handle] = req })
 	n.writeAnswer(ctx, submission.Handle, req, out)
@@ -183,7 +194,7 @@
 		}
 		if piece.isHead {
 			headWritten = true
-			out.BeginStream(piece.status, piece.header)
+			out.BeginStream(piece.status, piece.header, piece.binding)
 
 			return
 		}
@@ -201,6 +212,7 @@
 				write(<-req.pieces)
 			}
 			writeResult(result, headWritten, out)
+			n.streamEnded(req, result)
 
 			return
 		case <-callerGone:
--- a/internal/chutegate/source.go
+++ b/internal/chutegate/source.go
@@ -7,6 +7,7 @@
 
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteshare"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 // maxDirectReaders is the number of nodes up to which each node reads the store itself. With more,
@@ -108,9 +109,11 @@
 		OnLeaseEnd: func(token uint64) {
 			n.sendEventWith(chuterelay.JobCancelled{Token: token}, func() { delete(n.jobUpdates, token) })
 		},
-		OnTable:   n.tableForFollower,
-		OnForward: n.serveForwarded,
-		OnTell:    n.receiveReports,
+		OnTable:       n.tableForFollower,
+		OnForward:     n.serveForwarded,
+		OnTell:        n.receiveReports,
+		OnStreamsTold: func(records []chutestream.Record) { n.reduceStreams(chutestream.Told{Records: records}) },
+		OnFindStream:  func(id chutestream.ID) (chutestream.Record, bool) { return n.streams.find(id, n.Now()) },
 	}
 }
 
--- /dev/null
+++ b/internal/chutegate/streams.go
@@ -0,0 +1,256 @@
+package chutegate
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chuteroute"
+	"azurechute.example/azurechute/internal/chutestream"
+)
+
+const (
+	// streamLinger is how long after a stream's deadline it can be taken up.
+	streamLinger = 2 * time.Second
+	// unknownStreamRetryAfter is the time after which a caller may retry whose stream no node knows. By then
+	// the nodes that could not be asked can be.
+	unknownStreamRetryAfter = 500 * time.Millisecond
+	// maxLoggedID bounds what is logged of an ID that a caller names.
+	maxLoggedID = 64
+	// maxQueuedEffects is the number of effects that may wait before their senders block.
+	maxQueuedEffects = 1024
+)
+
+// streams holds what this node knows of streams, and counts take-ups.
+type streams struct {
+	mu    sync.Mutex
+	state chutestream.State
+	// effects are those that are not carried out yet.
+	effects chan chutestream.Effect
+	// known and unknown count take-ups by whether the binding was found, resumed those of which an event was
+	// passed on.
+	known   atomic.Int64
+	unknown atomic.Int64
+	resumed atomic.Int64
+}
+
+func newStreams(self chutestream.Node) *streams {
+	return &streams{state: chutestream.NewState(self), effects: make(chan chutestream.Effect, maxQueuedEffects)}
+}
+
+// reduce applies one event and returns the effects to carry out.
+func (s *streams) reduce(now time.Time, event chutestream.Event) []chutestream.Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	var effects []chutestream.Effect
+	s.state, effects = chutestream.Reduce(s.state, now, event)
+
+	return effects
+}
+
+func (s *streams) snapshot() chutestream.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.state
+}
+
+// find returns the record of a stream, or false if this node does not know its binding.
+func (s *streams) find(id chutestream.ID, now time.Time) (chutestream.Record, bool) {
+	return s.snapshot().Find(id, now)
+}
+
+func streamNode(p chuterelay.Peer) chutestream.Node {
+	return chutestream.Node{Name: p.Name, Zone: p.Zone, Address: p.Address}
+}
+
+func streamNodes(peers []chuterelay.Peer) []chutestream.Node {
+	nodes := make([]chutestream.Node, 0, len(peers))
+	for _, p := range peers {
+		nodes = append(nodes, streamNode(p))
+	}
+
+	return nodes
+}
+
+// reduceStreams applies an event about streams and queues what follows from it.
+func (n *Node) reduceStreams(event chutestream.Event) {
+	for _, effect := range n.streams.reduce(n.Now(), event) {
+		select {
+		case n.streams.effects <- effect:
+		case <-n.runContext.Done():
+		}
+	}
+}
+
+// performStreamEffects carries effects out until the node stops.
+func (n *Node) performStreamEffects(ctx context.Context) {
+	for {
+		select {
+		case effect := <-n.streams.effects:
+			switch e := effect.(type) {
+			case chutestream.Tell:
+				n.spawn(func(ctx context.Context) { n.tellStreams(ctx, e) })
+			case chutestream.TickAt:
+				n.clock.AfterFunc(e.At.Sub(n.Now()), func() { n.reduceStreams(chutestream.Ticked{}) })
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tellStreams sends records of streams to another node.
+func (n *Node) tellStreams(ctx context.Context, e chutestream.Tell) {
+	err := n.peers.TellStreams(ctx, e.Node.Address, e.Records, n.Now())
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	n.log.Debug().Err(err).Str("Peer", e.Node.Name).Int("Records", len(e.Records)).Bool("Again", e.Again).
+		Msg("records of streams were not taken")
+	n.reduceStreams(chutestream.TellFailed{Tell: e})
+}
+
+// isResumable reports whether callers may take up the streams of a pipeline.
+func isResumable(p chuteroute.Pipeline) bool {
+	return p.Streams && p.Repeat == chuteroute.Resumable
+}
+
+// streamOf returns what a request's stream is known by at all nodes: the sending that began it.
+func streamOf(in *IncomingRequest, s chuterelay.Submission) *chutestream.ID {
+	if s.Forwarded != nil || !isResumable(s.Pipeline) {
+		return nil
+	}
+	first := in.ID
+	if !s.Binding.IsZero() {
+		first = in.Resumes
+	}
+	id := chutestream.NewID(s.Workspace.Name, s.Pipeline.Name, first)
+
+	return &id
+}
+
+// bindTakeUp binds a request that takes a stream up to the version that began it. It returns the refusal if no
+// node that was asked knows that version.
+func (n *Node) bindTakeUp(ctx context.Context, in *IncomingRequest, s *chuterelay.Submission) *chuterelay.Refusal {
+	if !in.TakesUp || !isResumable(s.Pipeline) {
+		return nil
+	}
+	line := n.log.Info().Str("Request", in.ID).Str("Resumes", in.Resumes[:min(len(in.Resumes), maxLoggedID)]).Int("LastEvent", in.LastEventID)
+	record, from, known := n.findStream(ctx, chutestream.NewID(s.Workspace.Name, s.Pipeline.Name, in.Resumes))
+	if known {
+		n.streams.known.Add(1)
+		s.Binding = record.Binding
+		line.Str("Pool", record.Binding.Pool).Str("UpstreamVersion", record.Binding.Version).Str("From", from).
+			Int64("RecordAgeMs", n.Now().Sub(record.Since).Milliseconds()).Bool("Known", true).Msg("take-up")
+
+		return nil
+	}
+	n.streams.unknown.Add(1)
+	line.Bool("Known", false).Msg("take-up")
+
+	return &chuterelay.Refusal{
+		Kind: chuterelay.RefusedNotRun, Reason: "no node that was asked knows which version began the stream",
+		RetryAfter: unknownStreamRetryAfter,
+	}
+}
+
+// streamAnswer is what one node knows of a stream.
+type streamAnswer struct {
+	record chutestream.Record
+	from   string
+	known  bool
+}
+
+// findStream returns the record of a stream and the node that knows it, empty for this one. It returns false if
+// none of the nodes that may hold the record knows it.
+func (n *Node) findStream(ctx context.Context, id chutestream.ID) (chutestream.Record, string, bool) {
+	state := n.streams.snapshot()
+	if record, known := state.Find(id, n.Now()); known {
+		return record, "", true
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	nodes := state.ToAsk(id, n.Now())
+	answers := make(chan streamAnswer, len(nodes))
+	for _, node := range nodes {
+		go func() { answers <- n.askForStream(ctx, node, id) }()
+	}
+	for range nodes {
+		if answer := <-answers; answer.known {
+			return answer.record, answer.from, true
+		}
+	}
+
+	return chutestream.Record{}, "", false
+}
+
+// askForStream asks a node for what it knows of a stream.
+func (n *Node) askForStream(ctx context.Context, node chutestream.Node, id chutestream.ID) streamAnswer {
+	record, known, err := n.peers.FindStream(ctx, node.Address, id, n.Now())
+	if err != nil && ctx.Err() == nil {
+		n.log.Info().Err(err).Str("Peer", node.Name).Msg("a node could not be asked for a stream")
+	}
+
+	return streamAnswer{record: record, from: node.Name, known: known}
+}
+
+// upstreamBinding returns what the attempt's upstream would bind a stream to.
+func (a *attempt) upstreamBinding() chutestream.Binding {
+	u := a.send.Upstream
+
+	return chutestream.Binding{Pool: u.Pool, Version: u.Version, Upstream: u.Name}
+}
+
+// bind binds the stream to the version whose first event is about to be passed on, and records that. It returns
+// false if the caller has events of another version.
+func (a *attempt) bind(answer Answer) bool {
+	binding := answer.Binding
+	if a.send.Peer.Name == "" {
+		binding = a.upstreamBinding()
+	}
+	req := a.request
+	if !req.binding.Allows(binding) {
+		return false
+	}
+	if req.binding.IsZero() {
+		req.binding = binding
+	}
+	if req.stream == nil || req.binding.IsZero() {
+		return true
+	}
+	if req.incoming.TakesUp && !req.headSent {
+		a.node.streams.resumed.Add(1)
+	}
+	until := a.send.Deadline.Add(streamLinger)
+	if wait := a.node.Now().Add(req.incoming.Wait + streamLinger); wait.After(until) {
+		until = wait
+	}
+	a.node.reduceStreams(chutestream.Began{ID: *req.stream, Binding: req.binding, Until: until})
+
+	return true
+}
+
+// streamEnded has other nodes told of a stream that its caller is likely to take up.
+func (n *Node) streamEnded(req *request, result requestResult) {
+	switch {
+	case req.stream == nil:
+	case result.refusal == nil && !result.abandoned:
+		n.reduceStreams(chutestream.Ended{ID: *req.stream})
+	default:
+		n.reduceStreams(chutestream.Broken{ID: *req.stream})
+	}
+}
+
+// addStreamGauges registers the gauges about streams that can be taken up.
+func (n *Node) addStreamGauges() {
+	n.meter.Gauge("take_ups_known_total", func() float64 { return float64(n.streams.known.Load()) })
+	n.meter.Gauge("take_ups_unknown_total", func() float64 { return float64(n.streams.unknown.Load()) })
+	n.meter.Gauge("take_ups_resumed_total", func() float64 { return float64(n.streams.resumed.Load()) })
+	n.meter.Gauge("stream_records_held", func() float64 { return float64(n.streams.snapshot().Stats().Held) })
+	n.meter.Gauge("stream_records_told_total", func() float64 { return float64(n.streams.snapshot().Stats().Told) })
+	n.meter.Gauge("stream_records_dropped_total", func() float64 { return float64(n.streams.snapshot().Stats().Dropped) })
+}
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -1,6 +1,7 @@
 package chuterelay
 
 import (
+	"slices"
 	"time"
 
 	"azurechute.example/azurechute/internal/chutefleet"
@@ -25,6 +26,9 @@
 	}
 	r.stages = make([]stageState, len(e.Pipeline.Stages))
 	r.pool = e.Pipeline.Target(st.randomFraction())
+	if !r.Binding.IsZero() {
+		r.pool = r.Binding.Pool
+	}
 	for i := range r.stages {
 		// A stage without parts for this request is skipped.
 		r.stages[i].done = r.parts(i) == 0
@@ -44,7 +48,7 @@
 		return
 	}
 	if st.blockedWhenStagesDone(r) {
-		st.giveUp(r, st.noUsableUpstreamRefusal(r.pool, r.regions))
+		st.giveUp(r, st.noUsableUpstreamRefusal(r))
 
 		return
 	}
@@ -98,8 +102,14 @@
 	if refusal, quarantined := st.quarantineRefusalFor(r.Fingerprint); quarantined {
 		return refusal, true
 	}
+	if !slices.ContainsFunc(r.Pipeline.Targets, func(t chuteroute.Target) bool { return t.Pool == r.pool }) {
+		return notRunRefusal("pool " + r.pool + ", which began the stream, is not a target of its pipeline any more"), true
+	}
+	if u, listed := st.fleet.Current(r.Binding.Upstream); listed && !r.Binding.IsZero() && u.Version != r.Binding.Version {
+		return notRunRefusal("upstream " + u.Name + ", which began the stream, may have run version " + u.Version + " by then"), true
+	}
 	if pool := st.poolWithoutUpstreams(r); pool != "" {
-		return st.noUpstreamRefusal(pool, r.regions), true
+		return st.noUpstreamRefusal(r, pool), true
 	}
 
 	return Refusal{}, false
@@ -111,8 +121,10 @@
 
 // chooseUpstream picks the upstream for the request's call on a side of the pool.
 func (st *reduction) chooseUpstream(r request, side chutefleet.Side) (chutefleet.Upstream, bool) {
+	use := r.use()
+	use.Side = side
 	query := chutefleet.Query{
-		Pool: r.pool, Use: chutefleet.Use{Side: side, Regions: r.regions}, Exclude: r.triedUpstreams, Zone: r.resultZone(), Unreachable: st.zoneSilence.allCutOff(st.now),
+		Pool: r.pool, Use: use, Exclude: r.triedUpstreams, Zone: r.resultZone(), Unreachable: st.zoneSilence.allCutOff(st.now),
 	}
 	if r.Pipeline.Affinity {
 		query.Affinity = r.Affinity
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -5,6 +5,7 @@
 
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 // sendCall sends the request to an upstream, after all its stages are done.
@@ -42,7 +43,7 @@
 	}
 	r.sends++
 	r.possibleRuns++
-	r.current = attempt{id: st.newID(), upstream: u, tokens: r.PromptTokens, sentAt: st.now}
+	r.current = attempt{id: st.newID(), upstream: u, tokens: r.PromptTokens, sentAt: st.now, bound: !r.Binding.IsZero()}
 	st.fleet = st.fleet.WithCallSent(u.ID, r.PromptTokens, st.now)
 	st.countRolloutCall(u, r.Pipeline.Name, r.atMostOnce())
 	st.putRequest(r)
@@ -62,9 +63,9 @@
 // noneUsable hands a request to another node if this one can't reach any upstream of its pool, which may be
 // a fault of its own links, and refuses it otherwise.
 func (st *reduction) noneUsable(r request) {
-	refusal := st.noUsableUpstreamRefusal(r.pool, r.regions)
-	silent := st.fleet.IsPoolSilent(r.pool, chutefleet.Use{Regions: r.regions}, st.now)
-	brittle := st.fleet.IsShortOfBrittleRoom(r.pool, chutefleet.Use{Regions: r.regions}, st.now)
+	refusal := st.noUsableUpstreamRefusal(r)
+	silent := st.fleet.IsPoolSilent(r.pool, r.use(), st.now)
+	brittle := st.fleet.IsShortOfBrittleRoom(r.pool, r.use(), st.now)
 	refusal.Elsewhere = r.isForwarded && (silent || brittle || st.links.suspected(st.now))
 	if brittle && st.forwardBrittle(r, refusal) {
 		return
@@ -85,11 +86,17 @@
 		return
 	}
 	if r.current.peer.Name != "" {
+		if r.Binding.IsZero() {
+			r.Binding = e.Binding
+		}
 		r.answerBegun, r.current.began = true, true
 		st.putRequest(r)
 
 		return
 	}
+	if r.Binding.IsZero() {
+		r.Binding = chutestream.Binding{Pool: r.pool, Version: r.current.upstream.Version, Upstream: r.current.upstream.Name}
+	}
 	if !r.answerBegun {
 		st.logStep(StepAnswerBegun, r, func(n *LogStep) { n.Upstream = r.current.upstream.ID })
 		st.callTimes = st.callTimes.with(r, st.now.Sub(r.current.sentAt))
@@ -97,7 +104,9 @@
 	r.answerBegun = true
 	r.current.began = true
 	took := st.now.Sub(r.current.sentAt)
-	st.countRolloutAnswer(r.current.upstream, r.Pipeline.Name, func(c chutecanary.Counts) chutecanary.Counts { return c.WithAnswer(took) })
+	if !r.current.bound {
+		st.countRolloutAnswer(r.current.upstream, r.Pipeline.Name, func(c chutecanary.Counts) chutecanary.Counts { return c.WithAnswer(took) })
+	}
 	st.recordLoad(r.current.upstream.ID, e.Load)
 	st.recordLimit(r.current.upstream, e.Limit, r.current.sentAt)
 	st.recordBrittle(r.current.upstream, e.Brittle, r.current.sentAt)
@@ -154,7 +163,10 @@
 	if e.End.provesNotRun() {
 		r.possibleRuns--
 	}
-	r.maybeReached = r.maybeReached || e.End != EndUnreachable
+	r.maybeReached = r.maybeReached || e.End != EndUnreachable && e.End != EndOtherVersion
+	if e.End == EndOtherVersion {
+		r.answerBegun, r.Binding = true, e.Binding
+	}
 	r.current = attempt{}
 	r.lastEnd = e.End
 	st.putRequest(r)
@@ -173,7 +185,7 @@
 // provesNotRun reports whether the end proves that the upstream ran nothing.
 func (e AttemptEnd) provesNotRun() bool {
 	switch e {
-	case EndRefused, EndInputGone, EndMisaddressed, EndUnreachable:
+	case EndRefused, EndInputGone, EndMisaddressed, EndUnreachable, EndOtherVersion:
 		return true
 	default:
 		return false
@@ -192,6 +204,9 @@
 
 // recordAttemptEnd updates the state of an upstream and its zone from the end of a call.
 func (st *reduction) recordAttemptEnd(r request, e AttemptEnded) {
+	if e.End == EndOtherVersion {
+		return
+	}
 	id := r.current.upstream.ID
 	st.recordLink(r, e)
 	if st.links.cutOff && e.End.isConnectionFailure() {
@@ -252,6 +267,8 @@
 	case ran && r.atMostOnce():
 		// The call may have run. Sending it again could publish a post twice.
 		st.endUnanswered(r, failedRefusal("the call may have run: "+string(e.End)))
+	case r.isBindingUnknown():
+		st.endUnanswered(r, unknownBindingRefusal())
 	case r.possibleRuns >= r.maxPossibleRuns():
 		st.endUnanswered(r, failedRefusal("all attempts failed: "+string(e.End)))
 	case r.sends >= r.maxPossibleRuns()+maxRefusedSends:
--- a/internal/chuterelay/brittle.go
+++ b/internal/chuterelay/brittle.go
@@ -44,7 +44,7 @@
 // brittlePeer chooses one of the nodes that may have calls at a brittle upstream of a request's pool; false if
 // the pool's upstreams are not short of room for that reason.
 func (st *reduction) brittlePeer(r request) (Peer, bool) {
-	upstreams := st.fleet.BrittleUpstreams(r.pool, chutefleet.Use{Regions: r.regions}, st.now)
+	upstreams := st.fleet.BrittleUpstreams(r.pool, r.use(), st.now)
 	if len(upstreams) == 0 {
 		return Peer{}, false
 	}
--- a/internal/chuterelay/evacuate.go
+++ b/internal/chuterelay/evacuate.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"azurechute.example/azurechute/internal/chutefleet"
-	"azurechute.example/azurechute/internal/chuteroute"
 )
 
 // setEvacuatedZones applies the list of zones that the operator has evacuated.
@@ -33,13 +32,14 @@
 // refuseUnservable refuses the requests that were not sent to any upstream and for which no
 // upstream is left.
 func (st *reduction) refuseUnservable() {
+	st.endStreamsWithoutVersion()
 	for i := st.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
 		if r.current.id != 0 || r.answerBegun {
 			continue
 		}
 		if pool := st.poolWithoutUpstreams(r); pool != "" {
-			st.giveUp(r, st.noUpstreamRefusal(pool, r.regions))
+			st.giveUp(r, st.noUpstreamRefusal(r, pool))
 		}
 	}
 }
@@ -59,10 +59,10 @@
 // With no upstream in a stage's pool, the request would wait in a queue that is never served until
 // its caller leaves.
 func (st *reduction) poolWithoutUpstreams(r request) string {
-	use := chutefleet.Use{Regions: r.regions}
-	if st.fleet.IsPoolEmpty(r.pool, use, st.now) {
+	if st.fleet.IsPoolEmpty(r.pool, r.use(), st.now) {
 		return r.pool
 	}
+	use := chutefleet.Use{Regions: r.regions}
 	for i, stage := range r.Pipeline.Stages {
 		if r.parts(i) > 0 && !r.stages[i].done && st.fleet.IsPoolEmpty(stage.Pool, use, st.now) {
 			return stage.Pool
@@ -73,7 +73,11 @@
 }
 
 // noUpstreamRefusal refuses a request whose pool has no upstream in the regions in which it may run.
-func (st *reduction) noUpstreamRefusal(pool string, regions chuteroute.Regions) Refusal {
+func (st *reduction) noUpstreamRefusal(r request, pool string) Refusal {
+	regions := r.regions
+	if pool == r.pool && !r.Binding.IsZero() && !st.fleet.IsPoolEmpty(pool, chutefleet.Use{Regions: regions}, st.now) {
+		return noVersionRefusal(r)
+	}
 	if !regions.IsAll() && !st.fleet.IsPoolEmpty(pool, chutefleet.Use{}, st.now) {
 		return notRunRefusal("no upstream of pool " + pool + " is left in the allowed regions " + regions.String())
 	}
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -8,6 +8,7 @@
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroute"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 // Event is something that happened to relayed requests or to the nodes and upstreams they use.
@@ -38,6 +39,8 @@
 	CallerWait time.Duration
 	// Forwarded is set if another node has received the request.
 	Forwarded *Forwarded
+	// Binding is what the stream is bound to by the events that the caller has; zero if it has none.
+	Binding chutestream.Binding
 }
 
 // ConfigAdopted reports a newer configuration.
@@ -181,10 +184,12 @@
 	Brittle *Brittle
 }
 
-// AttemptBegan reports that the first event of a stream is on its way to the caller.
+// AttemptBegan reports that the first event of an attempt is on its way to the caller.
 type AttemptBegan struct {
 	Handle  uint64
 	Attempt uint64
+	// Binding is what a peer says that the stream is bound to; zero if it does not say, and for upstreams.
+	Binding chutestream.Binding
 	// Load is the load that the upstream reported; nil if none.
 	Load *Load
 	// Limit is what the upstream reported of the requests that it accepts; nil if nothing.
@@ -214,6 +219,9 @@
 	EndBroken AttemptEnd = "Broken"
 	// EndSilent: no sign of life from the upstream; the call may have run.
 	EndSilent AttemptEnd = "Silent"
+	// EndOtherVersion: the caller has events of another version than the upstream's, so that the call was not
+	// sent or none of its events was passed on.
+	EndOtherVersion AttemptEnd = "OtherVersion"
 )
 
 // AttemptEnded reports the end of a relayed call.
@@ -238,6 +246,8 @@
 	Limit *Limit
 	// Brittle is what the upstream reported of calls that it may have to turn away; nil if nothing.
 	Brittle *Brittle
+	// Binding is what the stream is bound to; it is set with EndOtherVersion.
+	Binding chutestream.Binding
 	// Refusal is why the peer that the request was forwarded to does not answer it; nil if it does, and for
 	// calls to upstreams.
 	Refusal *Refusal
--- a/internal/chuterelay/forward.go
+++ b/internal/chuterelay/forward.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"azurechute.example/azurechute/internal/chutefleet"
 )
 
 const (
@@ -169,7 +167,7 @@
 	r.current = attempt{}
 	switch {
 	case e.Refusal != nil && e.Refusal.Elsewhere && e.Refusal.Kind == RefusedNotRun:
-		if !st.fleet.IsShortOfBrittleRoom(r.pool, chutefleet.Use{Regions: r.regions}, st.now) {
+		if !st.fleet.IsShortOfBrittleRoom(r.pool, r.use(), st.now) {
 			st.forwarding = st.forwarding.withUnlinked(peer.Name, st.now)
 		}
 		st.putRequest(r)
@@ -216,6 +214,8 @@
 	switch {
 	case r.atMostOnce():
 		st.giveUp(r, failedRefusal("the call may have run: "+string(e.End)))
+	case r.isBindingUnknown():
+		st.giveUp(r, unknownBindingRefusal())
 	case r.possibleRuns >= r.maxPossibleRuns():
 		st.giveUp(r, failedRefusal("all attempts failed: "+string(e.End)))
 	default:
--- a/internal/chuterelay/notice.go
+++ b/internal/chuterelay/notice.go
@@ -5,7 +5,6 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefleet"
-	"azurechute.example/azurechute/internal/chuteroute"
 )
 
 // restSpread is the part of a rest by which it is prolonged at random, up to maxRestSpread: an
@@ -69,7 +68,7 @@
 // at this node's share of their limits, when the request's stages are done. The stages would then
 // run for nothing.
 func (st *reduction) blockedWhenStagesDone(r request) bool {
-	blocked, ok := st.fleet.PoolAvailability(r.pool, chutefleet.Use{Regions: r.regions}, st.now)
+	blocked, ok := st.fleet.PoolAvailability(r.pool, r.use(), st.now)
 	stagesTime := time.Duration(0)
 	for i := range r.stages {
 		if !r.stages[i].done {
@@ -84,10 +83,10 @@
 // are the only reason, the caller may retry when this node may send the next call. With a limit,
 // another node may have calls left sooner; during a rest it is not to be expected, since a resting
 // upstream refuses the calls of other nodes too.
-func (st *reduction) noUsableUpstreamRefusal(pool string, regions chuteroute.Regions) Refusal {
-	use := chutefleet.Use{Regions: regions}
-	refusal := notRunRefusal("no upstream of pool " + pool + " can be used now: " + st.fleet.DescribeBlocked(pool, use, st.now))
-	blocked, ok := st.fleet.PoolAvailability(pool, use, st.now)
+func (st *reduction) noUsableUpstreamRefusal(r request) Refusal {
+	use := r.use()
+	refusal := notRunRefusal("no upstream of pool " + r.pool + " can be used now: " + st.fleet.DescribeBlocked(r.pool, use, st.now))
+	blocked, ok := st.fleet.PoolAvailability(r.pool, use, st.now)
 	if !ok {
 		return refusal
 	}
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -46,6 +46,8 @@
 	sentAt time.Time
 	// began says that the first event of its answer has arrived.
 	began bool
+	// bound says that the stream was bound to a version when it was sent.
+	bound bool
 }
 
 // request is one relayed request in flight. Values are never modified in place.
--- a/internal/chuterelay/restart.go
+++ b/internal/chuterelay/restart.go
@@ -5,6 +5,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 // restartedReason is the reason in refusals and in the log for what ended with an upstream's
@@ -20,6 +21,7 @@
 		st.upstreamRestarted(u)
 	}
 	st.applyLimitsOfNewUpstreams(change.Entries, before)
+	st.endStreamsWithoutVersion()
 	st.fillAllLanes()
 }
 
@@ -59,6 +61,11 @@
 			continue
 		}
 		st.strays = st.strays.with(u.Name, r.suspect(), st.now)
+		if next, listed := st.fleet.Current(u.Name); listed && next.Version != u.Version && r.current.began && !r.current.bound {
+			// Its events may be those of the next process, which took calls before its entry came.
+			r.Binding = chutestream.Binding{}
+			st.putRequest(r)
+		}
 		st.emit(CancelSend{Handle: r.Handle, Attempt: r.current.id})
 		st.attemptEnded(AttemptEnded{
 			Handle: r.Handle, Attempt: r.current.id, End: EndBroken, UpstreamEnded: u.State == chutefleet.StateReady,
--- a/internal/chuterelay/rollout.go
+++ b/internal/chuterelay/rollout.go
@@ -397,6 +397,10 @@
 	if st.fleet.VersionRules()[r.pool].Trial == "" {
 		return st.chooseUpstream(r, chutefleet.SideAny)
 	}
+	if !r.Binding.IsZero() {
+		// The version is given, so nothing is drawn.
+		return st.chooseUpstream(r, chutefleet.SideAny)
+	}
 	record := st.rollouts.records[r.pool]
 	call := st.rolloutCall(r.pool, r.Pipeline.Name, !r.atMostOnce())
 	side := record.Draw(call, st.randomFraction())
@@ -439,7 +443,7 @@
 func (st *reduction) countRolloutEnd(r request, e AttemptEnded) {
 	u, took := r.current.upstream, st.now.Sub(r.current.sentAt)
 	switch {
-	case r.current.began:
+	case r.current.began, r.current.bound:
 	case e.End == EndErrored:
 		st.countRolloutAnswer(u, r.Pipeline.Name, chutecanary.Counts.WithFailure)
 	case e.End == EndAnswered:
--- a/internal/chuteshare/forward.go
+++ b/internal/chuteshare/forward.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 const (
@@ -55,6 +56,8 @@
 	Node string
 	// Counted says that this node has counted the request for the retry budget.
 	Counted bool
+	// Binding is what the stream is bound to; zero if the caller has no event yet.
+	Binding chutestream.Binding
 }
 
 // ForwardRefusal is why the peer does not answer a forwarded request.
@@ -71,6 +74,8 @@
 	Status  int
 	Header  http.Header
 	Streams bool
+	// Binding is what the stream is bound to; zero if the peer does not say.
+	Binding chutestream.Binding
 	Body    io.ReadCloser
 	Refusal *ForwardRefusal
 }
@@ -138,6 +143,11 @@
 	}
 }
 
+// ForwardBound serves a request that another node has received and that is bound to a software version.
+func (s service) ForwardBound(request *chutesharepb.ForwardRequest, stream grpc.ServerStreamingServer[chutesharepb.ForwardUpdate]) error {
+	return s.Forward(request, stream)
+}
+
 // sendQueued sends the updates that are left once the request has ended.
 func sendQueued(updates <-chan *chutesharepb.ForwardUpdate, stream grpc.ServerStreamingServer[chutesharepb.ForwardUpdate]) error {
 	for len(updates) > 0 {
@@ -161,9 +171,17 @@
 
 // Begin sends the status and the header. Its error, like that of the other methods, is that of a call that
 // has ended.
-func (o ForwardOutput) Begin(status int, header http.Header, streams bool) error {
+func (o ForwardOutput) Begin(status int, header http.Header) error {
+	return o.send(&chutesharepb.ForwardUpdate{
+		Kind: chutesharepb.ForwardUpdate_KIND_HEAD, Status: int32(status), Header: encodeHeader(header), //nolint:gosec // an HTTP status
+	})
+}
+
+// BeginStream sends the status and the header of a stream, and what it is bound to.
+func (o ForwardOutput) BeginStream(status int, header http.Header, b chutestream.Binding) error {
 	return o.send(&chutesharepb.ForwardUpdate{
-		Kind: chutesharepb.ForwardUpdate_KIND_HEAD, Status: int32(status), Header: encodeHeader(header), Streams: streams, //nolint:gosec // an HTTP status
+		Kind: chutesharepb.ForwardUpdate_KIND_HEAD, Status: int32(status), Header: encodeHeader(header), Streams: true, //nolint:gosec // an HTTP status
+		Binding: encodeBinding(b),
 	})
 }
 
@@ -208,7 +226,11 @@
 	if abandonSilent {
 		body.silence = time.AfterFunc(firstKeepaliveTimeout, func() { cancel(errPeerSilent) })
 	}
-	body.stream, err = chutesharepb.NewShareClient(conn).Forward(ctx, encodeForward(request), grpc.MaxCallSendMsgSize(maxForwardBytes))
+	forward := chutesharepb.NewShareClient(conn).Forward
+	if !request.Binding.IsZero() {
+		forward = chutesharepb.NewShareClient(conn).ForwardBound
+	}
+	body.stream, err = forward(ctx, encodeForward(request), grpc.MaxCallSendMsgSize(maxForwardBytes))
 	if err != nil {
 		return ForwardAnswer{}, body.fail(ctx, address, err)
 	}
@@ -225,7 +247,11 @@
 		}}, nil
 	}
 
-	return ForwardAnswer{Status: int(update.GetStatus()), Header: decodeHeader(update.GetHeader()), Streams: update.GetStreams(), Body: body}, nil
+	binding, _ := decodeBinding(update.GetBinding()) // one that is too long matches no upstream
+
+	return ForwardAnswer{
+		Status: int(update.GetStatus()), Header: decodeHeader(update.GetHeader()), Streams: update.GetStreams(), Binding: binding, Body: body,
+	}, nil
 }
 
 // errNotConnected reports that no connection to a peer could be opened.
--- a/internal/chuteshare/forward_test.go
+++ b/internal/chuteshare/forward_test.go
@@ -12,6 +12,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/grpc"
+
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 func newForwardRequest() ForwardRequest {
@@ -31,7 +33,7 @@
 		body := bytes.Repeat([]byte("out "), 50_000)
 		s.forward = func(_ context.Context, request ForwardRequest, out ForwardOutput) {
 			received <- request
-			c.Check(errors.Join(out.Begin(201, http.Header{"X-B": {"3"}}, false), out.Write(body), out.End()), qt.IsNil)
+			c.Check(errors.Join(out.Begin(201, http.Header{"X-B": {"3"}}), out.Write(body), out.End()), qt.IsNil)
 		}
 		answer, err := newClient(t).Forward(context.Background(), s.address, newForwardRequest(), true)
 		c.Assert(err, qt.IsNil)
@@ -75,7 +77,7 @@
 	s := startServer(t)
 	reading := make(chan struct{})
 	s.forward = func(_ context.Context, _ ForwardRequest, out ForwardOutput) {
-		c.Check(out.Begin(200, http.Header{}, true), qt.IsNil)
+		c.Check(out.BeginStream(200, http.Header{}, chutestream.Binding{}), qt.IsNil)
 		<-reading
 		c.Check(errors.Join(out.Write([]byte("id: 1\n\n")), out.End()), qt.IsNil)
 	}
@@ -98,7 +100,7 @@
 			c := qt.New(t)
 			s := startServer(t)
 			s.forward = func(_ context.Context, _ ForwardRequest, out ForwardOutput) {
-				c.Check(errors.Join(out.Begin(200, http.Header{}, true), out.Write([]byte("id: 1\n\n"))), qt.IsNil)
+				c.Check(errors.Join(out.BeginStream(200, http.Header{}, chutestream.Binding{}), out.Write([]byte("id: 1\n\n"))), qt.IsNil)
 				end(out)
 			}
 			answer, err := newClient(t).Forward(context.Background(), s.address, newForwardRequest(), true)
--- a/internal/chuteshare/forwardwire.go
+++ b/internal/chuteshare/forwardwire.go
@@ -13,7 +13,7 @@
 		Id: r.ID, Host: r.Host, Method: r.Method, Uri: r.URI, Path: r.Path, Header: encodeHeader(r.Header), Body: r.Body, Key: r.Key,
 		WaitMs: r.Wait.Milliseconds(), LastEvent: int64(r.LastEventID) + 1, Affinity: r.Affinity, PromptTokens: r.PromptTokens, PartKey: r.PartKey,
 		LeftMs: r.Left.Milliseconds(), WaitedMs: r.Waited.Milliseconds(), PossibleRuns: int32(r.PossibleRuns), //nolint:gosec // a few
-		ConfigVersion: r.ConfigVersion, Node: r.Node, Counted: r.Counted,
+		ConfigVersion: r.ConfigVersion, Node: r.Node, Counted: r.Counted, Binding: encodeBinding(r.Binding),
 	}
 	for _, n := range r.Parts {
 		message.Parts = append(message.Parts, int32(n)) //nolint:gosec // some dozens
@@ -31,6 +31,7 @@
 		Left: milliseconds(message.GetLeftMs()), Waited: milliseconds(message.GetWaitedMs()), PossibleRuns: int(max(0, message.GetPossibleRuns())),
 		ConfigVersion: message.GetConfigVersion(), Node: message.GetNode(), Counted: message.GetCounted(),
 	}
+	r.Binding, _ = decodeBinding(message.GetBinding()) // one that is too long matches no upstream
 	for _, n := range message.GetParts() {
 		r.Parts = append(r.Parts, int(n))
 	}
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -14,6 +14,7 @@
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 const (
@@ -65,6 +66,9 @@
 	OnForward func(ctx context.Context, request ForwardRequest, out ForwardOutput)
 	// OnTell applies rows of one of the system's own tables.
 	OnTell func(told Announcement)
+	// OnStreamsTold takes records of streams, OnFindStream returns one, or false if it is not known.
+	OnStreamsTold func(records []chutestream.Record)
+	OnFindStream  func(id chutestream.ID) (chutestream.Record, bool)
 	// Traffic counts the bytes of all messages; nil counts nothing.
 	Traffic *Traffic
 	// Now returns the current time, to which the relative times of received jobs are added.
--- /dev/null
+++ b/internal/chutestream/state.go
@@ -0,0 +1,247 @@
+package chutestream
+
+import (
+	"slices"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+)
+
+const (
+	// tellDelay is how long a record waits before it is told. Callers come back a tenth of a second after their
+	// stream broke, and a stream that has ended by then is never told of.
+	tellDelay = 20 * time.Millisecond
+	// maxRecords bounds the records that are held; the one that expires first is dropped for a further one.
+	maxRecords = 1 << 14
+	// MaxRecordsPerCall bounds the records of one Tell.
+	MaxRecordsPerCall = 256
+	// maxLifetime bounds how long a record is held, whatever the node says that told it.
+	maxLifetime = time.Minute
+)
+
+// Stats counts what has happened to records.
+type Stats struct {
+	// Held is the number of records now.
+	Held int
+	// Told counts records sent to other nodes, once for each, and Dropped those dropped for want of room.
+	Told    int64
+	Dropped int64
+}
+
+// State is all that a node knows of streams. Copies are cheap and a State is never modified.
+type State struct {
+	holders holders
+	records *immutable.Map[ID, Record]
+	// expiries are when the records expire.
+	expiries agenda
+	// untold are the streams that began here and that nobody was told of, with the times at which they are due.
+	untold   agenda
+	ticking  bool
+	draining bool
+	told     int64
+	dropped  int64
+}
+
+// NewState returns the state of a node that knows of no stream and no other node.
+func NewState(self Node) State {
+	return State{
+		holders: holders{self: self}.withNodes([]Node{self}),
+		records: immutable.NewMap[ID, Record](idHasher{}), expiries: newAgenda(), untold: newAgenda(),
+	}
+}
+
+// Find returns the record of a stream, or false if this node does not know its binding.
+func (s State) Find(id ID, now time.Time) (Record, bool) {
+	record, ok := s.records.Get(id)
+
+	return record, ok && !record.ambiguous && now.Before(record.Until)
+}
+
+// ToAsk returns the other nodes that know the binding of a stream if any does.
+func (s State) ToAsk(id ID, now time.Time) []Node {
+	return s.holders.toAsk(id, now)
+}
+
+// Stats returns the counts so far.
+func (s State) Stats() Stats {
+	return Stats{Held: s.records.Len(), Told: s.told, Dropped: s.dropped}
+}
+
+// reduction is the working state of one Reduce call.
+type reduction struct {
+	State
+	now     time.Time
+	effects []Effect
+}
+
+// Reduce applies one event and returns the next state and the effects to carry out.
+func Reduce(s State, now time.Time, event Event) (State, []Effect) {
+	st := reduction{State: s, now: now}
+	switch e := event.(type) {
+	case NodesListed:
+		st.holders = st.holders.withNodes(e.Nodes)
+	case Began:
+		st.began(e)
+	case Ended:
+		st.untold = st.untold.without(e.ID)
+	case Broken:
+		st.broken(e.ID)
+	case Told:
+		for _, record := range e.Records {
+			st.put(record)
+		}
+	case TellFailed:
+		st.tellFailed(e)
+	case DrainStarted:
+		st.drain()
+	case Ticked:
+		st.tellDue()
+	}
+
+	return st.State, st.effects
+}
+
+// began records a stream of this node and has others told of it after a while.
+func (st *reduction) began(e Began) {
+	st.put(Record{ID: e.ID, Binding: e.Binding, Until: e.Until})
+	if st.draining {
+		st.tell([]ID{e.ID})
+
+		return
+	}
+	st.untold = st.untold.with(e.ID, st.now.Add(tellDelay))
+	st.tickLater()
+}
+
+// broken tells of a stream at once, unless that has been done.
+func (st *reduction) broken(id ID) {
+	if st.untold.has(id) {
+		st.untold = st.untold.without(id)
+		st.tell([]ID{id})
+	}
+}
+
+// put adds a record. Streams of different bindings under one ID are ambiguous from then on.
+func (st *reduction) put(record Record) {
+	st.dropExpired()
+	record.Since = st.now
+	if limit := st.now.Add(maxLifetime); record.Until.After(limit) {
+		record.Until = limit
+	}
+	if !st.now.Before(record.Until) {
+		return
+	}
+	if known, ok := st.records.Get(record.ID); ok {
+		record = known.withConfirmed(record)
+	} else if st.records.Len() >= maxRecords {
+		first, _, _ := st.expiries.first()
+		st.remove(first)
+		st.dropped++
+	}
+	st.records = st.records.Set(record.ID, record)
+	st.expiries = st.expiries.with(record.ID, record.Until)
+}
+
+func (st *reduction) remove(id ID) {
+	st.records = st.records.Delete(id)
+	st.expiries = st.expiries.without(id)
+}
+
+func (st *reduction) dropExpired() {
+	for {
+		id, at, ok := st.expiries.first()
+		if !ok || st.now.Before(at) {
+			return
+		}
+		st.remove(id)
+	}
+}
+
+// tellDue tells of the streams whose time has come.
+func (st *reduction) tellDue() {
+	st.ticking = false
+	var due []ID
+	for id, at, ok := st.untold.first(); ok && !st.now.Before(at); id, at, ok = st.untold.first() {
+		due = append(due, id)
+		st.untold = st.untold.without(id)
+	}
+	st.tell(due)
+	st.tickLater()
+}
+
+// tickLater schedules the next Ticked event if one is needed and none is scheduled.
+func (st *reduction) tickLater() {
+	_, due, ok := st.untold.first()
+	if st.ticking || !ok {
+		return
+	}
+	st.ticking = true
+	st.effects = append(st.effects, TickAt{At: due})
+}
+
+// tell sends the records of streams to the nodes that are to hold them.
+func (st *reduction) tell(ids []ID) {
+	batch := newBatches()
+	for _, id := range ids {
+		if record, ok := st.Find(id, st.now); ok {
+			batch.add(record, st.holders.toTell(id, st.now)...)
+		}
+	}
+	st.send(batch, false)
+}
+
+// tellFailed passes a node over and tells the next one of its zone. A record that fails there too is not told
+// again.
+func (st *reduction) tellFailed(e TellFailed) {
+	st.holders = st.holders.withFailed(e.Node.Name, st.now)
+	if e.Again {
+		return
+	}
+	batch := newBatches()
+	for _, record := range e.Records {
+		if next, ok := st.holders.bestOther(e.Node.Zone, record.ID, st.now); ok {
+			batch.add(record, next)
+		}
+	}
+	st.send(batch, true)
+}
+
+func (st *reduction) send(b *batches, again bool) {
+	for _, node := range b.nodes {
+		for records := range slices.Chunk(b.byNode[node.Name], MaxRecordsPerCall) {
+			st.effects = append(st.effects, Tell{Node: node, Records: records, Again: again})
+			st.told += int64(len(records))
+		}
+	}
+}
+
+// batches are records by the node that they are for.
+type batches struct {
+	nodes  []Node
+	byNode map[string][]Record
+}
+
+func newBatches() *batches {
+	return &batches{byNode: map[string][]Record{}}
+}
+
+func (b *batches) add(record Record, nodes ...Node) {
+	for _, node := range nodes {
+		if b.byNode[node.Name] == nil {
+			b.nodes = append(b.nodes, node)
+		}
+		b.byNode[node.Name] = append(b.byNode[node.Name], record)
+	}
+}
+
+// drain hands the records over to the nodes that hold them without this one.
+func (st *reduction) drain() {
+	st.draining = true
+	st.untold = newAgenda()
+	var ids []ID
+	for i := st.records.Iterator(); !i.Done(); {
+		id, _, _ := i.Next()
+		ids = append(ids, id)
+	}
+	st.tell(ids)
+}
--- /dev/null
+++ b/internal/chutestream/state_test.go
@@ -0,0 +1,225 @@
+package chutestream
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1000, 0)
+
+// node drives one state and collects its effects.
+type node struct {
+	*qt.C
+
+	state   State
+	now     time.Time
+	effects []Effect
+}
+
+// newNode returns the first of count nodes in three zones.
+func newNode(t testing.TB, count int) *node {
+	t.Helper()
+	all := nodesInZones(count, 3)
+	n := &node{C: qt.New(t), now: start, state: NewState(all[0])}
+	n.on(NodesListed{Nodes: all})
+
+	return n
+}
+
+func nodesInZones(count, zones int) []Node {
+	all := make([]Node, 0, count)
+	for i := range count {
+		all = append(all, Node{Name: fmt.Sprint("n", i), Zone: fmt.Sprint("z", i%zones), Address: fmt.Sprint("n", i, ":1")})
+	}
+
+	return all
+}
+
+func (n *node) on(e Event) {
+	var effects []Effect
+	n.state, effects = Reduce(n.state, n.now, e)
+	n.effects = append(n.effects, effects...)
+}
+
+// takeAll removes and returns the effects of one type, and drops the others.
+func takeAll[E Effect](n *node) []E {
+	var taken []E
+	for _, effect := range n.effects {
+		if e, ok := effect.(E); ok {
+			taken = append(taken, e)
+		}
+	}
+	n.effects = nil
+
+	return taken
+}
+
+func (n *node) begin(id ID) {
+	n.on(Began{ID: id, Binding: Binding{Pool: "p", Version: "v1"}, Until: n.now.Add(10 * time.Second)})
+}
+
+func (n *node) expectFound(id ID, found bool) {
+	n.Helper()
+	_, ok := n.state.Find(id, n.now)
+	n.Assert(ok, qt.Equals, found)
+}
+
+func TestNewID(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(NewID("w", "p", "r"), qt.Equals, NewID("w", "p", "r"))
+	c.Assert(NewID("w", "p", "r"), qt.Not(qt.Equals), NewID("x", "p", "r"))
+	c.Assert(NewID("w", "p", "r"), qt.Not(qt.Equals), NewID("w", "q", "r"))
+	c.Assert(NewID("w", "pr", ""), qt.Not(qt.Equals), NewID("w", "p", "r"))
+}
+
+func TestRecords(t *testing.T) {
+	id := NewID("w", "p", "r")
+
+	t.Run("a stream that began here is known at once", func(t *testing.T) {
+		n := newNode(t, 8)
+		n.begin(id)
+		n.expectFound(id, true)
+	})
+
+	t.Run("a record is not found after its time", func(t *testing.T) {
+		n := newNode(t, 8)
+		n.begin(id)
+		n.now = n.now.Add(10 * time.Second)
+		n.expectFound(id, false)
+	})
+
+	t.Run("a node that woke up with old records finds none", func(t *testing.T) {
+		n := newNode(t, 8)
+		n.on(Told{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v1"}, Until: n.now.Add(time.Hour)}}})
+		n.expectFound(id, true)
+		n.now = n.now.Add(maxLifetime)
+		n.expectFound(id, false)
+	})
+
+	t.Run("an ID under which two versions began is not found", func(t *testing.T) {
+		n := newNode(t, 8)
+		n.begin(id)
+		n.on(Told{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v2"}, Until: n.now.Add(time.Second)}}})
+		n.expectFound(id, false)
+		n.begin(id)
+		n.expectFound(id, false)
+	})
+
+	t.Run("records are bounded, and those that are dropped are not found", func(t *testing.T) {
+		n := newNode(t, 1)
+		n.begin(id)
+		for i := range maxRecords {
+			n.on(Began{ID: NewID("w", "p", fmt.Sprint(i)), Binding: Binding{Pool: "p"}, Until: n.now.Add(time.Minute)})
+		}
+		n.Assert(n.state.Stats().Held, qt.Equals, maxRecords)
+		n.Assert(n.state.Stats().Dropped, qt.Equals, int64(1))
+		n.expectFound(id, false)
+	})
+
+	t.Run("expired records are dropped", func(t *testing.T) {
+		n := newNode(t, 1)
+		n.begin(id)
+		n.now = n.now.Add(time.Minute)
+		n.begin(NewID("w", "p", "other"))
+		n.Assert(n.state.Stats().Held, qt.Equals, 1)
+	})
+}
+
+func TestTell(t *testing.T) {
+	id := NewID("w", "p", "r")
+
+	t.Run("a stream that goes on is told of in two zones", func(t *testing.T) {
+		n := newNode(t, 9)
+		n.begin(id)
+		tick := takeAll[TickAt](n)
+		n.Assert(tick, qt.HasLen, 1)
+		n.now = tick[0].At
+		n.on(Ticked{})
+		zones := map[string]bool{}
+		for _, tell := range takeAll[Tell](n) {
+			n.Assert(tell.Node.Name, qt.Not(qt.Equals), "n0")
+			n.Assert(tell.Records, qt.HasLen, 1)
+			zones[tell.Node.Zone] = true
+		}
+		n.Assert(zones, qt.HasLen, 2)
+	})
+
+	t.Run("a stream that has ended by then is not told of", func(t *testing.T) {
+		n := newNode(t, 9)
+		n.begin(id)
+		n.on(Ended{ID: id})
+		n.now = n.now.Add(tellDelay)
+		n.on(Ticked{})
+		n.Assert(takeAll[Tell](n), qt.HasLen, 0)
+	})
+
+	t.Run("a stream that breaks is told of at once", func(t *testing.T) {
+		n := newNode(t, 9)
+		n.begin(id)
+		n.on(Broken{ID: id})
+		n.Assert(takeAll[Tell](n), qt.HasLen, 2)
+	})
+
+	t.Run("streams that begin together are told of together", func(t *testing.T) {
+		n := newNode(t, 2)
+		for i := range 100 {
+			n.begin(NewID("w", "p", fmt.Sprint(i)))
+		}
+		n.now = n.now.Add(tellDelay)
+		n.on(Ticked{})
+		tells := takeAll[Tell](n)
+		n.Assert(tells, qt.HasLen, 1)
+		n.Assert(tells[0].Records, qt.HasLen, 100)
+	})
+
+	t.Run("in place of a node that takes no records the next of its zone is told, once", func(t *testing.T) {
+		n := newNode(t, 9)
+		n.begin(id)
+		n.on(Broken{ID: id})
+		failed := takeAll[Tell](n)[0]
+		n.on(TellFailed{Tell: failed})
+		again := takeAll[Tell](n)
+		n.Assert(again, qt.HasLen, 1)
+		n.Assert(again[0].Node.Zone, qt.Equals, failed.Node.Zone)
+		n.Assert(again[0].Node.Name, qt.Not(qt.Equals), failed.Node.Name)
+		n.on(TellFailed{Tell: again[0]})
+		n.Assert(takeAll[Tell](n), qt.HasLen, 0)
+	})
+
+	t.Run("a node that shuts down hands its records over", func(t *testing.T) {
+		n := newNode(t, 9)
+		n.on(Told{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v1"}, Until: n.now.Add(time.Second)}}})
+		n.on(DrainStarted{})
+		n.Assert(takeAll[Tell](n), qt.HasLen, 2)
+		n.begin(NewID("w", "p", "later"))
+		n.Assert(takeAll[Tell](n), qt.HasLen, 2)
+	})
+}
+
+// TestHolders guards against a stream that is taken up at a node which asks none of those that were told.
+func TestHolders(t *testing.T) {
+	for _, size := range []struct{ nodes, zones int }{{1, 1}, {2, 1}, {8, 3}, {9, 3}, {36, 4}, {195, 3}, {985, 5}} {
+		t.Run(fmt.Sprintf("%d nodes in %d zones", size.nodes, size.zones), func(t *testing.T) {
+			c := qt.New(t)
+			all := nodesInZones(size.nodes, size.zones)
+			views := make([]holders, len(all))
+			for i := range all {
+				views[i] = holders{self: all[i]}.withNodes(all)
+			}
+			for i := range 300 {
+				id := NewID("w", "p", fmt.Sprint(i))
+				from, to := views[i*7%len(views)], views[i*13%len(views)]
+				told := append(from.toTell(id, start), from.self)
+				asked := append(to.toAsk(id, start), to.self)
+				c.Assert(len(told) <= 2+toldZones, qt.IsTrue)
+				c.Assert(len(asked) <= 1+askedInZone+askedZones, qt.IsTrue)
+				isTold := func(n Node) bool { return slices.Contains(told, n) }
+				c.Assert(slices.ContainsFunc(asked, isTold), qt.IsTrue, qt.Commentf("%s tells %v, %s asks %v", from.self.Name, told, to.self.Name, asked))
+			}
+		})
+	}
+}
