--- a/internal/chutegate/send_test.go
+++ b/internal/chutegate/send_test.go
@@ -14,7 +14,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 // eventsAnswer returns an answer that is a stream of events.
@@ -77,6 +79,64 @@
 	})
 }
 
+// TestBoundAttempt guards against events of a second version behind those that the caller has, whatever the
+// reducer decided.
+func TestBoundAttempt(t *testing.T) {
+	bound := chutestream.Binding{Pool: "p", Version: "v1", Upstream: "u1"}
+
+	t.Run("no call is sent to an upstream of another version", func(t *testing.T) {
+		c := qt.New(t)
+		n := New(Settings{}, clockwork.NewFakeClock(), zerolog.Nop(), Store{}, Decoders{}, Upstreams{
+			Exchange: func(context.Context, Call) (Answer, error) {
+				c.Error("sent")
+
+				return Answer{}, &SendError{Err: io.EOF}
+			},
+		})
+		defer n.Stop()
+		req := newTestRequest()
+		req.binding = bound
+		a := &attempt{node: n, request: req, send: chuterelay.Send{Upstream: chutefleet.Upstream{Pool: "p", Version: "v2"}}}
+		ended := a.run(context.Background())
+		c.Assert(ended.End, qt.Equals, chuterelay.EndOtherVersion)
+		c.Assert(ended.Binding, qt.Equals, bound)
+	})
+
+	t.Run("events of another version are not passed on from a peer", func(t *testing.T) {
+		c := qt.New(t)
+		n := New(Settings{}, clockwork.NewFakeClock(), zerolog.Nop(), Store{}, Decoders{}, Upstreams{})
+		defer n.Stop()
+		for _, other := range []chutestream.Binding{{}, {Pool: "p", Version: "v2"}, {Pool: "q", Version: "v1"}} {
+			req := newTestRequest()
+			req.binding = bound
+			a := &attempt{node: n, request: req, send: chuterelay.Send{Peer: chuterelay.Peer{Name: "n2"}}}
+			answer := eventsAnswer("id: 0\ndata: a\n\n")
+			answer.Binding = other
+			_, err := a.relayStream(context.Background(), answer)
+			c.Assert(err, qt.Equals, errOtherVersion)
+			c.Assert(req.pieces, qt.HasLen, 0)
+		}
+	})
+
+	t.Run("the first event binds the stream", func(t *testing.T) {
+		c := qt.New(t)
+		n := New(Settings{}, clockwork.NewFakeClock(), zerolog.Nop(), Store{}, Decoders{}, Upstreams{})
+		defer n.Stop()
+		req := newTestRequest()
+		id := chutestream.NewID("w", "p", "r")
+		req.stream = &id
+		a := &attempt{node: n, request: req, send: chuterelay.Send{
+			Upstream: chutefleet.Upstream{Name: "u1", Pool: "p", Version: "v1"}, Deadline: n.Now().Add(time.Second),
+		}}
+		_, err := a.relayStream(context.Background(), eventsAnswer("id: 0\ndata: a\n\n"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(req.binding, qt.Equals, bound)
+		record, known := n.streams.find(id, n.Now())
+		c.Assert(known, qt.IsTrue)
+		c.Assert(record.Binding, qt.Equals, bound)
+	})
+}
+
 // silentBody is the body of a stream whose connection goes silent after some text.
 type silentBody struct {
 	text io.Reader
--- a/internal/chuteshare/forward_test.go
+++ b/internal/chuteshare/forward_test.go
@@ -46,6 +46,22 @@
 		c.Assert(answer.Body.Close(), qt.IsNil)
 	})
 
+	t.Run("a binding arrives in both directions", func(t *testing.T) {
+		c := qt.New(t)
+		s := startServer(t)
+		bound := chutestream.Binding{Pool: "p", Version: "v1", Upstream: "u"}
+		s.forward = func(_ context.Context, request ForwardRequest, out ForwardOutput) {
+			c.Check(request.Binding, qt.Equals, bound)
+			c.Check(errors.Join(out.BeginStream(200, http.Header{}, bound), out.End()), qt.IsNil)
+		}
+		request := newForwardRequest()
+		request.Binding = bound
+		answer, err := newClient(t).Forward(context.Background(), s.address, request, true)
+		c.Assert(err, qt.IsNil)
+		c.Assert(answer.Binding, qt.Equals, bound)
+		c.Assert(answer.Body.Close(), qt.IsNil)
+	})
+
 	t.Run("a refusal is returned with its reason", func(t *testing.T) {
 		c := qt.New(t)
 		s := startServer(t)
