--- a/internal/chutecli/explain.go
+++ b/internal/chutecli/explain.go
@@ -59,6 +59,12 @@
 	// one, From the node that it was heard from; absent for the store.
 	ConfigAgeMs *int64 `json:",omitempty"`
 	From        string `json:",omitempty"`
+	// Resumes is the request that began the stream which this one takes up, UpstreamVersion its software version
+	// or that of the upstream of a call, RecordAgeMs how long From had known it; Known is false if no node did.
+	Resumes         string `json:",omitempty"`
+	UpstreamVersion string `json:",omitempty"`
+	RecordAgeMs     int64  `json:",omitempty"`
+	Known           *bool  `json:",omitempty"`
 	// Leaving, RestMs and Unreadable are what an upstream says about itself.
 	Leaving    bool   `json:",omitempty"`
 	RestMs     int64  `json:",omitempty"`
@@ -84,6 +90,9 @@
 		return fmt.Sprintf("%s; by version %d, heard from %s, confirmed %d ms before",
 			l.Reason, l.Version, cmp.Or(l.From, "the store"), *l.ConfigAgeMs)
 	}
+	if l.Known != nil {
+		return l.takeUp()
+	}
 	if l.Budget == nil {
 		return l.Reason
 	}
@@ -96,23 +105,41 @@
 	return l.Reason + "; " + counts
 }
 
+// takeUp tells what a node knew of the stream that a request takes up.
+func (l logLine) takeUp() string {
+	stream := "a stream that it does not name"
+	if l.Resumes != "" {
+		stream = "the stream of " + l.Resumes
+	}
+	if !*l.Known {
+		return "takes up " + stream + ", whose version no node knew that was asked"
+	}
+
+	return fmt.Sprintf("takes up %s, begun at version %s, known from %s for %d ms", stream, l.UpstreamVersion, cmp.Or(l.From, "itself"), l.RecordAgeMs)
+}
+
 // explanation is the JSON result of the command.
 type explanation struct {
 	Request string
 	Lines   []logLine
 	// Cause is one sentence.
 	Cause string
+	// TakenUpBy are the requests that took up the stream that this one began, in the order of the logs.
+	TakenUpBy []string `json:",omitempty"`
 }
 
 // Run prints one request's story.
 func (c explainCommand) Run(ctx context.Context, s session) error {
 	var lines, adoptions []logLine
+	var takenUpBy []string
 	wanted := [][]byte{[]byte(strconv.Quote(c.Request)), []byte(strconv.Quote(adopted))}
 	for _, open := range sources(s, c.Files) {
 		err := readLog(ctx, open, wanted, func(line logLine) {
 			switch {
 			case line.Request == c.Request:
 				lines = append(lines, line)
+			case line.Resumes == c.Request:
+				takenUpBy = append(takenUpBy, line.Request)
 			case line.Step == adopted:
 				adoptions = append(adoptions, line)
 			}
@@ -127,7 +154,7 @@
 	// One node decides on a request, by its own clock; a time of day that jumped
 	// does not disturb the order.
 	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
-	result := explanation{Request: c.Request, Lines: lines, Cause: causeOf(lines) + nextConfig(lines[len(lines)-1], adoptions)}
+	result := explanation{Request: c.Request, Lines: lines, Cause: causeOf(lines) + nextConfig(lines[len(lines)-1], adoptions), TakenUpBy: takenUpBy}
 
 	return s.print(result, func() { s.printExplanation(result) })
 }
@@ -216,4 +243,7 @@
 	s.columns(rows)
 	s.line("")
 	s.line("%s", e.Cause)
+	if len(e.TakenUpBy) > 0 {
+		s.line("its stream was taken up by %s", strings.Join(e.TakenUpBy, ", "))
+	}
 }
--- a/internal/chutecli/explain_test.go
+++ b/internal/chutecli/explain_test.go
@@ -17,6 +17,9 @@
 {"Node":"n1","Request":"r4","Reason":"no pipeline","Version":6,"ConfigAgeMs":1400,"From":"n2","time":"2026-06-25T16:11:43Z","message":"refused"}
 {"Node":"n3","Version":16,"time":"2026-06-25T16:11:44Z","message":"configuration in force"}
 {"Node":"n1","Version":16,"time":"2026-06-25T16:11:45Z","message":"configuration in force"}
+{"Node":"n1","Request":"r5","Resumes":"r1","LastEvent":2,"UpstreamVersion":"v1","From":"n2","RecordAgeMs":70,"Known":true,"message":"take-up"}
+{"Node":"n1","Request":"r5","AgeMs":40,"message":"answered"}
+{"Node":"n1","Request":"r6","LastEvent":2,"Known":false,"message":"take-up"}
 {"Node":"n1","Request":"r1","AgeMs":
 `
 
@@ -52,6 +55,16 @@
 		c.Assert(out, qt.Contains, "version 16 came into force there 2s after that")
 	})
 
+	t.Run("a take-up leads to the request that began its stream, and back", func(t *testing.T) {
+		c := qt.New(t)
+		_, out, _ := runExplain("r5")
+		c.Assert(out, qt.Contains, "takes up the stream of r1, begun at version v1, known from n2 for 70 ms")
+		_, out, _ = runExplain("r1")
+		c.Assert(out, qt.Contains, "its stream was taken up by r5")
+		_, out, _ = runExplain("r6")
+		c.Assert(out, qt.Contains, "takes up a stream that it does not name, whose version no node knew that was asked")
+	})
+
 	t.Run("an unknown id is an error that says where to look", func(t *testing.T) {
 		c := qt.New(t)
 		code, _, errors := runExplain("r3")
--- a/internal/chuteshare/share_test.go
+++ b/internal/chuteshare/share_test.go
@@ -12,6 +12,7 @@
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutestream"
 )
 
 var startTime = time.Unix(1000, 0)
@@ -25,6 +26,8 @@
 	tokens  atomic.Uint64
 	table   atomic.Pointer[TableState]
 	changed chan struct{}
+	// records are those of the last TellStreams.
+	records []chutestream.Record
 	// forward serves forwarded requests.
 	forward func(ctx context.Context, request ForwardRequest, out ForwardOutput)
 }
@@ -52,9 +55,19 @@
 			c.jobs <- request
 			c.updates <- updates
 		},
-		OnLeaseEnd: func(token uint64) { c.dropped <- token },
-		OnTable:    func(string) TableState { return *c.table.Load() },
-		OnForward:  func(ctx context.Context, request ForwardRequest, out ForwardOutput) { c.forward(ctx, request, out) },
+		OnLeaseEnd:    func(token uint64) { c.dropped <- token },
+		OnTable:       func(string) TableState { return *c.table.Load() },
+		OnForward:     func(ctx context.Context, request ForwardRequest, out ForwardOutput) { c.forward(ctx, request, out) },
+		OnStreamsTold: func(records []chutestream.Record) { c.records = records },
+		OnFindStream: func(id chutestream.ID) (chutestream.Record, bool) {
+			for _, r := range c.records {
+				if r.ID == id {
+					return r, true
+				}
+			}
+
+			return chutestream.Record{}, false
+		},
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
--- /dev/null
+++ b/internal/chuteshare/streams_test.go
@@ -0,0 +1,113 @@
+package chuteshare
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
+	"azurechute.example/azurechute/internal/chutestream"
+)
+
+func testRecord(n int) chutestream.Record {
+	return chutestream.Record{
+		ID:      chutestream.NewID("w", "p", fmt.Sprint(n)),
+		Binding: chutestream.Binding{Pool: "reef-llm", Version: "v1.1", Upstream: "i-ae34ab937d"}, Until: startTime.Add(8 * time.Second),
+	}
+}
+
+func TestStreams(t *testing.T) {
+	t.Run("a record arrives as told, and is found", func(t *testing.T) {
+		c := qt.New(t)
+		s, client := startServer(t), newClient(t)
+		c.Assert(client.TellStreams(context.Background(), s.address, []chutestream.Record{testRecord(1), testRecord(2)}, startTime), qt.IsNil)
+		c.Assert(s.records, qt.HasLen, 2)
+		got, known, err := client.FindStream(context.Background(), s.address, testRecord(2).ID, startTime)
+		c.Assert(err, qt.IsNil)
+		c.Assert(known, qt.IsTrue)
+		c.Assert(got.Binding, qt.Equals, testRecord(2).Binding)
+		c.Assert(got.Until, qt.Equals, testRecord(2).Until)
+	})
+
+	t.Run("a stream that is not known is no error", func(t *testing.T) {
+		c := qt.New(t)
+		_, known, err := newClient(t).FindStream(context.Background(), startServer(t).address, testRecord(1).ID, startTime)
+		c.Assert(err, qt.IsNil)
+		c.Assert(known, qt.IsFalse)
+	})
+
+	t.Run("malformed records are rejected as a whole", func(t *testing.T) {
+		c := qt.New(t)
+		s, client := startServer(t), newClient(t)
+		long, empty := testRecord(1), testRecord(2)
+		long.Binding.Version = strings.Repeat("v", maxBindingText+1)
+		empty.Binding = chutestream.Binding{}
+		for _, records := range [][]chutestream.Record{{long}, {testRecord(3), empty}, make([]chutestream.Record, chutestream.MaxRecordsPerCall+1)} {
+			err := client.TellStreams(context.Background(), s.address, records, startTime)
+			c.Assert(status.Code(err), qt.Equals, codes.InvalidArgument)
+			c.Assert(s.records, qt.HasLen, 0)
+		}
+		conn, err := client.connTo(s.address)
+		c.Assert(err, qt.IsNil)
+		_, err = chutesharepb.NewShareClient(conn).FindStream(context.Background(), &chutesharepb.FindStreamRequest{Id: []byte("short")})
+		c.Assert(status.Code(err), qt.Equals, codes.InvalidArgument)
+	})
+}
+
+// countingConn counts the bytes that a connection carries in both directions.
+type countingConn struct {
+	net.Conn
+
+	count *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count.Add(int64(n))
+
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count.Add(int64(n))
+
+	return n, err
+}
+
+// TestTellStreamsBytes guards against records of streams that take more than a third of the 8 KB a second that a node
+// has for control, at 5 records a second that it tells and as many that it is told.
+func TestTellStreamsBytes(t *testing.T) {
+	const calls, callsPerSecond, maxBytes = 200, 10, 8 << 10 / 3 / callsPerSecond
+	c := qt.New(t)
+	s, client := startServer(t), newClient(t)
+	var count atomic.Int64
+	client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+
+		return countingConn{Conn: conn, count: &count}, err
+	}
+	for n := range calls {
+		c.Assert(client.TellStreams(context.Background(), s.address, []chutestream.Record{testRecord(n)}, startTime), qt.IsNil)
+	}
+	bytes := count.Load() / calls
+	c.Logf("%d bytes a call in both directions, without the headers of packets", bytes)
+	c.Assert(bytes <= maxBytes, qt.IsTrue, qt.Commentf("%d bytes", bytes))
+}
+
+func BenchmarkTellStreams(b *testing.B) {
+	s, client := startServer(b), newClient(b)
+	for n := range b.N {
+		if err := client.TellStreams(context.Background(), s.address, []chutestream.Record{testRecord(n)}, startTime); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
