--- a/internal/chuteshare/streams_test.go
+++ b/internal/chuteshare/streams_test.go
@@ -86,7 +86,9 @@
 // TestTellStreamsBytes guards against records of streams that take more than a third of the 8 KB a second that a node
 // has for control, at 5 records a second that it tells and as many that it is told.
 func TestTellStreamsBytes(t *testing.T) {
-	const calls, callsPerSecond, maxBytes = 200, 10, 8 << 10 / 3 / callsPerSecond
+	const calls = 200
+	const callsPerSecond = 10
+	const maxBytes = (8 << 10) / 3 / callsPerSecond
 	c := qt.New(t)
 	s, client := startServer(t), newClient(t)
 	var count atomic.Int64
