--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -59,10 +59,7 @@
 
 // Availability returns whether an upstream may get a call now.
 //
-// This is the only place that decides it, for relayed calls, for calls with parts, and
-// for probes. Choose weighs what only makes an upstream a worse choice: its load, recent
-// failures, a recent FailureFull, a zone that is unreachable. The quarantine decides
-// which requests may run at all.
+// This is the only place that decides it. Choose weighs what only makes an upstream a worse choice.
 func (f Fleet) Availability(id string, now time.Time) Availability {
 	m, ok := f.members.Get(id)
 	if !ok {
--- a/internal/chutefleet/choose.go
+++ b/internal/chutefleet/choose.go
@@ -129,9 +129,8 @@
 // affinityUpstream returns the upstream that rendezvous hashing selects for the affinity
 // among those that are not overloaded, compared with the pool's mean load; false if all are.
 //
-// Each node computes the same order from the list alone, so requests with one prefix go
-// to one upstream without communication between nodes. The bound on the load keeps a
-// popular prefix from overloading its upstream.
+// Each node computes the same order. The bound on the load keeps a popular prefix from overloading its
+// upstream.
 func affinityUpstream(candidates []candidate, affinity string, mean float64) (Upstream, bool) {
 	best := -1
 	var bestHash uint64
--- a/internal/chutefleet/list.go
+++ b/internal/chutefleet/list.go
@@ -44,9 +44,8 @@
 // the same name has replaced, sorted by id. With keepMissing, upstreams that are gone stay until a change
 // comes without it.
 //
-// While the platform's store is unavailable, the entries of live upstreams expire, and
-// they are written again shortly after it returns. If the upstreams were removed at once,
-// whole pools would be empty meanwhile.
+// While the store is unavailable, the entries of live upstreams expire, and they are written again after its
+// return.
 func (f Fleet) WithListChange(change ListChange, keepMissing bool, now time.Time) (Fleet, []Upstream) {
 	var replaced []Upstream
 	for i := range change.Entries {
--- a/internal/chutefleet/report.go
+++ b/internal/chutefleet/report.go
@@ -50,9 +50,7 @@
 // OverloadReports returns reports on the overloaded upstreams of a pool, to send to other
 // nodes, those with the most calls first; at most maxReports.
 //
-// With hundreds of nodes, one node gets an answer from one upstream less than once in 10
-// seconds. Without reports from other nodes it sends a popular prompt to the upstream that
-// caches its prefix, regardless of how many calls wait there.
+// One node of hundreds seldom gets an answer from an upstream itself.
 func (f Fleet) OverloadReports(pool string, now time.Time) []LoadReport {
 	mean := f.meanPoolLoad(pool, now)
 	var reports []LoadReport
--- a/internal/chutefleet/successor.go
+++ b/internal/chutefleet/successor.go
@@ -23,10 +23,8 @@
 // inherited returns the part of an observation that holds for the next incarnation of the upstream too, until
 // an answer of that one says otherwise.
 //
-// What an upstream states about its capacity holds for whichever process has its name: its rate limit, with the
-// calls that count against it, and that it is brittle. Without it every node would send freely to a new process
-// until it gets an answer, which is never while answers are lost. What only describes one process is not
-// inherited: calls in flight, load, failures, suspension, and warm-up, which the new entry states.
+// That is its rate limit with the calls that count against it, and that it is brittle. Nodes would send freely
+// to a new process otherwise until they get an answer.
 func (o *observation) inherited() *observation {
 	if !o.limit.isSet && !o.brittle.isSet {
 		return unobserved
--- a/internal/chutefleet/warmup.go
+++ b/internal/chutefleet/warmup.go
@@ -29,9 +29,8 @@
 
 // warmup is the state of an upstream's warm-up.
 //
-// An upstream that has just started has no load, so all nodes would choose it at once, and
-// more calls than it handles while cold crash it. Each node computes by itself which nodes
-// have a quota of its calls while it is cold; all other nodes send it none.
+// A few nodes have a quota of its calls while it is cold, which each node computes by itself; all others send
+// it none.
 type warmup struct {
 	// coldUntil is when it is warm, by the platform's list or its own answers.
 	coldUntil time.Time
@@ -104,9 +103,7 @@
 // setListedCold applies how long a member stays cold according to its list entry; previous
 // is the value of the entry before.
 //
-// The value changes in steps, and rarely, so its time runs from when this node first
-// received it: a node that receives it late treats the upstream as cold for longer, never
-// as warm too soon.
+// A node that receives the value late treats the upstream as cold for longer, never as warm too soon.
 func (f Fleet) setListedCold(m *member, previous time.Duration, now time.Time) {
 	if m.Cold == previous {
 		return
@@ -131,9 +128,7 @@
 
 // withPresumedCold treats a zone's upstreams as cold for the Duration of their pool's bound.
 //
-// The upstreams of an evacuated zone are cold when the evacuation ends, but their list
-// entries say so up to a heartbeat later. Until then all nodes would send calls to a zone
-// that seems to have no load.
+// Their list entries say that they are cold up to a heartbeat later.
 func (f Fleet) withPresumedCold(zone string, now time.Time) Fleet {
 	for pool, bound := range f.bounds.pools {
 		for m := range f.inZone(pool, zone) {
--- a/internal/chutegate/departed.go
+++ b/internal/chutegate/departed.go
@@ -67,9 +67,8 @@
 
 // apply returns an entry of the list as of an era, and until when it has to be left out; zero if it has not.
 //
-// An upstream that left in an earlier era may be listed as ready by the entry of the copy. One that said
-// so is leaving for good. One whose entry was only deleted is left out until the store has deleted the
-// entry again, unless it lives.
+// The entry of a copy may list an upstream that left in an earlier era. One whose entry was only deleted is
+// left out until the store has deleted it again, unless it lives.
 func (d *departedUpstreams) apply(u chutefleet.Upstream, era uint64, now time.Time) (chutefleet.Upstream, time.Time) {
 	departed, known := d.byID[u.ID]
 	if !known || departed.era >= era || u.State != chutefleet.StateReady {
--- a/internal/chutegate/events.go
+++ b/internal/chutegate/events.go
@@ -30,8 +30,7 @@
 
 // next returns the next complete event. io.EOF means that the stream ended after a complete event.
 //
-// An upstream that crashes may stop in the middle of an event. The incomplete event is never passed
-// on, so that a resumed stream continues at an event boundary.
+// An incomplete event is never passed on, so that a resumed stream continues at an event boundary.
 func (e *eventReader) next() (streamEvent, error) {
 	next := streamEvent{id: -1}
 	for {
--- a/internal/chutegate/fingerprint.go
+++ b/internal/chutegate/fingerprint.go
@@ -13,9 +13,7 @@
 // requestFingerprint identifies what an upstream is asked to run: two requests have the same
 // fingerprint if and only if workspace, host, method, path with query, and body are the same.
 //
-// The caller's request ID is left out because it differs each time a request is sent. The workspace
-// is included so that no caller can get another workspace's requests refused. A body of 1 MB takes
-// 2 ms on a machine that is otherwise busy (BenchmarkFingerprint).
+// The workspace is part of it, so that no caller can get another workspace's requests refused.
 func requestFingerprint(workspace string, in *IncomingRequest) string {
 	h := sha256.New()
 	for _, field := range []string{workspace, in.Host, in.Method, in.URI} {
--- a/internal/chutegate/follow.go
+++ b/internal/chutegate/follow.go
@@ -46,10 +46,8 @@
 // followSource copies a table from this node's source until that fails or another node becomes the
 // source.
 //
-// While the source is out of date, refreshIfStale asks the store and following continues, because
-// another node may reach the store and tell the source. A node that stopped following to ask, and
-// got no answer from the store, kept revoked keys in force for a second longer, and so did all
-// nodes that follow it.
+// While the source is out of date this node asks the store and goes on following: another node may reach the
+// store and tell the source.
 func (n *Node) followSource(ctx context.Context, local *localTable, onChange func()) stopReason {
 	source, ok := n.source()
 	if !ok {
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -252,9 +252,7 @@
 // channel is closed when this node's row is removed, or when the removal has failed, has timed out
 // or was started by an earlier call.
 //
-// The removal is not waited for here because the store may accept the call and never answer: a node
-// that waited went on accepting requests until the end of its grace period, and cut the last ones
-// off.
+// The removal is not waited for, since the store may accept the call and never answer.
 func (n *Node) Drain() <-chan struct{} {
 	removed := make(chan struct{})
 	if n.draining.Swap(true) {
--- a/internal/chutegate/ledger.go
+++ b/internal/chutegate/ledger.go
@@ -44,9 +44,7 @@
 // flushLedger writes the cost counters every ledgerFlushInterval, at a different time for each
 // node.
 //
-// Nodes that start together would otherwise write together. The store answers many of hundreds of
-// simultaneous writes with 429, and those nodes' counters are lost if they are killed before their
-// next write.
+// The store answers many simultaneous writes with 429.
 func (n *Node) flushLedger(ctx context.Context) {
 	for delay := firstFlushDelay(n.settings.Seed); n.sleep(ctx, delay); delay = ledgerFlushInterval {
 		n.sendLedgerEvent(chutecore.LedgerDue{Stamp: n.stampNow()})
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -19,9 +19,7 @@
 // watchConfig keeps the configuration and the evacuated zones up to date, which are rows of one
 // table.
 //
-// A node that starts reads both at once and applies the evacuations first. Before it has a
-// configuration it serves nobody, so it sends no request to an evacuated zone without knowing of the
-// evacuation.
+// Evacuations are applied first, so that a node that starts sends nothing to an evacuated zone.
 func (n *Node) watchConfig(ctx context.Context) {
 	local := n.localTables[n.settings.Tables.Config]
 	var lastZones []string
@@ -183,8 +181,7 @@
 // decode decodes rows that may have changed. It returns what has changed in the list, and the upstreams
 // that were listed under the same names before.
 //
-// An unreadable entry is logged only when it becomes unreadable. A line at each read for an entry
-// that another program has left there would fill the log.
+// An unreadable entry is logged only when it becomes unreadable.
 func (l *upstreamList) decode(rows []chutefeed.Row, gone []string, hold bool) (change chutefleet.ListChange, before []chutefleet.Upstream) {
 	for _, row := range rows {
 		old, known := l.decoded[row.Key]
@@ -319,9 +316,6 @@
 )
 
 // jittered returns a random duration between 0 and twice the mean.
-//
-// Nodes that start together fail together if the store handles fewer writes a second than there are
-// nodes. Without jitter they would also retry together.
 func jittered(mean time.Duration) time.Duration {
 	return time.Duration(2 * rand.Float64() * float64(mean)) //nolint:gosec // spreads calls, no secret
 }
--- a/internal/chutegate/liveness.go
+++ b/internal/chutegate/liveness.go
@@ -28,10 +28,8 @@
 // withLivenessCheck returns a context that is cancelled when the upstream disappears without
 // closing its connections. The returned function ends the check.
 //
-// A VM that lost power or was cut off from the network closes no connections. The kernel detects
-// that after three seconds; a new connection attempt shows it in a third of a second. Silence alone
-// proves nothing, because engines take long over some prompts. A call that must not run twice is
-// never cancelled by the check.
+// A VM that lost power closes no connections; a new connection attempt shows it. Silence proves nothing, since
+// engines take long over some prompts. A call that must not run twice is never cancelled.
 func (a *attempt) withLivenessCheck(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	a.recordActivity()
--- a/internal/chutegate/localtable.go
+++ b/internal/chutegate/localtable.go
@@ -157,8 +157,7 @@
 // replaceAll applies a whole table, unless it is older than the present one. It reports whether the
 // rows have to be looked at, as apply does.
 //
-// The store may answer with rows that are some seconds old. They would bring back an upstream that
-// is leaving, or a configuration that was replaced.
+// The store may answer with rows that are some seconds old.
 func (local *localTable) replaceAll(p Page) bool {
 	return local.applyFromStore(chutefeed.Change{Era: p.Era, Version: p.Version, Whole: true, Rows: local.rowsOfPage(p)})
 }
@@ -190,8 +189,7 @@
 // rowsOfPage returns the rows of a page that are not deleted, with their values as normalizeValue
 // returns them.
 //
-// Every upstream writes its row about once a second as a heartbeat. If those writes counted as
-// changes, thousands a second would be sent to all nodes.
+// Heartbeats must not count as changes, which go to all nodes.
 func (local *localTable) rowsOfPage(p Page) []chutefeed.Row {
 	rows := make([]chutefeed.Row, 0, len(p.Rows))
 	for _, row := range p.Rows {
@@ -438,8 +436,7 @@
 // needsReview reports whether the rows have to be looked at although none has changed. That is so
 // while the list settles or rows are retained, and once more after that.
 //
-// An upstream that was removed while the list settled is kept until it has settled. Without the
-// last look, such an upstream went on getting calls if no row changed afterwards.
+// An upstream that was removed while the list settled is kept until then.
 func (local *localTable) needsReview(now time.Time) bool {
 	settling := local.isSettling(now)
 	local.mu.Lock()
--- a/internal/chutegate/notice.go
+++ b/internal/chutegate/notice.go
@@ -8,8 +8,7 @@
 // reportNotice reports what an answer says about its upstream to the event loop, if it says
 // anything.
 //
-// It is reported by itself and as soon as the head of the answer is there: the end of the call comes
-// later with a stream, and not at all if the caller has left.
+// The end of the call comes later with a stream, and not at all if the caller has left.
 func (n *Node) reportNotice(u chutefleet.Upstream, notice chuterelay.Notice) {
 	if notice != (chuterelay.Notice{}) {
 		n.sendEvent(chuterelay.NoticeReceived{Upstream: u, Notice: notice})
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -100,8 +100,7 @@
 
 // queueReport queues a crash, a judgement or a limit for the other nodes and for the store.
 //
-// The store keeps it for nodes that start later. Gossip arrives sooner, and is the only way while
-// the store is unavailable.
+// The store keeps it for nodes that start later; gossip also works without the store.
 func (n *Node) queueReport(key string, report any) {
 	value, err := json.Marshal(report)
 	if err != nil {
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -173,9 +173,8 @@
 // answeredAsOf returns the time as of which an answer to a poll shows the table, of a poll that was
 // sent at began and answered at now with some rows.
 //
-// Without rows, the store has waited for the poll's whole wait, unless the answer came sooner. With
-// rows, it may have answered as soon as the call was sent, and the answer may have been on its way
-// since.
+// Without rows the store has waited for the whole poll, unless the answer came sooner. With rows it may have
+// answered at once.
 func answeredAsOf(began, now time.Time, pollWait time.Duration, rows int) time.Time {
 	if rows > 0 || now.Sub(began) < pollWait {
 		return began
@@ -271,10 +270,8 @@
 // nextPollWait returns how long the next poll for changes stays open, with the age of the table now.
 // storeAnswered is true if the store answered the previous one, which was to stay open for lastWait.
 //
-// The first poll after a failure, and the first one of a node that has followed a source until now,
-// is to return at once. Until it is answered this node counts as out of date, and all its followers
-// would ask the store themselves. A poll that returned changes has confirmed the table only as of
-// its own start, so the one after it is to return at once as well.
+// The first poll after a failure, after following a source, or after changes is to return at once: until then
+// this node counts as out of date, and its followers would ask the store themselves.
 func nextPollWait(storeAnswered bool, lastWait, age, pollWait time.Duration) time.Duration {
 	if !storeAnswered || lastWait > 0 && age >= minConfirmStep {
 		return 0
@@ -311,9 +308,6 @@
 
 // readFromPeers reads the table from another node because the store does not answer this one, and
 // reports whether its rows may have changed.
-//
-// The store can refuse some nodes while it serves others, and every node has to know of revoked
-// keys and leaving upstreams.
 func (n *Node) readFromPeers(ctx context.Context, local *localTable) bool {
 	for _, peer := range n.samplePeers() {
 		change, status, err := n.peers.ReadTable(ctx, peer.Address, local.name, local.snapshot())
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -131,9 +131,7 @@
 // isConfigProvenNewest reports whether the configuration in force lacks no change that has to be in
 // force by now.
 //
-// The age is read before the rows: a table is confirmed only after its rows were applied, so the
-// rows that are found are at least those that the age is about. A table that has just become fresh
-// proves nothing until its configuration is in force.
+// The age is read before the rows, since a table is confirmed only after its rows were applied.
 func (n *Node) isConfigProvenNewest() bool {
 	local := n.localTables[n.settings.Tables.Config]
 	age, known := local.age(n.Now())
--- a/internal/chutegate/upstreamchanges.go
+++ b/internal/chutegate/upstreamchanges.go
@@ -55,9 +55,6 @@
 // logUpstreamChanges logs a line for each upstream that joined, is leaving, is unreadable or is
 // gone, or one line with their counts if there are many. before and after are the changed entries, total
 // is the number of all upstreams.
-//
-// A node that starts finds thousands of upstreams at once. A line each, at every start of every
-// node, would hide the rest of the log.
 func (n *Node) logUpstreamChanges(before, after []chutefleet.Upstream, total int) {
 	changes := diffUpstreams(before, after)
 	listed := slices.Concat(changes.joined, changes.leaving, changes.unreadable)
--- a/internal/chuterelay/admit.go
+++ b/internal/chuterelay/admit.go
@@ -150,8 +150,7 @@
 // queuesTooLong reports whether the queues of a request's stages are too long for it to be
 // answered in useful time, and returns their total wait.
 //
-// A later stage's collector would refuse the request as well, but only after the first stages have
-// run for nothing and the caller has waited for them.
+// A later stage would refuse the request too, after the first ones have run for nothing.
 func (st *reduction) queuesTooLong(r request) (time.Duration, bool) {
 	for i := range r.stages {
 		if r.stages[i].done || len(r.Pipeline.Stages[i].After) > 0 {
@@ -176,9 +175,6 @@
 
 // waitsAhead sums the waits of a job here and at the stages that follow, as far as this node is
 // their collector too.
-//
-// Otherwise the queue of a request's second stage shows only after the first stage has run for
-// nothing and the caller has waited for that.
 func (st *reduction) waitsAhead(job chutebatch.Job) time.Duration {
 	wait := st.collector.EstimateWait(job, st.laneCandidates(job.Lane(), chutefleet.SideAny), st.now)
 	for _, pool := range job.FollowingPools {
@@ -195,8 +191,7 @@
 // localWait returns how long a job like the sample would wait at this node's collector now, and
 // whether that holds for its workspace alone because it is over its share.
 //
-// A computed wait is cached for localWaitTTL and reused for jobs of the same key. The wait of a
-// late job is not cached: late jobs wait for all others, so their wait would have those refused.
+// The wait of a late job is not cached: late jobs wait for all others.
 func (st *reduction) localWait(sample chutebatch.Job) (wait time.Duration, overShare bool) {
 	lane := sample.Lane()
 	level := st.collector.Level(sample)
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -236,8 +236,7 @@
 // refuseUnsent refuses the requests that were not sent to any upstream, shortly before the process
 // ends.
 //
-// The end of the process would break them off. Refused now they have certainly not run, and their
-// callers go to another node with time left.
+// They have certainly not run, and their callers go to another node with time left.
 func (st *reduction) refuseUnsent() {
 	for i := st.requests.Iterator(); !i.Done(); {
 		if _, r, _ := i.Next(); r.current.id == 0 && !r.answerBegun {
--- a/internal/chuterelay/budget.go
+++ b/internal/chuterelay/budget.go
@@ -84,10 +84,8 @@
 
 // spendableSlack returns how much of a share of the slack this process may spend.
 //
-// It does not know what the previous process of this node has spent, until those retries have left
-// the window. Until then it has what each process leaves to the next one, and at least one retry,
-// also before it knows the list of nodes, so that callers of a node that has just started get some
-// retries.
+// What the previous process spent is not known until it has left the window. Until then this one has what each
+// process leaves to the next, and at least one retry.
 func (s State) spendableSlack(share int, now time.Time) int {
 	startupSlack := max(1, share/startupSlackDivisor)
 	switch {
--- a/internal/chuterelay/callerwait.go
+++ b/internal/chuterelay/callerwait.go
@@ -44,10 +44,8 @@
 
 // waitedBefore estimates how long a caller had waited before this sending.
 //
-// Callers count their time down over all sendings of a request, and an answer is on time only if
-// it is so for the first sending. Treated as new, resent requests of a burst take the places of
-// others that can still be on time, and are late all the same: with a third of all requests
-// refused once, two in five answers were late.
+// Callers count their time down over all sendings of a request, and an answer is on time only if it is so for
+// the first one.
 func (w callerWaits) waitedBefore(pipeline string, wait time.Duration) time.Duration {
 	longest, _ := w.longest.Get(pipeline)
 	if wait <= 0 || float64(wait) >= resentBelow*float64(longest) {
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -50,8 +50,7 @@
 // drain returns the waiting jobs, so that the nodes that requested them go to the next collector
 // at once.
 //
-// New jobs go to another node from now on, and the calls of that node take the upstreams' slots.
-// Jobs left waiting here would get no slot until their time is over.
+// The calls of the next collector take the slots, so that jobs left here would get none.
 func (st *reduction) drain() {
 	st.draining = true
 	st.peers.shuttingDown = true
@@ -173,8 +172,7 @@
 
 // laneCandidates lists the lane's upstreams on a side of the pool that may get calls.
 //
-// A shard whose upstreams are all gone or suspended is served by those of other zones, so that a
-// zone without healthy upstreams of a pool does not fail its requests.
+// A shard without healthy upstreams is served by those of other zones.
 func (st *reduction) laneCandidates(lane chutebatch.Lane, side chutefleet.Side) []chutebatch.Candidate {
 	use := chutefleet.Use{Side: side, Regions: lane.Regions, Collecting: true}
 	if lane.Shard != "" && !st.zoneSilence.cutOff(lane.Shard, st.now) {
@@ -319,8 +317,7 @@
 
 // with adds the end of one call.
 //
-// A lost answer and a slow call look the same at the timeout. One of them says little; after two
-// in a row the upstream is assumed to be slow, and its next answer gives the measured slowness.
+// At the timeout a lost answer looks like a slow call, so only two in a row count as slowness.
 func (p upstreamPace) with(e CallEnded, expected time.Duration) upstreamPace {
 	switch {
 	case expected <= 0 || e.End == chutebatch.CallRefused:
--- a/internal/chuterelay/evacuate.go
+++ b/internal/chuterelay/evacuate.go
@@ -8,10 +8,8 @@
 
 // setEvacuatedZones applies the list of zones that the operator has evacuated.
 //
-// Nothing new goes to their upstreams from now on: no call, part, retry, resumed stream or probe,
-// and no message to free results, which expire by themselves. What runs there continues, and its
-// callers get their answers. Waiting parts go to other zones at once, and results in the zone are
-// still fetched by upstreams outside it.
+// Nothing new goes to their upstreams, retries and probes included. What runs there continues, and its results
+// are still fetched.
 func (st *reduction) setEvacuatedZones(zones []string) {
 	before := st.fleet.EvacuatedZones()
 	st.fleet = st.fleet.WithEvacuated(zones, st.now)
@@ -55,9 +53,6 @@
 
 // poolWithoutUpstreams returns a pool of the request that has no upstream to run it, or an empty
 // string if all have some.
-//
-// With no upstream in a stage's pool, the request would wait in a queue that is never served until
-// its caller leaves.
 func (st *reduction) poolWithoutUpstreams(r request) string {
 	if st.fleet.IsPoolEmpty(r.pool, r.use(), st.now) {
 		return r.pool
--- a/internal/chuterelay/limits.go
+++ b/internal/chuterelay/limits.go
@@ -68,9 +68,8 @@
 // announceLimit announces an upstream's limit to the other nodes, if it differs from the last
 // announcement.
 //
-// A node learns of a limit from answers only. Without announcements each of hundreds of nodes
-// sends a limited upstream one call to find out, and nodes that send it nothing do not learn that
-// the limit is over.
+// A node learns of a limit from answers only, so without announcements each node would send a call to find
+// out.
 func (st *reduction) announceLimit(u chutefleet.Upstream) {
 	limit, limited := st.fleet.Limit(u.ID)
 	rejections, brittle := st.fleet.Brittle(u.ID)
--- a/internal/chuterelay/links.go
+++ b/internal/chuterelay/links.go
@@ -26,8 +26,7 @@
 
 // upstreamLinks tracks whether this node can open connections to upstreams at all.
 //
-// A node whose own links are cut sees every upstream fail, and would find each of them out at the price of a
-// request, blame it, and serve nobody. Answers on connections that are open already prove nothing: they may
+// A node whose own links are cut sees every upstream fail. Answers on open connections prove nothing: they may
 // live on while new ones are refused.
 type upstreamLinks struct {
 	// failed holds the upstreams to which a connection attempt has failed since the last successful one
--- a/internal/chuterelay/loads.go
+++ b/internal/chuterelay/loads.go
@@ -19,9 +19,8 @@
 
 // loadReports holds the upstream loads that this node passes on to others.
 //
-// Hundreds of nodes each send a pool's upstreams one call every few seconds, so none of them knows
-// the loads. A zone's collector receives jobs from all nodes of its zone many times a second: jobs
-// carry the loads that their nodes have learned, and its answers name the overloaded upstreams.
+// One node of hundreds calls an upstream once in seconds. So jobs carry the loads that their nodes know to the
+// collector, and its answers name the overloaded upstreams.
 type loadReports struct {
 	// pending are the upstreams that have reported a load since the last job for a peer.
 	pending []string
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -141,8 +141,8 @@
 
 // zoneSilent reports whether a zone's nodes are considered gone, whatever its upstreams do.
 //
-// The nodes of a zone can lose power together and stay on the list. If each of tens of them is
-// found out separately, each costs a request a third of its time, at every node again.
+// The nodes of a zone can lose power together and stay on the list, and each that is found out by itself costs
+// a request.
 func (p peers) zoneSilent(zone string, now time.Time) bool {
 	silentPeers := 0
 	for _, peer := range p.all {
@@ -164,13 +164,8 @@
 // collector returns the node that collects the parts of a lane; false if the lane must not leave its
 // regions and no node there can be asked.
 //
-// It is the same for all lanes of a shard. So it knows the queues of a request's later stages when
-// the first one is requested, and refuses the request at once.
-//
-// Each node computes it alone from the list; a node that is lost to one is skipped by that one
-// only. Two collectors for one lane cost refused calls but no correctness, so no lease is needed.
-// A shard's collector is in its zone, where it goes on working when zones are cut off from each
-// other.
+// It is the same for all lanes of a shard, so that it knows the queues of a request's later stages. Two
+// collectors for one lane cost refused calls but no correctness, so no lease is needed.
 func (p peers) collector(lane chutebatch.Lane, unreachable []string, now time.Time) (Peer, bool) {
 	candidates := p.candidates(lane.Shard, unreachable, now)
 	if !lane.Regions.IsAll() {
--- a/internal/chuterelay/probe.go
+++ b/internal/chuterelay/probe.go
@@ -11,9 +11,6 @@
 const probeInterval = 400 * time.Millisecond
 
 // suspendSilent suspends an upstream and has it probed until it replies.
-//
-// Without probes each node would find out by one request after the other that a zone is cut off,
-// and each of them would lose a third of a second.
 func (st *reduction) suspendSilent(id string) {
 	if st.links.cutOff {
 		return
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -27,10 +27,6 @@
 
 // quarantineRefusalFor returns the refusal of a request that is quarantined, and false for any
 // other.
-//
-// A request that ends the process of each upstream that runs it arrives again with each retry of
-// its caller, at any node. Without the quarantine it takes one upstream after another out of its
-// pool, each with all other calls that run there.
 func (st *reduction) quarantineRefusalFor(fingerprint string) (Refusal, bool) {
 	until, quarantined := st.quarantine.QuarantinedUntil(fingerprint)
 	if !quarantined || !st.now.Before(until) {
@@ -61,8 +57,7 @@
 
 // recordCrash records that an upstream ended while it ran requests of this node.
 //
-// An upstream that was leaving, or had left the list already, ended on request, whatever it still
-// ran: the list entry of one that crashes expires seconds later. One that is brittle ends for want of room.
+// An upstream that was leaving or unlisted ended on request; one that is brittle ends for want of room.
 func (st *reduction) recordCrash(u chutefleet.Upstream, evidence string, suspects ...chutequarantine.Suspect) {
 	known, listed := st.fleet.Get(u.ID)
 	serving := listed && known.State == chutefleet.StateReady || st.fleet.IsReplaced(u.ID)
@@ -161,8 +156,7 @@
 
 // judgeCrashes quarantines the requests that upstreams ended under.
 //
-// Each node reaches the same verdicts. Only nodes that observed a crash themselves announce them,
-// so that few of hundreds of nodes write the same row.
+// Only nodes that observed a crash announce the verdict, which all reach alike.
 func (st *reduction) judgeCrashes() {
 	st.quarantine = st.quarantine.Expire(st.now)
 	var judgements []chutequarantine.Judgement
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -109,9 +109,8 @@
 // rank returns the priority of the stages' jobs: by the request's priority first, and within it by
 // the pipeline's.
 //
-// All of a workspace's requests have its priority. Ordered within it by their target times alone,
-// requests of a pipeline with a long Aim that have waited for a while go ahead of urgent ones with
-// a short Aim. The urgent ones are refused, so that the most urgent pipeline is served least.
+// By target times alone, requests with a long Aim that have waited would go ahead of more urgent pipelines of
+// the workspace.
 func (r request) rank() int {
 	return r.priority()*ranksPerPriority + min(max(0, r.Pipeline.Priority), ranksPerPriority-1)
 }
@@ -155,8 +154,7 @@
 // tooEarly reports whether a stage's large results would be stored while they wait for other
 // stages.
 //
-// They take the scarcest space, and the call needs them no sooner than the results of the longest
-// other path. So they are made at the same time as that path's last stage.
+// They are made at the same time as the last stage of the longest other path.
 func (r request) tooEarly(i int) bool {
 	if r.answerBegun || r.Pipeline.Stages[i].ResultBytes*int64(r.parts(i)) < largeResult {
 		return false
@@ -210,9 +208,7 @@
 
 // answerBy returns when the answer, or its first event, has to be there.
 //
-// Callers of a stream leave long before their deadlines if nothing comes. If the request is kept
-// until the deadline, all results made for it are lost, and its caller, who received no retry
-// delay, does not retry.
+// Callers of a stream leave long before their deadlines if nothing comes.
 func (r request) answerBy() time.Time {
 	if r.answerBegun {
 		return r.Deadline
--- a/internal/chuterelay/restart.go
+++ b/internal/chuterelay/restart.go
@@ -28,9 +28,7 @@
 // upstreamRestarted applies the restart of an upstream: its process has ended and another one has
 // its name.
 //
-// Results, space, connections and calls have ended with the process. If they are found out one by
-// one, each lost result costs a call that ends because of it, and an unrepeatable call on a
-// connection that went silent would wait for its deadline.
+// Found out one by one, each lost result would cost a call, and a silent connection its deadline.
 func (st *reduction) upstreamRestarted(u chutefleet.Upstream) {
 	st.emit(DropConnections{Address: u.Address})
 	st.upstreamPaces = st.upstreamPaces.Delete(u.ID)
--- a/internal/chuterelay/results.go
+++ b/internal/chuterelay/results.go
@@ -30,8 +30,7 @@
 
 // inputZone returns the zone that holds most of the stages' results.
 //
-// Each part of a later stage fetches all results of the stages before it, which together are
-// larger than its own result. So it runs in their zone.
+// Each part of a later stage fetches all of them.
 func (r request) inputZone(stages []int, fallback string) string {
 	count := map[string]int{}
 	best := fallback
--- a/internal/chuterelay/rollout.go
+++ b/internal/chuterelay/rollout.go
@@ -391,8 +391,8 @@
 
 // chooseSide picks the upstream for the request's call, on the side of the pool that is drawn for it.
 //
-// A call that fails is repeated at an old upstream. If no new upstream is available, a call goes to an
-// old one unless the end of that one could cut it off.
+// A failed call is repeated at an old upstream. Without a new one, a call goes to an old one unless its end
+// could cut it off.
 func (st *reduction) chooseSide(r request) (chutefleet.Upstream, bool) {
 	if st.fleet.VersionRules()[r.pool].Trial == "" {
 		return st.chooseUpstream(r, chutefleet.SideAny)
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -81,9 +81,7 @@
 // dueTime returns the time from now in which the next stage of a request with finished stages is
 // due.
 //
-// A late request yields to those that are not late, but at its first stage alone. After that its
-// results take space that others need, expire after some seconds, and are lost with their
-// upstream. So it does not yield any more and is over soon.
+// A late request yields to others at its first stage alone: later its results take space that others need.
 func (st *reduction) dueTime(pool string) time.Duration {
 	b := st.config.Pools[pool].Batching
 	if b == nil {
@@ -152,8 +150,7 @@
 // jobFailed requests the stage again, from another collector if the peer was lost, or gives the
 // request up.
 //
-// Parts may be made twice without harm, so the next collector is used at once. What the lost one
-// still makes is dropped there when its lease ends.
+// Parts may be made twice without harm, so the next collector is asked at once.
 func (st *reduction) jobFailed(e JobFailed) {
 	jr, ok := st.jobRequests.Get(e.JobRequestID)
 	if !ok {
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -240,8 +240,7 @@
 
 // adoptConfig applies a configuration that is newer than the one in force.
 //
-// A read that was in progress while the process was frozen can return an older version than the
-// one in force. Adopting it would restore revoked keys and dropped routes.
+// A read that was in progress while the process was frozen can return an older version.
 func (st *reduction) adoptConfig(cfg chuteroute.Config) {
 	if cfg.Version <= st.config.Version {
 		return
--- a/internal/chuterelay/warmup.go
+++ b/internal/chuterelay/warmup.go
@@ -8,8 +8,7 @@
 // coldBounds returns the bounds for cold upstreams, for the pools for which the operator states a
 // rate.
 //
-// What the operator tolerates beyond that rate is kept as a reserve: for nodes whose lists of
-// nodes differ, and for calls that were sent before an upstream was known to be cold.
+// The operator's tolerance beyond that rate is a reserve for nodes whose lists differ.
 func (s Settings) coldBounds(pools map[string]chuteroute.Pool) map[string]chutefleet.ColdBound {
 	bounds := map[string]chutefleet.ColdBound{}
 	for name, pool := range pools {
--- a/internal/chuterelay/zones.go
+++ b/internal/chuterelay/zones.go
@@ -23,9 +23,8 @@
 // zoneSilence records which endpoints, nodes and upstreams, of other zones did not reply. From
 // that this node concludes which zones are cut off.
 //
-// When a zone is cut off, each of its nodes and upstreams is found out only by a connection
-// attempt that takes 0.35 s to fail. Found out separately, they cost nearly every request that is
-// meant for the zone one or more such attempts.
+// Each node and upstream of a cut off zone would otherwise be found out by a slow connection attempt of its
+// own.
 type zoneSilence struct {
 	own string
 	// silent maps a zone to its silent endpoints, with the times.
