--- a/internal/chutebatch/admit.go
+++ b/internal/chutebatch/admit.go
@@ -10,10 +10,8 @@
 // the given time, here and at the stages that follow, before its parts run. A job that
 // waits no longer than the time of a full call is always admitted.
 //
-// Under a burst the queue grows until every job is late, and jobs that are refused
-// only then have kept their callers waiting for seconds. Callers that are refused on
-// arrival can retry in time. A job is refused only for the queue ahead of it, never
-// for being late by itself.
+// Callers that are refused on arrival can retry in time. A job is refused only for the queue ahead of it,
+// never for being late by itself.
 func (c Collector) Admits(j Job, wait time.Duration, now time.Time) bool {
 	fullCallTime := c.pools[j.Pool].FullCall()
 	if wait <= fullCallTime {
--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -179,11 +179,8 @@
 // shouldDelayCall reports whether a call is small only because result memory is short,
 // and memory will be released soon.
 //
-// The fixed cost of a call is several times the cost of a part. Where result memory is
-// the bottleneck, a call of 3 parts takes the slot for 0.16 s while memory for 20 is
-// released: pools whose calls were full and tiny in turn averaged 30 of 42 parts a call
-// under load. If no memory is released within CallTime, the small call goes out, so that
-// parts that need little memory do not wait longer.
+// The fixed cost of a call is several times that of a part. If no memory is released within CallTime, the
+// small call goes out.
 func (f *fillRound) shouldDelayCall(upstream string, parts, notFitting int) bool {
 	smallSize := int(smallCallShare * float64(f.batching.BatchSize))
 	if parts >= smallSize || parts+notFitting < smallSize || !f.collector.hasExpiringResults(upstream, f.now) {
--- a/internal/chutebatch/late.go
+++ b/internal/chutebatch/late.go
@@ -13,12 +13,8 @@
 // AdmissionDeadline returns the time by which a queued request must be expected to
 // finish to be admitted: halfway between its target time and its deadline.
 //
-// A late answer is worth less than one on time and more than none. If requests were
-// refused as soon as they miss their target time, callers would retry with the target
-// already missed and find the same queue: in bursts that loaded a pool to its capacity
-// for some seconds, callers were refused twice although the queue had emptied long
-// before their deadlines. If requests waited until the deadline, callers would have no
-// time to retry.
+// A late answer is worth less than one on time and more than none. Refused later, callers would have no time
+// to retry; refused at the target time, they would find the same queue.
 func AdmissionDeadline(targetAt, deadline time.Time) time.Time {
 	return targetAt.Add(time.Duration(lateWaitShare * float64(max(0, deadline.Sub(targetAt)))))
 }
--- a/internal/chutebatch/memory.go
+++ b/internal/chutebatch/memory.go
@@ -83,11 +83,8 @@
 // withMemoryRefused records that an upstream had no memory for parts that should have
 // fitted, and updates the estimate of foreign usage.
 //
-// Results requested by an earlier collector are stored there until they expire or their
-// leases end, and results may be larger than announced. Without the estimate, the
-// collector would repeat calls whose parts are refused, each at the full cost of a call.
-// The free memory that was estimated when the call was sent counts, because results
-// that were freed while it ran have released memory since.
+// Results of an earlier collector are stored there until they expire, and results may be larger than
+// announced. The free memory that was estimated when the call was sent counts.
 func (c Collector) withMemoryRefused(call Call, refusedBytes int64, now time.Time) Collector {
 	batching := c.pools[call.Pool]
 	ownMemory, _ := c.memories.Get(call.Upstream)
--- a/internal/chutebatch/queue.go
+++ b/internal/chutebatch/queue.go
@@ -74,9 +74,7 @@
 // by priority, then by the time at which the stage must end for the request to be on
 // time. A long prompt needs more time after its stages than a short one.
 //
-// The level goes before the priority. Otherwise a workspace that sends many times its
-// usual number of urgent requests would take the capacity of all less urgent requests of
-// the others.
+// The level goes before the priority, so that many urgent requests of one workspace don't take all capacity.
 func (j *Job) queueKey() queueKey {
 	return queueKey{level: j.Level, priority: j.Priority, dueBy: j.TargetAt.Add(-j.TimeAfterStage).UnixNano(), id: j.ID}
 }
--- a/internal/chutebudget/budget.go
+++ b/internal/chutebudget/budget.go
@@ -85,9 +85,8 @@
 // Budget counts the recent first calls and retries of one pool. It is immutable, and all calls must
 // use settings with the same window length.
 //
-// Credit can be spent once, and only for a short time. If each node allowed a share of its own
-// first calls in the last window, all nodes together would allow more than that share when callers
-// move from one node to another within a window, as they do when nodes are killed.
+// Credit can be spent once, and only for a short time. A share of each node's own first calls would add up to
+// more when callers move between nodes.
 type Budget struct {
 	slots  [maxSlots]slot
 	newest int64
--- a/internal/chutecore/attempt.go
+++ b/internal/chutecore/attempt.go
@@ -183,9 +183,7 @@
 // in this order. It returns the reason if the stage may not be retried, and takes
 // from the budget if it may.
 //
-// Retries without a budget multiply the load of a failing stage by the number of
-// attempts while it has the least capacity. A budget in proportion to recent
-// successes shrinks to zero as the stage fails, so the load stays bounded.
+// A budget in proportion to recent successes keeps retries from multiplying the load of a failing stage.
 func (st *transition) checkRetry(r Request, f chuterequest.Failure) (string, bool) {
 	if r.Tries >= st.config.Policy.MaxAttempts {
 		return "all attempts failed", false
--- a/internal/chutegate/streams.go
+++ b/internal/chutegate/streams.go
@@ -133,8 +133,7 @@
 	return &id
 }
 
-// bindTakeUp binds a request that takes a stream up to the version that began it. It returns the refusal if no
-// node that was asked knows that version.
+// bindTakeUp binds a request that takes a stream up, or returns the refusal if no node that was asked knows how.
 func (n *Node) bindTakeUp(ctx context.Context, in *IncomingRequest, s *chuterelay.Submission) *chuterelay.Refusal {
 	if !in.TakesUp || !isResumable(s.Pipeline) {
 		return nil
@@ -165,8 +164,7 @@
 	known  bool
 }
 
-// findStream returns the record of a stream and the node that knows it, empty for this one. It returns false if
-// none of the nodes that may hold the record knows it.
+// findStream returns the record of a stream and the node that knows it, empty for this one; false if none does.
 func (n *Node) findStream(ctx context.Context, id chutestream.ID) (chutestream.Record, string, bool) {
 	state := n.streams.snapshot()
 	if record, known := state.Find(id, n.Now()); known {
@@ -205,8 +203,7 @@
 	return chutestream.Binding{Pool: u.Pool, Version: u.Version, Upstream: u.Name}
 }
 
-// bind binds the stream to the version whose first event is about to be passed on, and records that. It returns
-// false if the caller has events of another version.
+// bind binds the stream to the version whose event is about to be passed on; false if the caller has another's.
 func (a *attempt) bind(answer Answer) bool {
 	binding := answer.Binding
 	if a.send.Peer.Name == "" {
--- a/internal/chutelease/machine.go
+++ b/internal/chutelease/machine.go
@@ -146,9 +146,8 @@
 
 // SendAllowed reports whether an order with this timeout may be sent now.
 //
-// It has to be asked with a clock read just before the sending. The order must end within the hold, or a successor
-// could order the same engine meanwhile; and a new holder first waits out the longest order of its predecessor,
-// since engines that ignore the fencing number would take a late one and be left at the old placement.
+// It has to be asked with a clock read just before the sending. The order must end within the hold, or a
+// successor could order the same engine meanwhile.
 func (m Machine) SendAllowed(now time.Time, orderTimeout time.Duration) bool {
 	return m.Held(now) && !now.Before(m.firstOrder) && before(now.Add(orderTimeout), m.heldUntil)
 }
--- a/internal/chuteledger/flush.go
+++ b/internal/chuteledger/flush.go
@@ -129,9 +129,8 @@
 // WithRefused records that the row was not written because the table holds another version of it.
 // Present is the table's row, version 0 where it is absent.
 //
-// The row in the table may hold counters that this node lacks (a dead node's own last write), or be the
-// own write whose answer was lost. Writing over it would take back counted work; so a dead node's row is
-// merged first, and a row that holds everything already counts as flushed.
+// The row in the table may hold counters that this node lacks, or be the own write whose answer was lost. A
+// dead node's row is merged first, and a row that holds everything counts as flushed.
 func (l Ledger) WithRefused(row Row, version uint64, present json.RawMessage) (Ledger, error) {
 	counters := NewCounters()
 	if version != 0 {
--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -17,10 +17,8 @@
 	// power ends many upstreams, and nodes learn of each of them within the time of one call.
 	incidentWindow = 250 * time.Millisecond
 	// maxIncidentWeight is the number of crashes that one incident counts for if the request was
-	// running at every upstream that crashed in it. It is more than one because a request that was
-	// sent to several upstreams at once may have caused all of these crashes. It is not enough to
-	// quarantine a request by itself, because a request that many callers send is running at every
-	// upstream when all of them lose power.
+	// running at every upstream that crashed in it. It is not enough to quarantine a request by itself: one
+	// that many callers send is running at every upstream when all of them lose power.
 	maxIncidentWeight = 2
 	// A request of which upstreams have survived minFrequentCalls calls in SurvivalWindow may be running at any
 	// crash by chance. Such a crash is doubtful evidence against it if another suspect has frequentFactor times
@@ -48,9 +46,8 @@
 // Judge quarantines the requests that are found to cause crashes, and returns the judgements on
 // them. observed holds the fingerprints of those for which this node observed a crash itself.
 //
-// The request with the most crashes is quarantined first, and among those with as many the one of which upstreams
-// have survived the fewest calls. The crashes at which it was running are
-// attributed to it and no longer count against the other requests that were running there.
+// The request with the most crashes is quarantined first, and among those the one of which upstreams have
+// survived the fewest calls. Its crashes no longer count against others.
 func (q Quarantine) Judge(now time.Time) (judged Quarantine, judgements []Judgement, observed map[string]bool) {
 	if q.judgeAt.IsZero() || now.Before(q.judgeAt) {
 		return q, nil, nil
--- a/internal/chutequota/allocator.go
+++ b/internal/chutequota/allocator.go
@@ -36,10 +36,9 @@
 // Quota returns this node's part of a total that all nodes share, 0 if it has none. The key names
 // what is divided.
 //
-// The key determines an order of the nodes, and the first of them get a quota: as many as there are
-// units, at most. If the lists of two nodes differ in n nodes, the sets of nodes that get a quota
-// differ in at most n nodes as well, and each of those can add its quota to the total. A node that is
-// not on its own list, or that has no list yet, gets nothing.
+// The key determines an order of the nodes, and the first of them get a quota. If the lists of two nodes
+// differ in n nodes, at most n nodes add their quotas to the total. A node that is not on its own list gets
+// nothing.
 func (a Allocator) Quota(key string, total int) int {
 	if total <= 0 || !a.listed {
 		return 0
--- a/internal/chuterelay/source.go
+++ b/internal/chuterelay/source.go
@@ -17,16 +17,11 @@
 // TableSource returns the node from which another one takes the store's tables. It returns false
 // if that one reads the store itself, as the first of its region.
 //
-// The first node of a zone follows the first of the region, since each node that reads the store
-// reads the heartbeats of all upstreams. Up to twelve others follow the first of their zone. Where
-// there are more, the first of the zone is followed by as many as the square root of their number,
-// and these serve the rest, so that no node serves more than the square root of the zone's size on
-// average: 9 of 80 nodes, 14 of 200. Each of the rest keeps its source as long as that is listed,
-// whichever other nodes come and go.
-//
-// A node only ever follows one that comes before it in an order that depends on the two alone.
-// Nodes whose lists differ may follow different ones, but never each other in a cycle, in which
-// all would treat old tables as current.
+// Each node that reads the store reads the heartbeats of all upstreams, so the first node of a zone follows
+// the first of the region. Up to twelve others follow the first of their zone; where there are more, as many
+// as the square root of their number do, and these serve the rest. A node only ever follows one that comes
+// before it in an order that depends on the two alone, so that nodes with different lists never follow each
+// other in a cycle.
 func TableSource(self Peer, nodes []Peer) (Peer, bool) {
 	order := sourceOrder(nodes)
 	zone := slices.DeleteFunc(slices.Clone(order), func(p Peer) bool { return p.Zone != self.Zone })
--- a/internal/chuteshare/transit.go
+++ b/internal/chuteshare/transit.go
@@ -22,11 +22,9 @@
 
 // transitMeter bounds the transit times of the messages of one stream.
 //
-// The clocks of two nodes have no common origin, so only times since the beginning of the stream are
-// compared. The peer accepted the stream after it was opened here: a message that was sent a second
-// after that can't have been sent earlier than a second after the opening. This bounds its transit
-// from above. The message with the least such bound took no less than nothing, which bounds all
-// others from below.
+// Clocks of two nodes have no common origin, so only times since the beginning of the stream are compared. The
+// peer accepted the stream after it was opened here, which bounds a transit from above; the message with the
+// least such bound took no less than nothing, which bounds all others from below.
 type transitMeter struct {
 	openedAt time.Time
 	fastest  time.Duration
--- a/internal/chutestore/publish.go
+++ b/internal/chutestore/publish.go
@@ -112,12 +112,9 @@
 
 // commit sends the transaction until its outcome is certain or ctx ends.
 //
-// An answer can be lost after the write took effect, and a write can take
-// effect late. Sending the same transaction again settles both: it can take
-// effect only once, because its conditions fail afterwards, and then the
-// version's history row tells by its PublishID whose write it was. Reading the
-// head alone would not do: another operator may have published on top of ours,
-// or our write may still be under way.
+// An answer can be lost after the write took effect. Sent again, the transaction takes effect only once, and
+// the version's history row tells by its PublishID whose write it was. The head alone would not: another
+// operator may have published on top.
 func (s Store) commit(ctx context.Context, next Head, tx chutetable.Transaction) (Published, error) {
 	published := Published{Version: next.Version, Digest: next.Digest}
 	outcome := ErrNotPublished
--- a/internal/chutestream/record.go
+++ b/internal/chutestream/record.go
@@ -12,8 +12,8 @@
 // ID identifies a stream at all nodes.
 type ID [IDBytes]byte
 
-// NewID returns the ID of the stream that a workspace's request to a pipeline began. Workspace and pipeline are
-// part of it, so that nobody takes up the stream of another workspace or pipeline.
+// NewID returns the ID of the stream that a request began. Workspace and pipeline are part of it, so that nobody
+// takes up the stream of another one.
 func NewID(workspace, pipeline, request string) ID {
 	h := sha256.New()
 	for _, field := range []string{workspace, pipeline, request} {
--- a/internal/chutestream/state.go
+++ b/internal/chutestream/state.go
@@ -8,8 +8,7 @@
 )
 
 const (
-	// tellDelay is how long a record waits before it is told. Callers come back a tenth of a second after their
-	// stream broke, and a stream that has ended by then is never told of.
+	// tellDelay is how long a record waits before it is told; a stream that ends sooner is never told of.
 	tellDelay = 20 * time.Millisecond
 	// maxRecords bounds the records that are held; the one that expires first is dropped for a further one.
 	maxRecords = 1 << 14
--- a/internal/chutetable/batch.go
+++ b/internal/chutetable/batch.go
@@ -13,9 +13,8 @@
 
 // Batcher sends transactions that come while one is under way together, as one.
 //
-// The table counts transactions, and an opening morning brings more enrolments
-// than it takes writes. Nobody waits for a batch to fill: a transaction that
-// comes while none is under way goes out at once, so at low load nothing changes.
+// A transaction that comes while none is under way goes out at once, so at low load
+// nothing changes.
 //
 //	a ──► sent alone          b, c, d come meanwhile ──► sent as one
 //
