--- a/internal/chutebatch/late.go
+++ b/internal/chutebatch/late.go
@@ -13,8 +13,7 @@
 // AdmissionDeadline returns the time by which a queued request must be expected to
 // finish to be admitted: halfway between its target time and its deadline.
 //
-// A late answer is worth less than one on time and more than none. Refused later, callers would have no time
-// to retry; refused at the target time, they would find the same queue.
+// Refused later, callers would have no time to retry; refused at the target time, they would find the same queue.
 func AdmissionDeadline(targetAt, deadline time.Time) time.Time {
 	return targetAt.Add(time.Duration(lateWaitShare * float64(max(0, deadline.Sub(targetAt)))))
 }
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -41,8 +41,7 @@
 	headSent    bool
 	// binding is what the stream is bound to by the events that the caller has.
 	binding chutestream.Binding
-	// stream is what the stream is known by at all nodes; nil if it can't be taken up or another node has
-	// received the request.
+	// stream is its ID at all nodes; nil if it can't be taken up or another node has received the request.
 	stream *chutestream.ID
 }
 
--- a/internal/chutestream/holders.go
+++ b/internal/chutestream/holders.go
@@ -12,12 +12,11 @@
 	// maxHoldersPerZone bounds the nodes of a zone that hold records of others, and with them the connections
 	// that each node keeps for it.
 	maxHoldersPerZone = 64
-	// toldZones and askedZones are the numbers of zones besides a node's own in which records are held and looked
-	// for. The zone that a node told is the first or the second for the ID.
+	// toldZones and askedZones are the numbers of zones besides the own one in which records are held and looked
+	// for: the zone that a node told is the first or second for the ID.
 	toldZones  = 1
 	askedZones = 2
-	// askedInZone is the number of nodes of the own zone that are asked: a node tells the best one but itself,
-	// which is the second best if it is the best one.
+	// askedInZone is the number of nodes of the own zone that are asked: a node tells the best one but itself.
 	askedInZone = 2
 	// failedPause is how long a node is passed over that did not take records.
 	failedPause = 2 * time.Second
