Pass over nodes that could not be asked for a stream

What callers saw: nothing yet, found by reading. A take-up of a stream that no node knows waits for the slowest of the nodes that are asked, 0.3 s if one of them is cut off or frozen, each time anew, where it has to be rejected at once.

Change: a node that could not be asked is passed over for 2 s, as one that did not take records; the next ones of its zone are asked meanwhile, which are also those that are told.

Measured: TestTell has the case; TestStreamsAcrossNodes passes.

--- a/internal/chutegate/streams.go
+++ b/internal/chutegate/streams.go
@@ -14,12 +14,11 @@
 const (
 	// streamLinger is how long after a stream's deadline it can be taken up.
 	streamLinger = 2 * time.Second
-	// unknownStreamRetryAfter is the time after which a caller may retry whose stream no node knows. By then
-	// the nodes that could not be asked can be.
+	// unknownStreamRetryAfter is the time after which a caller may retry whose stream no node knows.
 	unknownStreamRetryAfter = 500 * time.Millisecond
 	// maxLoggedID bounds what is logged of an ID that a caller names.
 	maxLoggedID = 64
-	// maxQueuedEffects is the number of effects that may wait before their senders block.
+	// maxQueuedEffects bounds the effects that wait; above it senders block.
 	maxQueuedEffects = 1024
 )
 
@@ -191,6 +190,7 @@
 	record, known, err := n.peers.FindStream(ctx, node.Address, id, n.Now())
 	if err != nil && ctx.Err() == nil {
 		n.log.Info().Err(err).Str("Peer", node.Name).Msg("a node could not be asked for a stream")
+		n.reduceStreams(chutestream.AskFailed{Node: node})
 	}
 
 	return streamAnswer{record: record, from: node.Name, known: known}
--- a/internal/chutestream/event.go
+++ b/internal/chutestream/event.go
@@ -40,6 +40,11 @@
 	Tell
 }
 
+// AskFailed reports that a node could not be asked.
+type AskFailed struct {
+	Node Node
+}
+
 // DrainStarted reports that this node is shutting down.
 type DrainStarted struct{}
 
@@ -52,6 +57,7 @@
 func (Broken) streamEvent()       {}
 func (Told) streamEvent()         {}
 func (TellFailed) streamEvent()   {}
+func (AskFailed) streamEvent()    {}
 func (DrainStarted) streamEvent() {}
 func (Ticked) streamEvent()       {}
 
--- a/internal/chutestream/holders.go
+++ b/internal/chutestream/holders.go
@@ -18,7 +18,7 @@
 	askedZones = 2
 	// askedInZone is the number of nodes of the own zone that are asked: a node tells the best one but itself.
 	askedInZone = 2
-	// failedPause is how long a node is passed over that did not take records.
+	// failedPause is how long a node is passed over that did not answer.
 	failedPause = 2 * time.Second
 )
 
@@ -35,7 +35,7 @@
 	self   Node
 	byZone map[string][]Node
 	zones  []string
-	// failedUntil holds the nodes that did not take records, with the times until which they are passed over.
+	// failedUntil holds the nodes that are passed over, with the times until which they are.
 	failedUntil map[string]time.Time
 }
 
--- a/internal/chutestream/state.go
+++ b/internal/chutestream/state.go
@@ -91,6 +91,8 @@
 		}
 	case TellFailed:
 		st.tellFailed(e)
+	case AskFailed:
+		st.holders = st.holders.withFailed(e.Node.Name, st.now)
 	case DrainStarted:
 		st.drain()
 	case Ticked:
--- a/internal/chutestream/state_test.go
+++ b/internal/chutestream/state_test.go
@@ -190,6 +190,15 @@
 		n.Assert(takeAll[Tell](n), qt.HasLen, 0)
 	})
 
+	t.Run("a node that could not be asked is passed over for a while", func(t *testing.T) {
+		n := newNode(t, 9)
+		asked := n.state.ToAsk(id, n.now)[0]
+		n.on(AskFailed{Node: asked})
+		n.Assert(slices.Contains(n.state.ToAsk(id, n.now), asked), qt.IsFalse)
+		n.now = n.now.Add(failedPause)
+		n.Assert(slices.Contains(n.state.ToAsk(id, n.now), asked), qt.IsTrue)
+	})
+
 	t.Run("a node that shuts down hands its records over", func(t *testing.T) {
 		n := newNode(t, 9)
 		n.on(Told{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v1"}, Until: n.now.Add(time.Second)}}})
