Find the upstreams of one software version without walking their pool

A call that is bound to a version, or one of a version's trial, looked at upstreams of the pool one after the other until it met some of that version: at all 10,000 where few or none have it, at each take-up, each send and each refusal of a bound stream.

Change: chutefleet indexes upstreams by pool and version beside the index by pool, and index() picks the smaller one by the call's Use, so that every question about a pool (choice, empty, silent, limits, why blocked) goes by it. A large pool of one version is sampled as before. The mean load for a prompt in a large pool is that of the version, as it was in a small pool.

Measured: TestRareVersion, 5 of 10,000 looked at (10,000 before).

Not changed: what calls may go to; a call that is bound to nothing uses the index by pool as before.

--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -119,7 +119,7 @@
 // IsPoolEmpty reports whether every upstream of a pool is blocked, for calls with a use, for a
 // reason that removes it from the pool.
 func (f Fleet) IsPoolEmpty(pool string, use Use, now time.Time) bool {
-	for m := range f.inPool(pool) {
+	for m := range f.inPool(pool, use) {
 		if !f.availabilityFor(m, use, now).Reason.RemovesFromPool() {
 			return false
 		}
@@ -131,11 +131,11 @@
 // HasMoreThan reports whether a pool has more than a number of upstreams without those that are blocked,
 // for calls with a use, for a reason that removes them from it.
 func (f Fleet) HasMoreThan(pool string, count int, use Use, now time.Time) bool {
-	if f.pools[pool].size <= count {
+	if f.index(pool, use).size <= count {
 		return false
 	}
 	n := 0
-	for m := range f.inPool(pool) {
+	for m := range f.inPool(pool, use) {
 		if f.availabilityFor(m, use, now).Reason.RemovesFromPool() {
 			continue
 		}
@@ -151,7 +151,7 @@
 // use, for a reason that removes them from it. It looks at all of them.
 func (f Fleet) PoolSize(pool string, use Use, now time.Time) int {
 	n := 0
-	for m := range f.inPool(pool) {
+	for m := range f.inPool(pool, use) {
 		if !f.availabilityFor(m, use, now).Reason.RemovesFromPool() {
 			n++
 		}
@@ -164,7 +164,7 @@
 // suspended by this node. It looks at them until one is not.
 func (f Fleet) IsPoolSilent(pool string, use Use, now time.Time) bool {
 	silent := false
-	for m := range f.inPool(pool) {
+	for m := range f.inPool(pool, use) {
 		reason := f.availabilityFor(m, use, now).Reason
 		if reason.RemovesFromPool() {
 			continue
@@ -183,7 +183,7 @@
 // false if any is available now, or blocked for another reason.
 func (f Fleet) PoolAvailability(pool string, use Use, now time.Time) (Availability, bool) {
 	var earliest Availability
-	for m := range f.inPool(pool) {
+	for m := range f.inPool(pool, use) {
 		a := f.availabilityFor(m, use, now)
 		switch {
 		case a.Reason.RemovesFromPool():
@@ -201,7 +201,7 @@
 // reason; empty if all may get one.
 func (f Fleet) DescribeBlocked(pool string, use Use, now time.Time) string {
 	count := map[BlockReason]int{}
-	for m := range f.inPool(pool) {
+	for m := range f.inPool(pool, use) {
 		if a := f.availabilityFor(m, use, now); !a.IsAvailable() {
 			count[a.Reason]++
 		}
@@ -217,9 +217,9 @@
 // AvailableInPool returns the upstreams of a pool that may get a new call with a use now. With a zone it
 // returns only those of the zone.
 func (f Fleet) AvailableInPool(pool, zone string, use Use, now time.Time) []Upstream {
-	members := f.inPool(pool)
+	members := f.inPool(pool, use)
 	if zone != "" {
-		members = f.inZone(pool, zone)
+		members = f.inZone(pool, zone, use)
 	}
 	var available []Upstream
 	for m := range members {
@@ -234,7 +234,7 @@
 // HasAvailableInZone reports whether any of the pool's upstreams in a zone may get a new
 // call now.
 func (f Fleet) HasAvailableInZone(pool, zone string, use Use, now time.Time) bool {
-	for m := range f.inZone(pool, zone) {
+	for m := range f.inZone(pool, zone, use) {
 		if f.availabilityFor(m, use, now).IsAvailable() {
 			return true
 		}
--- a/internal/chutefleet/choose.go
+++ b/internal/chutefleet/choose.go
@@ -64,7 +64,7 @@
 // random number in [0,1).
 func (f Fleet) Choose(q Query, now time.Time, tieBreak float64) (Upstream, bool) {
 	// A version on trial has few upstreams that get calls, and they may be anywhere in the pool.
-	if f.pools[q.Pool].size > maxScanned && q.Use.Side != SideNew {
+	if f.index(q.Pool, q.Use).size > maxScanned && q.Use.Side != SideNew {
 		if u, ok := f.chooseFromSample(q, now, tieBreak); ok {
 			return u, true
 		}
@@ -93,8 +93,8 @@
 
 // candidates returns the members that the query allows and that are available now.
 func (f Fleet) candidates(q Query, now time.Time) []candidate {
-	out := make([]candidate, 0, f.pools[q.Pool].size)
-	for m := range f.inPool(q.Pool) {
+	out := make([]candidate, 0, f.index(q.Pool, q.Use).size)
+	for m := range f.inPool(q.Pool, q.Use) {
 		if f.isCandidate(m, q, now) {
 			out = append(out, newCandidate(m, now))
 		}
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -139,8 +139,10 @@
 	// those are dropped that say nothing any more.
 	observed      *immutable.Map[string, struct{}]
 	observedLimit int
-	// pools indexes the members; the map is replaced, never modified.
-	pools map[string]poolIndex
+	// pools indexes the members by pool, versions by pool and software version; the maps are replaced, never
+	// modified.
+	pools    map[string]poolIndex
+	versions map[poolVersion]poolIndex
 	// incarnations maps a name to the id of its current incarnation; replacedIDs holds the ids of the
 	// previous ones.
 	incarnations *immutable.Map[string, string]
@@ -167,7 +169,7 @@
 func New(zone string) Fleet {
 	return Fleet{
 		zone: zone, members: immutable.NewMap[string, *member](nil), observed: immutable.NewMap[string, struct{}](nil),
-		pools: map[string]poolIndex{}, incarnations: immutable.NewMap[string, string](nil),
+		pools: map[string]poolIndex{}, versions: map[poolVersion]poolIndex{}, incarnations: immutable.NewMap[string, string](nil),
 		replacedIDs: immutable.NewMap[string, struct{}](nil), missing: immutable.NewMap[string, struct{}](nil),
 		departed: immutable.NewMap[string, departedUpstream](nil),
 		notices:  immutable.NewMap[string, notice](nil), observedLimit: minObservedLimit,
--- a/internal/chutefleet/index.go
+++ b/internal/chutefleet/index.go
@@ -142,36 +142,64 @@
 	return ringEntry{position: xxhash.Sum64String(u.Name), id: u.ID}
 }
 
+// poolVersion is a software version of a pool's upstreams.
+type poolVersion struct {
+	pool    string
+	version string
+}
+
 // withIndexed adds an upstream to the indexes.
 func (f Fleet) withIndexed(u *Upstream) Fleet {
-	r, isNew := f.pools[u.Pool].zoneRing(u.Zone).with(entryOf(u))
+	entry, key := entryOf(u), poolVersion{pool: u.Pool, version: u.Version}
+	r, isNew := f.pools[u.Pool].zoneRing(u.Zone).with(entry)
 	if !isNew {
 		return f
 	}
+	f.pools = withRing(f.pools, u.Pool, u.Zone, r)
+	r, _ = f.versions[key].zoneRing(u.Zone).with(entry)
+	f.versions = withRing(f.versions, key, u.Zone, r)
 
-	return f.withRing(u, r)
+	return f
 }
 
 // withoutIndexed removes an upstream from the indexes.
 func (f Fleet) withoutIndexed(u *Upstream) Fleet {
-	return f.withRing(u, f.pools[u.Pool].zoneRing(u.Zone).without(entryOf(u)))
+	entry, key := entryOf(u), poolVersion{pool: u.Pool, version: u.Version}
+	f.pools = withRing(f.pools, u.Pool, u.Zone, f.pools[u.Pool].zoneRing(u.Zone).without(entry))
+	f.versions = withRing(f.versions, key, u.Zone, f.versions[key].zoneRing(u.Zone).without(entry))
+
+	return f
 }
 
-func (f Fleet) withRing(u *Upstream, r ring) Fleet {
-	f.pools = maps.Clone(f.pools)
-	f.pools[u.Pool] = f.pools[u.Pool].withZone(u.Zone, r)
-	if f.pools[u.Pool].size == 0 {
-		delete(f.pools, u.Pool)
+// withRing returns the indexes with one ring replaced; an empty index is left out.
+func withRing[K comparable](indexes map[K]poolIndex, key K, zone string, r ring) map[K]poolIndex {
+	indexes = maps.Clone(indexes)
+	indexes[key] = indexes[key].withZone(zone, r)
+	if indexes[key].size == 0 {
+		delete(indexes, key)
 	}
 
-	return f
+	return indexes
+}
+
+// index returns the smallest index that holds all upstreams of a pool that a call with a use may go to.
+func (f Fleet) index(pool string, use Use) poolIndex {
+	trial := f.versionRules[pool].Trial
+	switch {
+	case use.Bound:
+		return f.versions[poolVersion{pool: pool, version: use.Version}]
+	case use.Side == SideNew && trial != "":
+		return f.versions[poolVersion{pool: pool, version: trial}]
+	default:
+		return f.pools[pool]
+	}
 }
 
-// inPool returns the members of a pool, zone by zone.
-func (f Fleet) inPool(pool string) iter.Seq[*member] {
+// inPool returns the members in the index of a pool and a use, zone by zone.
+func (f Fleet) inPool(pool string, use Use) iter.Seq[*member] {
 	return func(yield func(*member) bool) {
-		for i := range f.pools[pool].zones {
-			for id := range f.pools[pool].zones[i].from(0) {
+		for _, zone := range f.index(pool, use).zones {
+			for id := range zone.from(0) {
 				if m, ok := f.members.Get(id); ok && !yield(m) {
 					return
 				}
@@ -180,10 +208,10 @@
 	}
 }
 
-// inZone returns the members of a pool in a zone.
-func (f Fleet) inZone(pool, zone string) iter.Seq[*member] {
+// inZone returns the members in the index of a pool and a use that are in a zone.
+func (f Fleet) inZone(pool, zone string, use Use) iter.Seq[*member] {
 	return func(yield func(*member) bool) {
-		for id := range f.pools[pool].zoneRing(zone).from(0) {
+		for id := range f.index(pool, use).zoneRing(zone).from(0) {
 			if m, ok := f.members.Get(id); ok && !yield(m) {
 				return
 			}
--- a/internal/chutefleet/index_test.go
+++ b/internal/chutefleet/index_test.go
@@ -81,6 +81,7 @@
 		u := upstream(name, fmt.Sprint("z", rapid.IntRange(1, 2).Draw(t, "zone")))
 		u.Pool = fmt.Sprint("p", rapid.IntRange(1, 2).Draw(t, "pool"))
 		u.State = rapid.SampledFrom([]State{StateReady, StateReady, StateLeaving}).Draw(t, "state")
+		u.Version = fmt.Sprint("v", rapid.IntRange(1, 2).Draw(t, "version"))
 		list[name] = u
 		change.Entries = append(change.Entries, u)
 		change.Gone = slices.DeleteFunc(change.Gone, func(gone string) bool { return gone == name })
@@ -92,18 +93,38 @@
 // expectSamePool fails unless both fleets have the same upstreams of a pool at the same places.
 func expectSamePool(t *rapid.T, got, want Fleet, pool string) {
 	count := 0
-	for m := range got.inPool(pool) {
+	versions := map[string]int{}
+	for m := range got.inPool(pool, Use{}) {
 		known, ok := want.members.Get(m.ID)
 		if !ok || known.Pool != m.Pool || known.Zone != m.Zone || m.Pool != pool {
 			t.Fatalf("%s of pool %s is %+v", m.ID, pool, m.Upstream)
 		}
 		count++
+		versions[m.Version]++
 	}
+	expectSameVersions(t, got, pool, versions)
 	if count != want.pools[pool].size || count != got.pools[pool].size {
 		t.Fatalf("pool %s has %d upstreams, its size is %d, %d are listed", pool, count, got.pools[pool].size, want.pools[pool].size)
 	}
 }
 
+// expectSameVersions fails unless the index of each version has as many upstreams of a pool as counted, all of
+// that version.
+func expectSameVersions(t *rapid.T, f Fleet, pool string, counts map[string]int) {
+	for _, version := range []string{"v1", "v2", "v3"} {
+		count := 0
+		for m := range f.inPool(pool, Use{Bound: true, Version: version}) {
+			if m.Pool != pool || m.Version != version {
+				t.Fatalf("%s is listed for version %s of pool %s: %+v", m.ID, version, pool, m.Upstream)
+			}
+			count++
+		}
+		if count != counts[version] {
+			t.Fatalf("version %s of pool %s has %d upstreams, %d are listed", version, pool, count, counts[version])
+		}
+	}
+}
+
 // largeFleet returns a fleet of a node in zone z0 with one pool over five zones.
 func largeFleet(upstreams int) Fleet {
 	return New("z0").WithList(largeList(upstreams), false, start)
@@ -230,7 +251,7 @@
 	t.Run("a full zone, a zone that is cut off, evacuated or forbidden is left to others", func(t *testing.T) {
 		c := qt.New(t)
 		f := largeFleet(upstreams)
-		for m := range f.inZone("p", "z0") {
+		for m := range f.inZone("p", "z0", Use{}) {
 			for range 5 {
 				f = f.WithCallSent(m.ID, 0, start)
 			}
@@ -315,3 +336,42 @@
 		})
 	}
 }
+
+// Guards against calls that look at all upstreams of a large pool to find the few of one software version.
+func TestRareVersion(t *testing.T) {
+	const rare = 5
+	list := largeList(10_000)
+	for i := range rare {
+		list[1999*i].Version = "v2"
+	}
+	f := New("z0").WithList(list, false, start)
+	onTrial := f.WithVersionRules(map[string]VersionRule{"p": {Trial: "v2"}})
+
+	expectRare := func(c *qt.C, f Fleet, use Use) {
+		q := Query{Pool: "p", Use: use}
+		c.Check(cap(f.candidates(q, start)), qt.Equals, rare)
+		c.Check(f.PoolSize("p", use, start), qt.Equals, rare)
+		c.Check(f.IsPoolEmpty("p", use, start), qt.IsFalse)
+		u, ok := f.Choose(q, start, 0.5)
+		c.Check(ok, qt.IsTrue)
+		c.Check(u.Version, qt.Equals, "v2")
+	}
+	t.Run("a call that is bound to it", func(t *testing.T) { expectRare(qt.New(t), f, Use{Bound: true, Version: "v2"}) })
+	t.Run("a call of its trial", func(t *testing.T) { expectRare(qt.New(t), onTrial, Use{Side: SideNew}) })
+
+	t.Run("a call that is bound to a version that is gone", func(t *testing.T) {
+		c := qt.New(t)
+		use := Use{Bound: true, Version: "v3"}
+		c.Check(cap(f.candidates(Query{Pool: "p", Use: use}, start)), qt.Equals, 0)
+		c.Check(f.IsPoolEmpty("p", use, start), qt.IsTrue)
+	})
+
+	t.Run("a call that is bound to the common version is sent to a sample", func(t *testing.T) {
+		c := qt.New(t)
+		for i := range 50 {
+			u, ok := f.Choose(Query{Pool: "p", Use: Use{Bound: true, Version: "v1"}, Affinity: fmt.Sprint(i)}, start, 0.5)
+			c.Check(ok, qt.IsTrue)
+			c.Check(u.Version, qt.Equals, "v1")
+		}
+	})
+}
--- a/internal/chutefleet/list.go
+++ b/internal/chutefleet/list.go
@@ -118,7 +118,7 @@
 	}
 	if ok && previous == nil {
 		*next = *known
-		if next.Pool != u.Pool || next.Zone != u.Zone {
+		if next.Pool != u.Pool || next.Zone != u.Zone || next.Version != u.Version {
 			f = f.withoutIndexed(&known.Upstream)
 		}
 	}
--- a/internal/chutefleet/report.go
+++ b/internal/chutefleet/report.go
@@ -52,7 +52,7 @@
 //
 // One node of hundreds seldom gets an answer from an upstream itself.
 func (f Fleet) OverloadReports(pool string, now time.Time) []LoadReport {
-	mean := f.meanPoolLoad(pool, now)
+	mean := f.meanPoolLoad(pool, Use{}, now)
 	var reports []LoadReport
 	for m := range f.observedMembers() {
 		if m.Pool != pool || !f.availability(m, false, now).IsAvailable() {
@@ -73,13 +73,13 @@
 	return reports[:min(len(reports), maxReports)]
 }
 
-// meanPoolLoad returns the mean load of a pool's upstreams, in calls, without those that may get no call
-// now. Upstreams of which nothing was observed count as idle.
-func (f Fleet) meanPoolLoad(pool string, now time.Time) float64 {
-	total, available := 0.0, f.pools[pool].size
+// meanPoolLoad returns the mean load of the upstreams of a pool that a call with a use may go to, in calls,
+// without those that may get no call now. Upstreams of which nothing was observed count as idle.
+func (f Fleet) meanPoolLoad(pool string, use Use, now time.Time) float64 {
+	total, available := 0.0, f.index(pool, use).size
 	for m := range f.observedMembers() {
 		switch {
-		case m.Pool != pool:
+		case m.Pool != pool, use.Bound && m.Version != use.Version:
 		case f.availability(m, false, now).IsAvailable():
 			total += newCandidate(m, now).load
 		default:
--- a/internal/chutefleet/sample.go
+++ b/internal/chutefleet/sample.go
@@ -54,7 +54,7 @@
 // appendSample appends up to count candidates of a zone, beginning at a position of its ring.
 func (f Fleet) appendSample(candidates []candidate, q Query, zone string, position uint64, count int, now time.Time) []candidate {
 	looked := 0
-	for id := range f.pools[q.Pool].zoneRing(zone).from(position) {
+	for id := range f.index(q.Pool, q.Use).zoneRing(zone).from(position) {
 		if m, ok := f.members.Get(id); ok && f.isCandidate(m, q, now) {
 			candidates = append(candidates, newCandidate(m, now))
 			count--
@@ -71,7 +71,7 @@
 // first, then the others in an order by a random number, and unreachable ones at the end.
 func (f Fleet) zonesByPreference(q Query, tieBreak float64) []string {
 	preferred := cmp.Or(q.Zone, f.zone)
-	all := f.pools[q.Pool].zones
+	all := f.index(q.Pool, q.Use).zones
 	zones := make([]string, 0, len(all))
 	for i := range all {
 		zone := all[(i+int(tieBreak*float64(len(all))))%len(all)].zone
@@ -99,11 +99,11 @@
 // zone's ring. Each node selects the same one from the list alone, and an upstream that comes or goes
 // moves the prompts of a few others.
 func (f Fleet) affinityFromSample(q Query, now time.Time) (Upstream, bool) {
-	mean := f.meanPoolLoad(q.Pool, now)
+	mean := f.meanPoolLoad(q.Pool, q.Use, now)
 	var window [affinityWindow]candidate
 	for _, zone := range f.zonesByAffinity(q) {
 		candidates, looked := window[:0], 0
-		for id := range f.pools[q.Pool].zoneRing(zone).from(xxhash.Sum64String(q.Affinity)) {
+		for id := range f.index(q.Pool, q.Use).zoneRing(zone).from(xxhash.Sum64String(q.Affinity)) {
 			if m, ok := f.members.Get(id); ok && f.isCandidate(m, q, now) {
 				candidates = append(candidates, newCandidate(m, now))
 			}
@@ -132,7 +132,7 @@
 		zone  string
 		score float64
 	}
-	all := f.pools[q.Pool].zones
+	all := f.index(q.Pool, q.Use).zones
 	zones := make([]scored, 0, len(all))
 	for i := range all {
 		zone := all[i].zone
--- a/internal/chutefleet/version.go
+++ b/internal/chutefleet/version.go
@@ -59,7 +59,7 @@
 // VersionCounts returns the number of a pool's listed upstreams by version.
 func (f Fleet) VersionCounts(pool string) map[string]int {
 	counts := map[string]int{}
-	for m := range f.inPool(pool) {
+	for m := range f.inPool(pool, Use{}) {
 		counts[m.Version]++
 	}
 
--- a/internal/chutefleet/warmup.go
+++ b/internal/chutefleet/warmup.go
@@ -131,7 +131,7 @@
 // Their list entries say that they are cold up to a heartbeat later.
 func (f Fleet) withPresumedCold(zone string, now time.Time) Fleet {
 	for pool, bound := range f.bounds.pools {
-		for m := range f.inZone(pool, zone) {
+		for m := range f.inZone(pool, zone, Use{}) {
 			f = f.withMember(m.ID, func(m *member) {
 				w := m.warmup
 				w.presumedUntil = now.Add(bound.Duration)
