Refuse take-ups of streams whose pipeline does not allow them

A request with Last-Event-Id on a pipeline whose streams can't be taken up (never, or not any more since the configuration changed) was sent on with that number, bound to no version: the upstream goes on after it whatever version began the stream.

Cause: bindTakeUp looked at resumable pipelines alone and let all others pass.

Change: such a request is refused before it is sent, not run, with Retry-After: another node may have the newer configuration, or the older one. Pipelines without streams are as before. Refused take-ups log the line "refused" with the reason, as all refusals before the reducer do; explain said of them that no end is logged and the node may have ended.

--- a/internal/chutecli/explain_test.go
+++ b/internal/chutecli/explain_test.go
@@ -20,6 +20,7 @@
 {"Node":"n1","Request":"r5","Resumes":"r1","LastEvent":2,"UpstreamVersion":"v1","From":"n2","RecordAgeMs":70,"Known":true,"message":"take-up"}
 {"Node":"n1","Request":"r5","AgeMs":40,"message":"answered"}
 {"Node":"n1","Request":"r6","LastEvent":2,"Known":false,"message":"take-up"}
+{"Node":"n1","Request":"r6","Kind":"NotRun","Reason":"no node that was asked knows which version began the stream","message":"refused"}
 {"Node":"n1","Request":"r1","AgeMs":
 `
 
@@ -63,6 +64,7 @@
 		c.Assert(out, qt.Contains, "its stream was taken up by r5")
 		_, out, _ = runExplain("r6")
 		c.Assert(out, qt.Contains, "takes up a stream that it does not name, whose version no node knew that was asked")
+		c.Assert(out, qt.Not(qt.Contains), "no end is logged")
 	})
 
 	t.Run("an unknown id is an error that says where to look", func(t *testing.T) {
--- a/internal/chutegate/streams.go
+++ b/internal/chutegate/streams.go
@@ -14,8 +14,9 @@
 const (
 	// streamLinger is how long after a stream's deadline it can be taken up.
 	streamLinger = 2 * time.Second
-	// unknownStreamRetryAfter is the time after which a caller may retry whose stream no node knows.
-	unknownStreamRetryAfter = 500 * time.Millisecond
+	// takeUpRetryAfter is the time after which a caller may retry whose stream can't be taken up here. Another node
+	// may know it, or a newer configuration.
+	takeUpRetryAfter = 500 * time.Millisecond
 	// maxLoggedID bounds what is logged of an ID that a caller names.
 	maxLoggedID = 64
 	// maxQueuedEffects bounds the effects that wait; above it senders block.
@@ -132,11 +133,15 @@
 	return &id
 }
 
-// bindTakeUp binds a request that takes a stream up, or returns the refusal if no node that was asked knows how.
+// bindTakeUp binds a request that takes a stream up, or returns the refusal if its pipeline does not allow that
+// or no node that was asked knows the binding.
 func (n *Node) bindTakeUp(ctx context.Context, in *IncomingRequest, s *chuterelay.Submission) *chuterelay.Refusal {
-	if !in.TakesUp || !isResumable(s.Pipeline) {
+	if !in.TakesUp || !s.Pipeline.Streams {
 		return nil
 	}
+	if !isResumable(s.Pipeline) {
+		return n.refuseTakeUp(in, "streams of pipeline "+s.Pipeline.Name+" can't be taken up")
+	}
 	line := n.log.Info().Str("Request", in.ID).Str("Resumes", in.Resumes[:min(len(in.Resumes), maxLoggedID)]).Int("LastEvent", in.LastEventID)
 	record, from, known := n.findStream(ctx, chutestream.NewID(s.Workspace.Name, s.Pipeline.Name, in.Resumes))
 	if known {
@@ -150,10 +155,17 @@
 	n.streams.unknown.Add(1)
 	line.Bool("Known", false).Msg("take-up")
 
-	return &chuterelay.Refusal{
-		Kind: chuterelay.RefusedNotRun, Reason: "no node that was asked knows which version began the stream",
-		RetryAfter: unknownStreamRetryAfter,
+	return n.refuseTakeUp(in, "no node that was asked knows which version began the stream")
+}
+
+// refuseTakeUp refuses a request that takes a stream up before it is sent anywhere.
+func (n *Node) refuseTakeUp(in *IncomingRequest, reason string) *chuterelay.Refusal {
+	refusal := chuterelay.Refusal{Kind: chuterelay.RefusedNotRun, Reason: reason, RetryAfter: takeUpRetryAfter}
+	if cfg := n.config.Load(); cfg != nil {
+		n.logRefusal(in, refusal, *cfg)
 	}
+
+	return &refusal
 }
 
 // streamAnswer is what one node knows of a stream.
