--- a/internal/chutefleet/availability.go
+++ b/internal/chutefleet/availability.go
@@ -34,8 +34,7 @@
 	BlockSuspended BlockReason = "SetAside"
 	// BlockTrial: its suspension is over, and a trial call is in flight.
 	BlockTrial BlockReason = "Tried"
-	// BlockCold: it is cold, and this node has used up its quota of the calls that it
-	// may get while cold.
+	// BlockCold: it is cold, and this node has used up its quota of the calls that it may get.
 	BlockCold BlockReason = "Cold"
 	// BlockBrittle: it falls over if it has to turn calls away, and this node has as many calls there as
 	// it may.
@@ -88,8 +87,7 @@
 	case now.Before(m.suspendedUntil):
 		return Availability{Reason: BlockSuspended, Until: m.suspendedUntil}
 	case m.silentFailures > 0 && m.inFlight > 0:
-		// Without this, nodes would send all their next requests to an upstream that
-		// was silent, and lose them all if it still is.
+		// One call at a time shows whether it is still silent.
 		return Availability{Reason: BlockTrial}
 	}
 	if m.warmup.isCold(now) {
--- a/internal/chutefleet/brittle.go
+++ b/internal/chutefleet/brittle.go
@@ -6,14 +6,13 @@
 )
 
 const (
-	// brittleSlotShare is the share of a brittle upstream's slots that all nodes together use. The rest is
-	// for new connections, which may hold a slot for a moment, and for nodes whose lists differ.
+	// brittleSlotShare is the share of a brittle upstream's slots that all nodes together use. New connections
+	// may hold a slot for a moment, and the nodes' lists may differ.
 	brittleSlotShare = 0.75
 	// brittleHold is how long a brittle upstream gets nothing from this node after it had no room for a
 	// call.
 	brittleHold = time.Second
-	// brittleLifetime is how long an upstream counts as brittle after that was last heard of it. One that
-	// gets no calls says nothing any more.
+	// brittleLifetime is how long an upstream counts as brittle after that was last heard of it.
 	brittleLifetime = 30 * time.Second
 	// brittleKey begins the key by which the slots of an upstream are divided among nodes.
 	brittleKey = "slots|"
@@ -112,8 +111,7 @@
 	return f.limitOwners.Owners(brittleKey+m.ID, brittleSlots(m.Slots))
 }
 
-// brittleAvailability returns whether this node may send a call to a brittle member. What is sent there never
-// waits for a slot, so that nothing is turned away however short the queue is.
+// brittleAvailability returns whether this node may send a call to a brittle member, without a wait for a slot.
 func (f Fleet) brittleAvailability(m *member, collecting bool, now time.Time) Availability {
 	quota := m.brittle.quota
 	if collecting {
--- a/internal/chutefleet/choose.go
+++ b/internal/chutefleet/choose.go
@@ -9,19 +9,15 @@
 )
 
 const (
-	// affinityFactor and affinitySlotShare set the load up to which prompts go to the
-	// upstream that caches their prefix: 1.5 times the pool's mean plus a tenth of the
-	// upstream's slots. Reading a prefix again takes longer than the delay from a few
-	// more concurrent calls, and in a burst all upstreams have more calls.
+	// affinityFactor and affinitySlotShare set the load up to which prompts go to the upstream that caches
+	// their prefix: a multiple of the pool's mean, plus a share of the upstream's slots.
 	affinityFactor    = 1.5
 	affinitySlotShare = 0.1
-	// failurePenalty is the load, in calls, that one recent failure counts as.
+	// failurePenalty, remotePenalty and fullPenalty are the loads, in calls, that one recent failure, being in
+	// another zone and a recent FailureFull count as. remotePenalty only breaks ties.
 	failurePenalty = 2.0
-	// remotePenalty is the load, in calls, that being in another zone counts as; it is
-	// small enough to only break ties.
-	remotePenalty = 0.2
-	// fullPenalty is the load, in calls, that a recent FailureFull counts as.
-	fullPenalty = 4.0
+	remotePenalty  = 0.2
+	fullPenalty    = 4.0
 )
 
 // Query states the criteria by which Choose selects an upstream for a call.
@@ -56,12 +52,10 @@
 	return c
 }
 
-// maxScanned is the size up to which all upstreams of a pool are compared for each call. In a larger
-// pool some are, so that a call costs the same whatever the size.
+// maxScanned is the size up to which all upstreams of a pool are compared for each call.
 const maxScanned = 256
 
-// Choose selects the upstream for a call; false if none is available. tieBreak is a
-// random number in [0,1).
+// Choose selects the upstream for a call; false if none is available. tieBreak is a random number in [0,1).
 func (f Fleet) Choose(q Query, now time.Time, tieBreak float64) (Upstream, bool) {
 	// A version on trial has few upstreams that get calls, and they may be anywhere in the pool.
 	if f.index(q.Pool, q.Use).size > maxScanned && q.Use.Side != SideNew {
@@ -126,11 +120,8 @@
 	return reachable
 }
 
-// affinityUpstream returns the upstream that rendezvous hashing selects for the affinity
-// among those that are not overloaded, compared with the pool's mean load; false if all are.
-//
-// Each node computes the same order. The bound on the load keeps a popular prefix from overloading its
-// upstream.
+// affinityUpstream returns the upstream that rendezvous hashing selects for the affinity among those that are not
+// overloaded, compared with the mean load; false if all are.
 func affinityUpstream(candidates []candidate, affinity string, mean float64) (Upstream, bool) {
 	best := -1
 	var bestHash uint64
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -29,8 +29,7 @@
 	ID string
 	// Name is chosen by the upstream; a restarted process may keep it.
 	Name string
-	// StartedAt is the start time of its process by its own clock, zero if unknown; it
-	// is compared only with that of another incarnation of the same name.
+	// StartedAt is the start time of its process by its own clock, zero if unknown.
 	StartedAt time.Time
 	Pool      string
 	Address   string
@@ -42,8 +41,7 @@
 	// Unvouched says that its version is new to the pool, and that an order about it may not be known
 	// yet.
 	Unvouched bool `json:",omitempty"`
-	// Cold is how much longer the upstream stays cold, in steps; 0 if it is warm. An
-	// upstream is cold for some time after its start and handles fewer calls then.
+	// Cold is how much longer the upstream stays cold after its start, in steps; 0 if it is warm.
 	Cold time.Duration
 }
 
@@ -63,14 +61,11 @@
 )
 
 const (
-	// initialSuspension and maxSuspension are the shortest and the longest time for which a
-	// silent upstream is suspended, that is, gets no calls: long enough that it delays few
-	// callers, short enough that calls resume within a second after a restart, which takes
-	// 2 to 5 s.
+	// initialSuspension and maxSuspension are the shortest and the longest time for which a silent upstream is
+	// suspended, that is, gets no calls.
 	initialSuspension = 500 * time.Millisecond
 	maxSuspension     = 2 * time.Second
-	// failureHalfLife is the half-life of the failure count; a period of failures lasts
-	// some seconds.
+	// failureHalfLife is the half-life of the failure count.
 	failureHalfLife = 2 * time.Second
 	// negligibleFailures is the failure count below which failures are ignored.
 	negligibleFailures = 0.05
@@ -93,8 +88,7 @@
 // observation is what this node has observed of an upstream, or was told of it. It is immutable.
 type observation struct {
 	inFlight int
-	// unreadTokens counts the prompt tokens sent to it that it has not yet read, as far
-	// as known.
+	// unreadTokens counts the prompt tokens sent to it that it has not yet read, as far as known.
 	unreadTokens int64
 	// failures is the decayed count of recent failures, as of failuresAt.
 	failures   float64
@@ -114,8 +108,7 @@
 	limit      limit
 }
 
-// unobserved is the observation of upstreams of which there is none. With thousands of upstreams a node
-// has calls at some dozens.
+// unobserved is the observation of upstreams of which there is none, shared because most have none.
 var unobserved = &observation{}
 
 // isZero reports whether the observation is as that of an upstream of which there is none.
@@ -151,8 +144,7 @@
 	missing *immutable.Map[string, struct{}]
 	// departed holds, by name, what is known of upstreams whose entries are gone.
 	departed *immutable.Map[string, departedUpstream]
-	// evacuated holds the zones whose upstreams get no calls; the map is replaced, never
-	// modified.
+	// evacuated holds the zones whose upstreams get no calls; the map is replaced, never modified.
 	evacuated map[string]bool
 	bounds    coldBounds
 	// limitOwners are the nodes among which the limits of upstreams are divided.
@@ -263,8 +255,7 @@
 	return f.withMember(id, func(m *member) { m.inFlight = max(0, m.inFlight-1) })
 }
 
-// WithSuccess records an answer: it ends the upstream's silence and halves its failure
-// count.
+// WithSuccess records an answer: it ends the upstream's silence and halves its failure count.
 func (f Fleet) WithSuccess(id string, now time.Time) Fleet {
 	return f.withMember(id, func(m *member) {
 		m.failures = m.recentFailures(now) / 2
--- a/internal/chutefleet/limit.go
+++ b/internal/chutefleet/limit.go
@@ -17,17 +17,14 @@
 }
 
 const (
-	// minLimitSpan is the shortest period for which a limit is divided into quotas. A
-	// longer period gives more nodes a quota, and lets them send more calls at once.
+	// minLimitSpan is the shortest period for which a limit is divided into quotas. A longer one gives more
+	// nodes a quota, and lets them send more calls at once.
 	minLimitSpan = 4 * time.Second
-	// minLimitRate is the lowest rate, in calls a second, that is used in place of a limit.
-	// An upstream with a lower limit gets it too: without calls it sends no answers and
-	// could not announce a higher limit.
+	// minLimitRate is the lowest rate, in calls a second, that is used in place of a limit: without calls an
+	// upstream could not announce a higher one.
 	minLimitRate = 0.1
-	// minTrialInterval is how long a node without a quota of a limit waits for news of the
-	// limit before it sends a trial call to check whether it still applies. The interval is
-	// longer if the trial calls of all nodes would exceed the fraction trialShare of the
-	// limit.
+	// minTrialInterval is how long a node without a quota of a limit waits for news of it before it sends a
+	// trial call. The interval is longer if the trial calls of all nodes would exceed trialShare of the limit.
 	minTrialInterval = 30 * time.Second
 	trialShare       = 0.25
 )
@@ -39,8 +36,7 @@
 	isSet bool
 	// receivedAt is when an answer last announced it.
 	receivedAt time.Time
-	// sent records the calls that this node has sent since the limit was announced,
-	// lastSentAt is the time of the last one.
+	// sent records the calls of this node since the limit was announced, lastSentAt when the last one was sent.
 	sent       chutequota.Window
 	lastSentAt time.Time
 }
@@ -75,8 +71,7 @@
 	return n
 }
 
-// WithLimitOwners replaces the nodes among which limits are divided: those that may send
-// calls.
+// WithLimitOwners replaces the nodes among which limits are divided: those that may send calls.
 func (f Fleet) WithLimitOwners(owners chutequota.Allocator) Fleet {
 	f.limitOwners = owners
 	for m := range f.observedMembers() {
@@ -101,8 +96,8 @@
 
 // WithLimit records that the answer to a call sent at sentAt announces a limit.
 //
-// Answers may arrive out of order. A lower limit applies at once, a higher one only if the
-// call was sent after the current limit was received.
+// Answers may arrive out of order, so a higher limit applies only if the call was sent after the current one was
+// received.
 func (f Fleet) WithLimit(id string, perSecond float64, sentAt, now time.Time) Fleet {
 	return f.withMember(id, func(m *member) {
 		if m.limit.isSet && perSecond > m.limit.PerSecond && sentAt.Before(m.limit.receivedAt) {
@@ -113,8 +108,7 @@
 	})
 }
 
-// WithoutLimit records that the answer to a call sent at sentAt announces no limit. It
-// removes the limit unless the limit was received after the call was sent.
+// WithoutLimit records that the answer to a call sent at sentAt announces no limit.
 func (f Fleet) WithoutLimit(id string, sentAt time.Time) Fleet {
 	m, ok := f.members.Get(id)
 	if !ok || !m.limit.isSet || sentAt.Before(m.limit.receivedAt) {
@@ -137,8 +131,7 @@
 	return Availability{}
 }
 
-// nextTrialAt returns when a node without a quota of a member's limit may send a trial call
-// to check whether the limit still applies.
+// nextTrialAt returns when a node without a quota of a member's limit may send a trial call.
 func (f Fleet) nextTrialAt(m *member) time.Time {
 	perSecond := trialShare * max(minLimitRate, m.limit.PerSecond)
 	interval := max(minTrialInterval, time.Duration(float64(f.limitOwners.NodeCount())/perSecond*float64(time.Second)))
--- a/internal/chutefleet/list.go
+++ b/internal/chutefleet/list.go
@@ -16,8 +16,7 @@
 	Gone []string
 }
 
-// WithList applies the platform's complete list; with keepMissing, upstreams that are not
-// in the list stay.
+// WithList applies the platform's complete list; with keepMissing, upstreams that are not in the list stay.
 func (f Fleet) WithList(list []Upstream, keepMissing bool, now time.Time) Fleet {
 	f, _ = f.WithListChange(f.ChangeTo(list), keepMissing, now)
 
@@ -95,16 +94,13 @@
 	next := &member{observation: unobserved}
 	switch {
 	case u.State == StateUnreadable:
-		// It gets no calls, but its member state stays: an upstream that was leaving
-		// before its entry became unreadable is still leaving afterwards.
+		// It gets no calls, but its member state stays.
 		return f.withMember(id, func(m *member) { m.unreadable = true }), nil
 	case ok && u.StartedAt.IsZero():
-		// The entry does not name its process, so it applies to the current one. As a
-		// new process, it would lose the information that the current one is leaving.
+		// The entry does not name its process, so it applies to the current one.
 		u.ID, u.StartedAt = known.ID, known.StartedAt
 	case ok && u.StartedAt.Before(known.StartedAt):
-		// The entry is stale and of a process that has ended: this node, or the one that
-		// sent the list, read it before the restart.
+		// The entry is stale and of a process that has ended.
 		return f, nil
 	case ok && u.ID != known.ID:
 		// The process has restarted.
--- a/internal/chutefleet/notice.go
+++ b/internal/chutefleet/notice.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// noticeLifetime is how long what an incarnation has said about itself is kept after its entry is
-// gone. An entry may come back while the process lives: entries expire while the platform's store is
-// unavailable, and processes that leave go on for some time.
+// noticeLifetime is how long what an incarnation has said about itself is kept after its entry is gone. The entry
+// of a live process may come back.
 const noticeLifetime = time.Hour
 
 // notice is what an incarnation has said about itself in its answers.
@@ -18,8 +17,7 @@
 	heardAt time.Time
 }
 
-// WithLeaving marks an incarnation as leaving. This is final: no later entry of the list takes it
-// back, also if the incarnation is not listed at present.
+// WithLeaving marks an incarnation as leaving, listed or not. No later entry takes it back.
 func (f Fleet) WithLeaving(id string, now time.Time) Fleet {
 	f = f.withNotice(id, now, func(heard *notice) { heard.leaving = true })
 
@@ -46,8 +44,8 @@
 	return n
 }
 
-// WithRest records that an incarnation has asked this node for a rest: it gets nothing from this
-// node until then. A rest ends by time alone; one that is over sooner does not shorten it.
+// WithRest records that an incarnation has asked this node to send it nothing until a time. A shorter rest does
+// not end a longer one.
 func (f Fleet) WithRest(id string, until, now time.Time) Fleet {
 	return f.withNotice(id, now, func(heard *notice) {
 		if until.After(heard.restUntil) {
@@ -56,8 +54,7 @@
 	})
 }
 
-// RestUntil returns when the rest is over that an incarnation has asked this node for; zero if it
-// never asked for one.
+// RestUntil returns when the rest is over that an incarnation has asked this node for; zero if it has not.
 func (f Fleet) RestUntil(id string) time.Time {
 	heard, _ := f.notices.Get(id)
 
--- a/internal/chutefleet/report.go
+++ b/internal/chutefleet/report.go
@@ -16,18 +16,14 @@
 	Age time.Duration
 }
 
-// reportSlotShare is the fraction of its slots by which an upstream's load must exceed
-// affinityFactor times the pool's mean to be reported to other nodes: below that, a
-// prompt is served sooner at the upstream that caches its prefix.
+// reportSlotShare is the fraction of its slots by which an upstream's load must exceed affinityFactor times the
+// pool's mean to be reported to other nodes.
 const reportSlotShare = 0.5
 
-// maxReports is the maximum number of reports in a message: 16 take about 400 bytes. A
-// popular prompt overloads a few upstreams; if more are overloaded, the pool is full and
-// no other upstream is better.
+// maxReports is the maximum number of reports in a message. If more upstreams are overloaded, the pool is full.
 const maxReports = 16
 
-// WithLoadReport records another node's report on an upstream, unless a later one is known
-// or it is too old.
+// WithLoadReport records another node's report on an upstream, unless a later one is known or it is too old.
 func (f Fleet) WithLoadReport(r LoadReport, now time.Time) Fleet {
 	at := now.Add(-r.Age)
 	if m, ok := f.members.Get(r.Upstream); !ok || r.Age >= loadReportLifetime || !m.reportedAt.Before(at) {
@@ -47,10 +43,8 @@
 	return LoadReport{Upstream: id, Calls: m.otherCalls + m.inFlight, Age: now.Sub(m.reportedAt)}, true
 }
 
-// OverloadReports returns reports on the overloaded upstreams of a pool, to send to other
-// nodes, those with the most calls first; at most maxReports.
-//
-// One node of hundreds seldom gets an answer from an upstream itself.
+// OverloadReports returns reports on the overloaded upstreams of a pool, to send to other nodes, those with the
+// most calls first; at most maxReports.
 func (f Fleet) OverloadReports(pool string, now time.Time) []LoadReport {
 	mean := f.meanPoolLoad(pool, Use{}, now)
 	var reports []LoadReport
--- a/internal/chutefleet/sample.go
+++ b/internal/chutefleet/sample.go
@@ -11,13 +11,12 @@
 )
 
 const (
-	// zoneSample and otherZoneSample are the numbers of upstreams of the preferred zone and of another
-	// one that are compared for a call in a large pool.
+	// zoneSample and otherZoneSample are the numbers of upstreams of the preferred zone and of another one that
+	// are compared for a call in a large pool.
 	zoneSample      = 24
 	otherZoneSample = 8
-	// affinityWindow is the number of neighbouring upstreams among which rendezvous hashing selects one
-	// for a prompt. With one alone, an upstream's share of the prompts would be its distance to the
-	// next one, which varies widely.
+	// affinityWindow is the number of neighbours in the ring among which rendezvous hashing selects one for a
+	// prompt. With one alone, the upstreams' shares of the prompts would vary as the distances between them.
 	affinityWindow = 16
 	// maxLooked bounds the upstreams of one zone that are looked at for a call.
 	maxLooked = 96
@@ -94,10 +93,8 @@
 	return zones
 }
 
-// affinityFromSample returns the upstream of a large pool that is selected for the affinity: by
-// rendezvous hashing a zone, weighted by its number of upstreams, and one of some neighbours in the
-// zone's ring. Each node selects the same one from the list alone, and an upstream that comes or goes
-// moves the prompts of a few others.
+// affinityFromSample returns the upstream of a large pool that is selected for the affinity: by rendezvous hashing
+// a zone, weighted by its number of upstreams, and one of some neighbours in the zone's ring.
 func (f Fleet) affinityFromSample(q Query, now time.Time) (Upstream, bool) {
 	mean := f.meanPoolLoad(q.Pool, q.Use, now)
 	var window [affinityWindow]candidate
--- a/internal/chutefleet/successor.go
+++ b/internal/chutefleet/successor.go
@@ -3,8 +3,7 @@
 import "time"
 
 const (
-	// departedLifetime is how long what is known of an upstream is kept after its entry is gone. Entries
-	// expire while the platform's store is unavailable, and an upstream may start again under its name.
+	// departedLifetime is how long what is known of an upstream is kept after its entry is gone.
 	departedLifetime = time.Hour
 	// maxEntryDelay is how long after the start of a process its entry may reach this node; entries do not
 	// change while the store is unavailable.
@@ -23,8 +22,7 @@
 // inherited returns the part of an observation that holds for the next incarnation of the upstream too, until
 // an answer of that one says otherwise.
 //
-// That is its rate limit with the calls that count against it, and that it is brittle. Nodes would send freely
-// to a new process otherwise until they get an answer.
+// That is its rate limit with the calls that count against it, and that it is brittle.
 func (o *observation) inherited() *observation {
 	if !o.limit.isSet && !o.brittle.isSet {
 		return unobserved
--- a/internal/chutefleet/warmup.go
+++ b/internal/chutefleet/warmup.go
@@ -7,9 +7,8 @@
 	"azurechute.example/azurechute/internal/chutequota"
 )
 
-// coldQuotaSpan is the period for which a cold upstream's quota applies. It is a second
-// plus a fifth, because calls are sent somewhat later than they are decided on, with
-// varying delay.
+// coldQuotaSpan is the period for which a cold upstream's quota of a second applies. It is longer because calls
+// are sent with a varying delay.
 const coldQuotaSpan = 1200 * time.Millisecond
 
 // ColdBound is the operator's setting for a pool's upstreams while they are cold.
@@ -20,8 +19,7 @@
 	Duration time.Duration
 }
 
-// coldBounds holds the bounds by pool and the nodes among which they are divided; never
-// modified.
+// coldBounds holds the bounds by pool and the nodes among which they are divided; never modified.
 type coldBounds struct {
 	pools  map[string]ColdBound
 	owners chutequota.Allocator
@@ -36,8 +34,8 @@
 	coldUntil time.Time
 	// presumedUntil is when it is warm if it is presumed cold without being reported so.
 	presumedUntil time.Time
-	// hasBound means that its pool has a ColdBound; quota is the number of calls that this
-	// node may send it in any second. Both are kept up to date only while it is cold.
+	// hasBound means that its pool has a ColdBound; quota is the number of calls that this node may send it in
+	// any second. Both are kept up to date only while it is cold.
 	hasBound bool
 	quota    int
 	// sent records the calls that this node has sent it while cold.
@@ -66,16 +64,14 @@
 	return Availability{}
 }
 
-// WithColdBounds replaces the bounds by pool. Upstreams of a pool without a bound are never
-// treated as cold.
+// WithColdBounds replaces the bounds by pool. Upstreams of a pool without a bound are never treated as cold.
 func (f Fleet) WithColdBounds(pools map[string]ColdBound) Fleet {
 	f.bounds.pools = maps.Clone(pools)
 
 	return f.withQuotas()
 }
 
-// WithNodes replaces the names of all nodes, and of this one, among which the cold bounds
-// are divided.
+// WithNodes replaces the names of all nodes, and of this one, among which the cold bounds are divided.
 func (f Fleet) WithNodes(self string, nodes []string) Fleet {
 	f.bounds.owners = chutequota.NewAllocator(self, nodes)
 
@@ -100,10 +96,8 @@
 	m.warmup = w
 }
 
-// setListedCold applies how long a member stays cold according to its list entry; previous
-// is the value of the entry before.
-//
-// A node that receives the value late treats the upstream as cold for longer, never as warm too soon.
+// setListedCold applies how long a member stays cold from now according to its list entry; previous is the value
+// of the entry before.
 func (f Fleet) setListedCold(m *member, previous time.Duration, now time.Time) {
 	if m.Cold == previous {
 		return
