Call it announcing that a node sends others its records of streams

The glossary's word for what nodes send each other of their own accord is "announce"; the new package said "tell". TestAnnounce says which failures it guards against.

--- a/internal/chutegate/source.go
+++ b/internal/chutegate/source.go
@@ -109,11 +109,11 @@
 		OnLeaseEnd: func(token uint64) {
 			n.sendEventWith(chuterelay.JobCancelled{Token: token}, func() { delete(n.jobUpdates, token) })
 		},
-		OnTable:       n.tableForFollower,
-		OnForward:     n.serveForwarded,
-		OnTell:        n.receiveReports,
-		OnStreamsTold: func(records []chutestream.Record) { n.reduceStreams(chutestream.Told{Records: records}) },
-		OnFindStream:  func(id chutestream.ID) (chutestream.Record, bool) { return n.streams.find(id, n.Now()) },
+		OnTable:            n.tableForFollower,
+		OnForward:          n.serveForwarded,
+		OnTell:             n.receiveReports,
+		OnStreamsAnnounced: func(records []chutestream.Record) { n.reduceStreams(chutestream.Announced{Records: records}) },
+		OnFindStream:       func(id chutestream.ID) (chutestream.Record, bool) { return n.streams.find(id, n.Now()) },
 	}
 }
 
--- a/internal/chutegate/streams.go
+++ b/internal/chutegate/streams.go
@@ -92,8 +92,8 @@
 		select {
 		case effect := <-n.streams.effects:
 			switch e := effect.(type) {
-			case chutestream.Tell:
-				n.spawn(func(ctx context.Context) { n.tellStreams(ctx, e) })
+			case chutestream.Announce:
+				n.spawn(func(ctx context.Context) { n.announceStreams(ctx, e) })
 			case chutestream.TickAt:
 				n.clock.AfterFunc(e.At.Sub(n.Now()), func() { n.reduceStreams(chutestream.Ticked{}) })
 			}
@@ -103,15 +103,15 @@
 	}
 }
 
-// tellStreams sends records of streams to another node.
-func (n *Node) tellStreams(ctx context.Context, e chutestream.Tell) {
-	err := n.peers.TellStreams(ctx, e.Node.Address, e.Records, n.Now())
+// announceStreams sends records of streams to another node.
+func (n *Node) announceStreams(ctx context.Context, e chutestream.Announce) {
+	err := n.peers.AnnounceStreams(ctx, e.Node.Address, e.Records, n.Now())
 	if err == nil || ctx.Err() != nil {
 		return
 	}
 	n.log.Debug().Err(err).Str("Peer", e.Node.Name).Int("Records", len(e.Records)).Bool("Again", e.Again).
 		Msg("records of streams were not taken")
-	n.reduceStreams(chutestream.TellFailed{Tell: e})
+	n.reduceStreams(chutestream.AnnounceFailed{Announce: e})
 }
 
 // isResumable reports whether callers may take up the streams of a pipeline.
@@ -243,7 +243,7 @@
 	return true
 }
 
-// streamEnded has other nodes told of a stream that its caller is likely to take up.
+// streamEnded announces a stream that its caller is likely to take up.
 func (n *Node) streamEnded(req *request, result requestResult) {
 	switch {
 	case req.stream == nil:
@@ -260,6 +260,6 @@
 	n.meter.Gauge("take_ups_unknown_total", func() float64 { return float64(n.streams.unknown.Load()) })
 	n.meter.Gauge("take_ups_resumed_total", func() float64 { return float64(n.streams.resumed.Load()) })
 	n.meter.Gauge("stream_records_held", func() float64 { return float64(n.streams.snapshot().Stats().Held) })
-	n.meter.Gauge("stream_records_told_total", func() float64 { return float64(n.streams.snapshot().Stats().Told) })
+	n.meter.Gauge("stream_records_announced_total", func() float64 { return float64(n.streams.snapshot().Stats().Announced) })
 	n.meter.Gauge("stream_records_dropped_total", func() float64 { return float64(n.streams.snapshot().Stats().Dropped) })
 }
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -66,9 +66,9 @@
 	OnForward func(ctx context.Context, request ForwardRequest, out ForwardOutput)
 	// OnTell applies rows of one of the system's own tables.
 	OnTell func(told Announcement)
-	// OnStreamsTold takes records of streams, OnFindStream returns one, or false if it is not known.
-	OnStreamsTold func(records []chutestream.Record)
-	OnFindStream  func(id chutestream.ID) (chutestream.Record, bool)
+	// OnStreamsAnnounced takes records of streams, OnFindStream returns one, or false if it is not known.
+	OnStreamsAnnounced func(records []chutestream.Record)
+	OnFindStream       func(id chutestream.ID) (chutestream.Record, bool)
 	// Traffic counts the bytes of all messages; nil counts nothing.
 	Traffic *Traffic
 	// Now returns the current time, to which the relative times of received jobs are added.
--- a/internal/chuteshare/share_test.go
+++ b/internal/chuteshare/share_test.go
@@ -26,7 +26,7 @@
 	tokens  atomic.Uint64
 	table   atomic.Pointer[TableState]
 	changed chan struct{}
-	// records are those of the last TellStreams.
+	// records are those of the last AnnounceStreams.
 	records []chutestream.Record
 	// forward serves forwarded requests.
 	forward func(ctx context.Context, request ForwardRequest, out ForwardOutput)
@@ -55,10 +55,10 @@
 			c.jobs <- request
 			c.updates <- updates
 		},
-		OnLeaseEnd:    func(token uint64) { c.dropped <- token },
-		OnTable:       func(string) TableState { return *c.table.Load() },
-		OnForward:     func(ctx context.Context, request ForwardRequest, out ForwardOutput) { c.forward(ctx, request, out) },
-		OnStreamsTold: func(records []chutestream.Record) { c.records = records },
+		OnLeaseEnd:         func(token uint64) { c.dropped <- token },
+		OnTable:            func(string) TableState { return *c.table.Load() },
+		OnForward:          func(ctx context.Context, request ForwardRequest, out ForwardOutput) { c.forward(ctx, request, out) },
+		OnStreamsAnnounced: func(records []chutestream.Record) { c.records = records },
 		OnFindStream: func(id chutestream.ID) (chutestream.Record, bool) {
 			for _, r := range c.records {
 				if r.ID == id {
--- a/internal/chuteshare/streams.go
+++ b/internal/chuteshare/streams.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	// tellStreamsTimeout bounds the call that brings records of streams to a peer.
-	tellStreamsTimeout = 500 * time.Millisecond
+	// announceStreamsTimeout bounds the call that brings records of streams to a peer.
+	announceStreamsTimeout = 500 * time.Millisecond
 	// findStreamTimeout bounds the question to one peer. The caller waits for the answer.
 	findStreamTimeout = 300 * time.Millisecond
 	// maxBindingText bounds the names in a binding, in bytes.
 	maxBindingText = 200
 )
 
-// TellStreams takes records of streams from a peer.
-func (s service) TellStreams(_ context.Context, request *chutesharepb.TellStreamsRequest) (*chutesharepb.TellStreamsReply, error) {
+// AnnounceStreams takes records of streams from a peer.
+func (s service) AnnounceStreams(_ context.Context, request *chutesharepb.AnnounceStreamsRequest) (*chutesharepb.AnnounceStreamsReply, error) {
 	if count := len(request.GetRecords()); count > chutestream.MaxRecordsPerCall {
 		return nil, status.Errorf(codes.InvalidArgument, "Records has %d entries, more than %d", count, chutestream.MaxRecordsPerCall)
 	}
@@ -35,9 +35,9 @@
 		}
 		records = append(records, chutestream.Record{ID: id, Binding: binding, Until: s.handlers.Now().Add(milliseconds(message.GetLeftMs()))})
 	}
-	s.handlers.OnStreamsTold(records)
+	s.handlers.OnStreamsAnnounced(records)
 
-	return &chutesharepb.TellStreamsReply{}, nil
+	return &chutesharepb.AnnounceStreamsReply{}, nil
 }
 
 // FindStream returns what a stream is bound to, as far as this node knows.
@@ -57,22 +57,22 @@
 	}, nil
 }
 
-// TellStreams sends records of streams to a peer.
-func (c *Client) TellStreams(ctx context.Context, address string, records []chutestream.Record, now time.Time) error {
-	errorContext := oops.In("share").With("step", "tell of streams", "peer", address)
+// AnnounceStreams sends records of streams to a peer.
+func (c *Client) AnnounceStreams(ctx context.Context, address string, records []chutestream.Record, now time.Time) error {
+	errorContext := oops.In("share").With("step", "announce streams", "peer", address)
 	conn, err := c.connTo(address)
 	if err != nil {
 		return errorContext.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, tellStreamsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, announceStreamsTimeout)
 	defer cancel()
-	request := &chutesharepb.TellStreamsRequest{}
+	request := &chutesharepb.AnnounceStreamsRequest{}
 	for _, r := range records {
 		request.Records = append(request.Records, &chutesharepb.StreamRecord{
 			Id: r.ID[:], Binding: encodeBinding(r.Binding), LeftMs: r.Until.Sub(now).Milliseconds(),
 		})
 	}
-	_, err = chutesharepb.NewShareClient(conn).TellStreams(ctx, request)
+	_, err = chutesharepb.NewShareClient(conn).AnnounceStreams(ctx, request)
 	if err != nil && ctx.Err() != nil {
 		// The peer is silent; the next call must not wait on the same connection.
 		c.closeConn(address, conn)
--- a/internal/chuteshare/streams_test.go
+++ b/internal/chuteshare/streams_test.go
@@ -25,10 +25,10 @@
 }
 
 func TestStreams(t *testing.T) {
-	t.Run("a record arrives as told, and is found", func(t *testing.T) {
+	t.Run("a record arrives as announced, and is found", func(t *testing.T) {
 		c := qt.New(t)
 		s, client := startServer(t), newClient(t)
-		c.Assert(client.TellStreams(context.Background(), s.address, []chutestream.Record{testRecord(1), testRecord(2)}, startTime), qt.IsNil)
+		c.Assert(client.AnnounceStreams(context.Background(), s.address, []chutestream.Record{testRecord(1), testRecord(2)}, startTime), qt.IsNil)
 		c.Assert(s.records, qt.HasLen, 2)
 		got, known, err := client.FindStream(context.Background(), s.address, testRecord(2).ID, startTime)
 		c.Assert(err, qt.IsNil)
@@ -51,7 +51,7 @@
 		long.Binding.Version = strings.Repeat("v", maxBindingText+1)
 		empty.Binding = chutestream.Binding{}
 		for _, records := range [][]chutestream.Record{{long}, {testRecord(3), empty}, make([]chutestream.Record, chutestream.MaxRecordsPerCall+1)} {
-			err := client.TellStreams(context.Background(), s.address, records, startTime)
+			err := client.AnnounceStreams(context.Background(), s.address, records, startTime)
 			c.Assert(status.Code(err), qt.Equals, codes.InvalidArgument)
 			c.Assert(s.records, qt.HasLen, 0)
 		}
@@ -83,9 +83,9 @@
 	return n, err
 }
 
-// TestTellStreamsBytes guards against records of streams that take more than a third of the 8 KB a second that a node
-// has for control, at 5 records a second that it tells and as many that it is told.
-func TestTellStreamsBytes(t *testing.T) {
+// TestAnnounceStreamsBytes guards against records of streams that take more than a third of the 8 KB a second that a node
+// has for control, at 5 records a second that it announces and as many that it receives.
+func TestAnnounceStreamsBytes(t *testing.T) {
 	const calls = 200
 	const callsPerSecond = 10
 	const maxBytes = (8 << 10) / 3 / callsPerSecond
@@ -98,17 +98,17 @@
 		return countingConn{Conn: conn, count: &count}, err
 	}
 	for n := range calls {
-		c.Assert(client.TellStreams(context.Background(), s.address, []chutestream.Record{testRecord(n)}, startTime), qt.IsNil)
+		c.Assert(client.AnnounceStreams(context.Background(), s.address, []chutestream.Record{testRecord(n)}, startTime), qt.IsNil)
 	}
 	bytes := count.Load() / calls
 	c.Logf("%d bytes a call in both directions, without the headers of packets", bytes)
 	c.Assert(bytes <= maxBytes, qt.IsTrue, qt.Commentf("%d bytes", bytes))
 }
 
-func BenchmarkTellStreams(b *testing.B) {
+func BenchmarkAnnounceStreams(b *testing.B) {
 	s, client := startServer(b), newClient(b)
 	for n := range b.N {
-		if err := client.TellStreams(context.Background(), s.address, []chutestream.Record{testRecord(n)}, startTime); err != nil {
+		if err := client.AnnounceStreams(context.Background(), s.address, []chutestream.Record{testRecord(n)}, startTime); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/chutestream/event.go
+++ b/internal/chutestream/event.go
@@ -30,14 +30,14 @@
 	ID ID
 }
 
-// Told reports records that another node has sent.
-type Told struct {
+// Announced reports records that another node has sent.
+type Announced struct {
 	Records []Record
 }
 
-// TellFailed reports that a node did not take the records of a Tell.
-type TellFailed struct {
-	Tell
+// AnnounceFailed reports that a node did not take the records of an Announce.
+type AnnounceFailed struct {
+	Announce
 }
 
 // AskFailed reports that a node could not be asked.
@@ -48,26 +48,26 @@
 // DrainStarted reports that this node is shutting down.
 type DrainStarted struct{}
 
-// Ticked reports that records are due to be told.
+// Ticked reports that records are due to be announced.
 type Ticked struct{}
 
-func (NodesListed) streamEvent()  {}
-func (Began) streamEvent()        {}
-func (Ended) streamEvent()        {}
-func (Broken) streamEvent()       {}
-func (Told) streamEvent()         {}
-func (TellFailed) streamEvent()   {}
-func (AskFailed) streamEvent()    {}
-func (DrainStarted) streamEvent() {}
-func (Ticked) streamEvent()       {}
+func (NodesListed) streamEvent()    {}
+func (Began) streamEvent()          {}
+func (Ended) streamEvent()          {}
+func (Broken) streamEvent()         {}
+func (Announced) streamEvent()      {}
+func (AnnounceFailed) streamEvent() {}
+func (AskFailed) streamEvent()      {}
+func (DrainStarted) streamEvent()   {}
+func (Ticked) streamEvent()         {}
 
 // Effect is an action for the node to carry out, as data.
 type Effect interface {
 	streamEffect()
 }
 
-// Tell sends records to a node.
-type Tell struct {
+// Announce sends records to a node.
+type Announce struct {
 	Node    Node
 	Records []Record
 	// Again says that another node did not take the records.
@@ -79,5 +79,5 @@
 	At time.Time
 }
 
-func (Tell) streamEffect()   {}
-func (TickAt) streamEffect() {}
+func (Announce) streamEffect() {}
+func (TickAt) streamEffect()   {}
--- a/internal/chutestream/holders.go
+++ b/internal/chutestream/holders.go
@@ -12,11 +12,11 @@
 	// maxHoldersPerZone bounds the nodes of a zone that hold records of others, and with them the connections
 	// that each node keeps for it.
 	maxHoldersPerZone = 64
-	// toldZones and askedZones are the numbers of zones besides the own one in which records are held and looked
-	// for: the zone that a node told is the first or second for the ID.
-	toldZones  = 1
-	askedZones = 2
-	// askedInZone is the number of nodes of the own zone that are asked: a node tells the best one but itself.
+	// announcedZones and askedZones are the numbers of zones besides the own one in which records are held and looked
+	// for: the zone that a node announced to is the first or second for the ID.
+	announcedZones = 1
+	askedZones     = 2
+	// askedInZone is the number of nodes of the own zone that are asked: a node announces to the best one but itself.
 	askedInZone = 2
 	// failedPause is how long a node is passed over that did not answer.
 	failedPause = 2 * time.Second
@@ -71,9 +71,9 @@
 	return h
 }
 
-// toTell returns the nodes that are to hold a record besides this one: one of its zone and one of another.
-func (h holders) toTell(id ID, now time.Time) []Node {
-	nodes := h.elsewhere(id, toldZones, now)
+// announceTo returns the nodes that are to hold a record besides this one: one of its zone and one of another.
+func (h holders) announceTo(id ID, now time.Time) []Node {
+	nodes := h.elsewhere(id, announcedZones, now)
 	if own, ok := h.bestOther(h.self.Zone, id, now); ok {
 		nodes = append(nodes, own)
 	}
--- a/internal/chutestream/sim_test.go
+++ b/internal/chutestream/sim_test.go
@@ -45,7 +45,7 @@
 	// troubled is until when take-ups may fail, because of a disruption shortly before.
 	troubled time.Time
 
-	begun, told       int
+	begun, announced  int
 	takenUp, known    int
 	calm, calmKnown   int
 	wrong             int
@@ -137,28 +137,28 @@
 	var effects []Effect
 	n.state, effects = Reduce(n.state, s.now, e)
 	stats := n.state.Stats()
-	s.told += int(stats.Told - before.Told)
+	s.announced += int(stats.Announced - before.Announced)
 	s.dropped += int(stats.Dropped - before.Dropped)
 	s.mostHeld = max(s.mostHeld, stats.Held)
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case TickAt:
 			s.after(e.At.Sub(s.now), func() { s.on(n, Ticked{}) })
-		case Tell:
+		case Announce:
 			s.after(simMessageTime, func() { s.deliver(n, e) })
 		}
 	}
 }
 
-// deliver brings a Tell to its node, or tells the sender that it failed.
-func (s *simulation) deliver(from *simNode, e Tell) {
+// deliver brings records to their node, or reports to the sender that it failed.
+func (s *simulation) deliver(from *simNode, e Announce) {
 	to := s.named(e.Node.Name)
 	if to.alive && s.reaches(from, to) {
-		s.on(to, Told{Records: e.Records})
+		s.on(to, Announced{Records: e.Records})
 
 		return
 	}
-	s.after(simMessageTime, func() { s.on(from, TellFailed{Tell: e}) })
+	s.after(simMessageTime, func() { s.on(from, AnnounceFailed{Announce: e}) })
 }
 
 func (s *simulation) named(name string) *simNode {
@@ -353,9 +353,9 @@
 				c.Assert(s.wrong, qt.Equals, 0, qt.Commentf("seed %d", seed))
 				total.add(s)
 			}
-			t.Logf("%d nodes: %d streams, %d taken up (%.3f known), %d without trouble (%.3f known); %.1f records told a node and second, %d held at most, %d dropped",
+			t.Logf("%d nodes: %d streams, %d taken up (%.3f known), %d without trouble (%.3f known); %.1f records announced a node and second, %d held at most, %d dropped",
 				size.nodes, total.begun, total.takenUp, share(total.known, total.takenUp), total.calm, share(total.calmKnown, total.calm),
-				float64(total.told)/float64(size.nodes*size.schedules)/simDuration.Seconds(), total.mostHeld, total.dropped)
+				float64(total.announced)/float64(size.nodes*size.schedules)/simDuration.Seconds(), total.mostHeld, total.dropped)
 			c.Assert(total.takenUp > 100, qt.IsTrue)
 			c.Assert(share(total.known, total.takenUp) > 0.5, qt.IsTrue)
 		})
@@ -389,7 +389,7 @@
 }
 
 func (s *simulation) add(o *simulation) {
-	s.begun, s.told, s.takenUp, s.known = s.begun+o.begun, s.told+o.told, s.takenUp+o.takenUp, s.known+o.known
+	s.begun, s.announced, s.takenUp, s.known = s.begun+o.begun, s.announced+o.announced, s.takenUp+o.takenUp, s.known+o.known
 	s.calm, s.calmKnown, s.dropped = s.calm+o.calm, s.calmKnown+o.calmKnown, s.dropped+o.dropped
 	s.mostHeld = max(s.mostHeld, o.mostHeld)
 }
--- a/internal/chutestream/state.go
+++ b/internal/chutestream/state.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// tellDelay is how long a record waits before it is told; a stream that ends sooner is never told of.
-	tellDelay = 20 * time.Millisecond
+	// announceDelay is how long a record waits before it is announced; a stream that ends sooner never is.
+	announceDelay = 20 * time.Millisecond
 	// maxRecords bounds the records that are held; the one that expires first is dropped for a further one.
 	maxRecords = 1 << 14
-	// MaxRecordsPerCall bounds the records of one Tell.
+	// MaxRecordsPerCall bounds the records of one Announce.
 	MaxRecordsPerCall = 256
-	// maxLifetime bounds how long a record is held, whatever the node says that told it.
+	// maxLifetime bounds how long a record is held, whatever the node says that announced it.
 	maxLifetime = time.Minute
 )
 
@@ -22,9 +22,9 @@
 type Stats struct {
 	// Held is the number of records now.
 	Held int
-	// Told counts records sent to other nodes, once for each, and Dropped those dropped for want of room.
-	Told    int64
-	Dropped int64
+	// Announced counts records sent to other nodes, once for each, and Dropped those dropped for want of room.
+	Announced int64
+	Dropped   int64
 }
 
 // State is all that a node knows of streams. Copies are cheap and a State is never modified.
@@ -33,19 +33,19 @@
 	records *immutable.Map[ID, Record]
 	// expiries are when the records expire.
 	expiries agenda
-	// untold are the streams that began here and that nobody was told of, with the times at which they are due.
-	untold   agenda
-	ticking  bool
-	draining bool
-	told     int64
-	dropped  int64
+	// unannounced are the streams that began here and were not announced, with the times at which they are due.
+	unannounced agenda
+	ticking     bool
+	draining    bool
+	announced   int64
+	dropped     int64
 }
 
 // NewState returns the state of a node that knows of no stream and no other node.
 func NewState(self Node) State {
 	return State{
 		holders: holders{self: self}.withNodes([]Node{self}),
-		records: immutable.NewMap[ID, Record](idHasher{}), expiries: newAgenda(), untold: newAgenda(),
+		records: immutable.NewMap[ID, Record](idHasher{}), expiries: newAgenda(), unannounced: newAgenda(),
 	}
 }
 
@@ -63,7 +63,7 @@
 
 // Stats returns the counts so far.
 func (s State) Stats() Stats {
-	return Stats{Held: s.records.Len(), Told: s.told, Dropped: s.dropped}
+	return Stats{Held: s.records.Len(), Announced: s.announced, Dropped: s.dropped}
 }
 
 // reduction is the working state of one Reduce call.
@@ -82,43 +82,43 @@
 	case Began:
 		st.began(e)
 	case Ended:
-		st.untold = st.untold.without(e.ID)
+		st.unannounced = st.unannounced.without(e.ID)
 	case Broken:
 		st.broken(e.ID)
-	case Told:
+	case Announced:
 		for _, record := range e.Records {
 			st.put(record)
 		}
-	case TellFailed:
-		st.tellFailed(e)
+	case AnnounceFailed:
+		st.announceFailed(e)
 	case AskFailed:
 		st.holders = st.holders.withFailed(e.Node.Name, st.now)
 	case DrainStarted:
 		st.drain()
 	case Ticked:
-		st.tellDue()
+		st.announceDue()
 	}
 
 	return st.State, st.effects
 }
 
-// began records a stream of this node and has others told of it after a while.
+// began records a stream of this node and announces it after a while.
 func (st *reduction) began(e Began) {
 	st.put(Record{ID: e.ID, Binding: e.Binding, Until: e.Until})
 	if st.draining {
-		st.tell([]ID{e.ID})
+		st.announce([]ID{e.ID})
 
 		return
 	}
-	st.untold = st.untold.with(e.ID, st.now.Add(tellDelay))
+	st.unannounced = st.unannounced.with(e.ID, st.now.Add(announceDelay))
 	st.tickLater()
 }
 
-// broken tells of a stream at once, unless that has been done.
+// broken announces a stream at once, unless that has been done.
 func (st *reduction) broken(id ID) {
-	if st.untold.has(id) {
-		st.untold = st.untold.without(id)
-		st.tell([]ID{id})
+	if st.unannounced.has(id) {
+		st.unannounced = st.unannounced.without(id)
+		st.announce([]ID{id})
 	}
 }
 
@@ -158,21 +158,21 @@
 	}
 }
 
-// tellDue tells of the streams whose time has come.
-func (st *reduction) tellDue() {
+// announceDue announces the streams whose time has come.
+func (st *reduction) announceDue() {
 	st.ticking = false
 	var due []ID
-	for id, at, ok := st.untold.first(); ok && !st.now.Before(at); id, at, ok = st.untold.first() {
+	for id, at, ok := st.unannounced.first(); ok && !st.now.Before(at); id, at, ok = st.unannounced.first() {
 		due = append(due, id)
-		st.untold = st.untold.without(id)
+		st.unannounced = st.unannounced.without(id)
 	}
-	st.tell(due)
+	st.announce(due)
 	st.tickLater()
 }
 
 // tickLater schedules the next Ticked event if one is needed and none is scheduled.
 func (st *reduction) tickLater() {
-	_, due, ok := st.untold.first()
+	_, due, ok := st.unannounced.first()
 	if st.ticking || !ok {
 		return
 	}
@@ -180,20 +180,20 @@
 	st.effects = append(st.effects, TickAt{At: due})
 }
 
-// tell sends the records of streams to the nodes that are to hold them.
-func (st *reduction) tell(ids []ID) {
+// announce sends the records of streams to the nodes that are to hold them.
+func (st *reduction) announce(ids []ID) {
 	batch := newBatches()
 	for _, id := range ids {
 		if record, ok := st.Find(id, st.now); ok {
-			batch.add(record, st.holders.toTell(id, st.now)...)
+			batch.add(record, st.holders.announceTo(id, st.now)...)
 		}
 	}
 	st.send(batch, false)
 }
 
-// tellFailed passes a node over and tells the next one of its zone. A record that fails there too is not told
+// announceFailed passes a node over and announces to the next one of its zone. A record that fails there too is not announced
 // again.
-func (st *reduction) tellFailed(e TellFailed) {
+func (st *reduction) announceFailed(e AnnounceFailed) {
 	st.holders = st.holders.withFailed(e.Node.Name, st.now)
 	if e.Again {
 		return
@@ -210,8 +210,8 @@
 func (st *reduction) send(b *batches, again bool) {
 	for _, node := range b.nodes {
 		for records := range slices.Chunk(b.byNode[node.Name], MaxRecordsPerCall) {
-			st.effects = append(st.effects, Tell{Node: node, Records: records, Again: again})
-			st.told += int64(len(records))
+			st.effects = append(st.effects, Announce{Node: node, Records: records, Again: again})
+			st.announced += int64(len(records))
 		}
 	}
 }
@@ -238,11 +238,11 @@
 // drain hands the records over to the nodes that hold them without this one.
 func (st *reduction) drain() {
 	st.draining = true
-	st.untold = newAgenda()
+	st.unannounced = newAgenda()
 	var ids []ID
 	for i := st.records.Iterator(); !i.Done(); {
 		id, _, _ := i.Next()
 		ids = append(ids, id)
 	}
-	st.tell(ids)
+	st.announce(ids)
 }
--- a/internal/chutestream/state_test.go
+++ b/internal/chutestream/state_test.go
@@ -94,7 +94,7 @@
 
 	t.Run("a node that woke up with old records finds none", func(t *testing.T) {
 		n := newNode(t, 8)
-		n.on(Told{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v1"}, Until: n.now.Add(time.Hour)}}})
+		n.on(Announced{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v1"}, Until: n.now.Add(time.Hour)}}})
 		n.expectFound(id, true)
 		n.now = n.now.Add(maxLifetime)
 		n.expectFound(id, false)
@@ -103,7 +103,7 @@
 	t.Run("an ID under which two versions began is not found", func(t *testing.T) {
 		n := newNode(t, 8)
 		n.begin(id)
-		n.on(Told{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v2"}, Until: n.now.Add(time.Second)}}})
+		n.on(Announced{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v2"}, Until: n.now.Add(time.Second)}}})
 		n.expectFound(id, false)
 		n.begin(id)
 		n.expectFound(id, false)
@@ -129,10 +129,11 @@
 	})
 }
 
-func TestTell(t *testing.T) {
+// TestAnnounce guards against streams that no other node knows of, and against records that nobody needs.
+func TestAnnounce(t *testing.T) {
 	id := NewID("w", "p", "r")
 
-	t.Run("a stream that goes on is told of in two zones", func(t *testing.T) {
+	t.Run("a stream that goes on is announced in two zones", func(t *testing.T) {
 		n := newNode(t, 9)
 		n.begin(id)
 		tick := takeAll[TickAt](n)
@@ -140,54 +141,54 @@
 		n.now = tick[0].At
 		n.on(Ticked{})
 		zones := map[string]bool{}
-		for _, tell := range takeAll[Tell](n) {
-			n.Assert(tell.Node.Name, qt.Not(qt.Equals), "n0")
-			n.Assert(tell.Records, qt.HasLen, 1)
-			zones[tell.Node.Zone] = true
+		for _, announced := range takeAll[Announce](n) {
+			n.Assert(announced.Node.Name, qt.Not(qt.Equals), "n0")
+			n.Assert(announced.Records, qt.HasLen, 1)
+			zones[announced.Node.Zone] = true
 		}
 		n.Assert(zones, qt.HasLen, 2)
 	})
 
-	t.Run("a stream that has ended by then is not told of", func(t *testing.T) {
+	t.Run("a stream that has ended by then is not announced", func(t *testing.T) {
 		n := newNode(t, 9)
 		n.begin(id)
 		n.on(Ended{ID: id})
-		n.now = n.now.Add(tellDelay)
+		n.now = n.now.Add(announceDelay)
 		n.on(Ticked{})
-		n.Assert(takeAll[Tell](n), qt.HasLen, 0)
+		n.Assert(takeAll[Announce](n), qt.HasLen, 0)
 	})
 
-	t.Run("a stream that breaks is told of at once", func(t *testing.T) {
+	t.Run("a stream that breaks is announced at once", func(t *testing.T) {
 		n := newNode(t, 9)
 		n.begin(id)
 		n.on(Broken{ID: id})
-		n.Assert(takeAll[Tell](n), qt.HasLen, 2)
+		n.Assert(takeAll[Announce](n), qt.HasLen, 2)
 	})
 
-	t.Run("streams that begin together are told of together", func(t *testing.T) {
+	t.Run("streams that begin together are announced together", func(t *testing.T) {
 		n := newNode(t, 2)
 		for i := range 100 {
 			n.begin(NewID("w", "p", fmt.Sprint(i)))
 		}
-		n.now = n.now.Add(tellDelay)
+		n.now = n.now.Add(announceDelay)
 		n.on(Ticked{})
-		tells := takeAll[Tell](n)
-		n.Assert(tells, qt.HasLen, 1)
-		n.Assert(tells[0].Records, qt.HasLen, 100)
+		announced := takeAll[Announce](n)
+		n.Assert(announced, qt.HasLen, 1)
+		n.Assert(announced[0].Records, qt.HasLen, 100)
 	})
 
-	t.Run("in place of a node that takes no records the next of its zone is told, once", func(t *testing.T) {
+	t.Run("in place of a node that takes no records the next of its zone gets them, once", func(t *testing.T) {
 		n := newNode(t, 9)
 		n.begin(id)
 		n.on(Broken{ID: id})
-		failed := takeAll[Tell](n)[0]
-		n.on(TellFailed{Tell: failed})
-		again := takeAll[Tell](n)
+		failed := takeAll[Announce](n)[0]
+		n.on(AnnounceFailed{Announce: failed})
+		again := takeAll[Announce](n)
 		n.Assert(again, qt.HasLen, 1)
 		n.Assert(again[0].Node.Zone, qt.Equals, failed.Node.Zone)
 		n.Assert(again[0].Node.Name, qt.Not(qt.Equals), failed.Node.Name)
-		n.on(TellFailed{Tell: again[0]})
-		n.Assert(takeAll[Tell](n), qt.HasLen, 0)
+		n.on(AnnounceFailed{Announce: again[0]})
+		n.Assert(takeAll[Announce](n), qt.HasLen, 0)
 	})
 
 	t.Run("a node that could not be asked is passed over for a while", func(t *testing.T) {
@@ -201,15 +202,15 @@
 
 	t.Run("a node that shuts down hands its records over", func(t *testing.T) {
 		n := newNode(t, 9)
-		n.on(Told{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v1"}, Until: n.now.Add(time.Second)}}})
+		n.on(Announced{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v1"}, Until: n.now.Add(time.Second)}}})
 		n.on(DrainStarted{})
-		n.Assert(takeAll[Tell](n), qt.HasLen, 2)
+		n.Assert(takeAll[Announce](n), qt.HasLen, 2)
 		n.begin(NewID("w", "p", "later"))
-		n.Assert(takeAll[Tell](n), qt.HasLen, 2)
+		n.Assert(takeAll[Announce](n), qt.HasLen, 2)
 	})
 }
 
-// TestHolders guards against a stream that is taken up at a node which asks none of those that were told.
+// TestHolders guards against a stream that is taken up at a node which asks none of those that have its record.
 func TestHolders(t *testing.T) {
 	for _, size := range []struct{ nodes, zones int }{{1, 1}, {2, 1}, {8, 3}, {9, 3}, {36, 4}, {195, 3}, {985, 5}} {
 		t.Run(fmt.Sprintf("%d nodes in %d zones", size.nodes, size.zones), func(t *testing.T) {
@@ -222,12 +223,12 @@
 			for i := range 300 {
 				id := NewID("w", "p", fmt.Sprint(i))
 				from, to := views[i*7%len(views)], views[i*13%len(views)]
-				told := append(from.toTell(id, start), from.self)
+				known := append(from.announceTo(id, start), from.self)
 				asked := append(to.toAsk(id, start), to.self)
-				c.Assert(len(told) <= 2+toldZones, qt.IsTrue)
+				c.Assert(len(known) <= 2+announcedZones, qt.IsTrue)
 				c.Assert(len(asked) <= 1+askedInZone+askedZones, qt.IsTrue)
-				isTold := func(n Node) bool { return slices.Contains(told, n) }
-				c.Assert(slices.ContainsFunc(asked, isTold), qt.IsTrue, qt.Commentf("%s tells %v, %s asks %v", from.self.Name, told, to.self.Name, asked))
+				isKnown := func(n Node) bool { return slices.Contains(known, n) }
+				c.Assert(slices.ContainsFunc(asked, isKnown), qt.IsTrue, qt.Commentf("%s announces to %v, %s asks %v", from.self.Name, known, to.self.Name, asked))
 			}
 		})
 	}
