--- a/internal/chuteshare/streams_test.go
+++ b/internal/chuteshare/streams_test.go
@@ -24,6 +24,7 @@
 	}
 }
 
+// TestStreams guards against records of streams that change on their way, and against invalid ones that are taken.
 func TestStreams(t *testing.T) {
 	t.Run("a record arrives as announced, and is found", func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/chutestream/state_test.go
+++ b/internal/chutestream/state_test.go
@@ -68,6 +68,7 @@
 	n.Assert(ok, qt.Equals, found)
 }
 
+// TestNewID guards against a caller that takes up the stream of another workspace or pipeline.
 func TestNewID(t *testing.T) {
 	c := qt.New(t)
 	c.Assert(NewID("w", "p", "r"), qt.Equals, NewID("w", "p", "r"))
@@ -76,6 +77,8 @@
 	c.Assert(NewID("w", "pr", ""), qt.Not(qt.Equals), NewID("w", "p", "r"))
 }
 
+// TestRecords guards against a record that outlives its time or the room for records, or that is found although
+// it is ambiguous.
 func TestRecords(t *testing.T) {
 	id := NewID("w", "p", "r")
 
