Name the parts of prompts in the log where a request is admitted and at crashes

Cause: no log line told whether the requests under which upstreams ended share a part of their prompts, nor whether one with that part was ever answered, so that the incident's first two hypotheses could not be told apart.

`admitted` and `upstream ended under requests` name up to 24 of them. Nothing is decided by them.

Cost: up to 24 ids a line, some 10 bytes each; none where a prompt has a single part.

--- a/internal/chutegate/forward.go
+++ b/internal/chutegate/forward.go
@@ -24,7 +24,7 @@
 	now := n.Now()
 	answer, err := n.peers.Forward(ctx, s.Peer.Address, chuteshare.ForwardRequest{
 		ID: in.ID, Host: in.Host, Method: in.Method, URI: in.URI, Path: in.Path, Header: in.Header, Body: in.Body, Key: in.Key,
-		Wait: in.Wait, LastEventID: a.request.lastEventID, Affinity: in.Affinity, PromptTokens: in.PromptTokens, Parts: in.Parts,
+		Wait: in.Wait, LastEventID: a.request.lastEventID, Affinity: in.Affinity, PromptTokens: in.PromptTokens, PromptParts: in.PromptParts, Parts: in.Parts,
 		PartKey: in.PartKey, Left: s.Deadline.Sub(now), Waited: now.Sub(s.ArrivedAt), PossibleRuns: s.PossibleRuns,
 		ConfigVersion: version, Node: n.settings.Self.Name, Counted: s.Counted,
 		Binding: a.request.binding,
@@ -66,7 +66,7 @@
 	}
 	in := &IncomingRequest{
 		ID: f.ID, Host: f.Host, Method: f.Method, URI: f.URI, Path: f.Path, Header: f.Header, Body: f.Body, Key: f.Key, Wait: f.Wait,
-		LastEventID: f.LastEventID, Affinity: f.Affinity, PromptTokens: f.PromptTokens, Parts: f.Parts, PartKey: f.PartKey,
+		LastEventID: f.LastEventID, Affinity: f.Affinity, PromptTokens: f.PromptTokens, PromptParts: f.PromptParts, Parts: f.Parts, PartKey: f.PartKey,
 	}
 	submission, refusal := n.submit(in)
 	if refusal != nil {
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -43,6 +43,8 @@
 	// Affinity identifies the part of the prompt that other requests share.
 	Affinity     string
 	PromptTokens int64
+	// PromptParts are the ids of the parts of the prompt that other prompts may share, each once.
+	PromptParts []string
 	// Parts is the number of parts of each stage. PartKey is the input of the first stage.
 	Parts   []int
 	PartKey string
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -38,6 +38,8 @@
 	// gossipRetryFanout is the number of peers that reports are sent to after each failed write to
 	// the store, some 3 KB a second.
 	gossipRetryFanout = 4
+	// maxLoggedParts is the number of parts of prompts that one log line names.
+	maxLoggedParts = 24
 	// quarantineReadInterval is the minimum time between two reads of the quarantine table.
 	quarantineReadInterval = 100 * time.Millisecond
 	// purgeInterval is the time between two searches for old rows. maxQuarantineRows is the number
@@ -90,14 +92,24 @@
 func (n *Node) logCrash(e chuterelay.LogCrash) {
 	suspects := make([]string, 0, len(e.Crash.Suspects))
 	survived := make([]int, 0, len(e.Crash.Suspects))
+	var parts []string
 	for _, s := range e.Crash.Suspects {
 		suspects = append(suspects, s.Fingerprint)
 		survived = append(survived, s.Survived)
+		parts = append(parts, s.Parts...)
 	}
+	slices.Sort(parts)
+	parts = slices.Compact(parts)
 	n.log.Warn().Str("Upstream", e.Crash.Upstream).Str("Pool", e.Crash.Pool).Strs("Suspects", suspects).Ints("Survived", survived).
+		Strs("PromptParts", partsForLog(parts)).
 		Str("Evidence", e.Evidence).Msg("upstream ended under requests")
 }
 
+// partsForLog returns the first parts of prompts, as many as one log line names.
+func partsForLog(parts []string) []string {
+	return parts[:min(len(parts), maxLoggedParts)]
+}
+
 // queueReport queues a crash, a judgement or a limit for the other nodes and for the store.
 //
 // The store keeps it for nodes that start later; gossip also works without the store.
--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -31,6 +31,8 @@
 	Fingerprint string
 	Workspace   string
 	Pipeline    string
+	// Parts are the ids of the parts of its prompt that other prompts may share.
+	Parts []string `json:",omitempty"`
 	// Survived is the number of its calls of the last SurvivalWindow, at the node that reports the crash, after
 	// which the upstream's process went on.
 	Survived int `json:",omitempty"`
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -66,7 +66,7 @@
 	}
 	st.putRequest(r)
 	st.logStep(StepAdmitted, r, func(n *LogStep) {
-		n.Fingerprint = r.Fingerprint
+		n.Fingerprint, n.PromptParts = r.Fingerprint, r.PromptParts
 		n.Zone, n.Waited, n.Aim, n.Evacuated = r.zone, r.waitedBefore, r.targetAt.Sub(st.now), st.fleet.EvacuatedZones()
 	})
 	st.emit(SetDeadline{Handle: r.Handle, At: r.Deadline})
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -30,6 +30,8 @@
 	// none.
 	Affinity     string
 	PromptTokens int64
+	// PromptParts are the ids of the parts of the prompt that other prompts may share, each once.
+	PromptParts []string
 	// Parts is the number of parts of each stage; a stage with 0 parts is skipped.
 	Parts []int
 	// PartKey identifies the input of the first stages.
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -38,7 +38,7 @@
 
 // suspect identifies the request to other nodes.
 func (r request) suspect() chutequarantine.Suspect {
-	return chutequarantine.Suspect{Fingerprint: r.Fingerprint, Workspace: r.Workspace.Name, Pipeline: r.Pipeline.Name}
+	return chutequarantine.Suspect{Fingerprint: r.Fingerprint, Workspace: r.Workspace.Name, Pipeline: r.Pipeline.Name, Parts: r.PromptParts}
 }
 
 // callSuspects identifies the requests whose parts are in a call.
--- a/internal/chuteshare/forward.go
+++ b/internal/chuteshare/forward.go
@@ -43,6 +43,7 @@
 	LastEventID  int
 	Affinity     string
 	PromptTokens int64
+	PromptParts  []string
 	Parts        []int
 	PartKey      string
 	// Left is the time until the request's deadline, Waited the time since it arrived.
--- a/internal/chuteshare/forwardwire.go
+++ b/internal/chuteshare/forwardwire.go
@@ -11,7 +11,7 @@
 func encodeForward(r ForwardRequest) *chutesharepb.ForwardRequest {
 	message := &chutesharepb.ForwardRequest{
 		Id: r.ID, Host: r.Host, Method: r.Method, Uri: r.URI, Path: r.Path, Header: encodeHeader(r.Header), Body: r.Body, Key: r.Key,
-		WaitMs: r.Wait.Milliseconds(), LastEvent: int64(r.LastEventID) + 1, Affinity: r.Affinity, PromptTokens: r.PromptTokens, PartKey: r.PartKey,
+		WaitMs: r.Wait.Milliseconds(), LastEvent: int64(r.LastEventID) + 1, Affinity: r.Affinity, PromptTokens: r.PromptTokens, PromptParts: r.PromptParts, PartKey: r.PartKey,
 		LeftMs: r.Left.Milliseconds(), WaitedMs: r.Waited.Milliseconds(), PossibleRuns: int32(r.PossibleRuns), //nolint:gosec // a few
 		ConfigVersion: r.ConfigVersion, Node: r.Node, Counted: r.Counted, Binding: encodeBinding(r.Binding),
 	}
@@ -27,7 +27,7 @@
 	r := ForwardRequest{
 		ID: message.GetId(), Host: message.GetHost(), Method: message.GetMethod(), URI: message.GetUri(), Path: message.GetPath(),
 		Header: decodeHeader(message.GetHeader()), Body: message.GetBody(), Key: message.GetKey(), Wait: milliseconds(message.GetWaitMs()),
-		LastEventID: int(message.GetLastEvent()) - 1, Affinity: message.GetAffinity(), PromptTokens: message.GetPromptTokens(), PartKey: message.GetPartKey(),
+		LastEventID: int(message.GetLastEvent()) - 1, Affinity: message.GetAffinity(), PromptTokens: message.GetPromptTokens(), PromptParts: message.GetPromptParts(), PartKey: message.GetPartKey(),
 		Left: milliseconds(message.GetLeftMs()), Waited: milliseconds(message.GetWaitedMs()), PossibleRuns: int(max(0, message.GetPossibleRuns())),
 		ConfigVersion: message.GetConfigVersion(), Node: message.GetNode(), Counted: message.GetCounted(),
 	}
