Quarantine parts of prompts that crash upstreams, whatever requests they are in

Each of them was answered 502, and sound calls at the same engines broke off with them.

Cause: crashes were put down to whole requests only. A suspect was the fingerprint of workspace, path and body, so that requests which share what crashes an engine, and nothing else, were each at one crash, and none ever at the three that a quarantine takes. The class: a cause is looked for among identities finer than itself.

Change: what crashes are put down to is an element: a request or a part of prompts, in the one reducer that there was. A crash's suspects carry their parts. A part is quarantined after three crashes, like a request; what was answered tells a part that many prompts share from one that crashes: nodes remember answered parts for five minutes at least and report them with the crash, and an answer clears a part at all nodes once it is close to a verdict. Where nothing tells parts apart, because they were always together, the verdict is on requests with all of them; one more crash narrows it. A verdict from one workspace or one pool holds there only, a further crash in another one makes it hold for all.

Why it works: the part is the only element that is at all of its crashes and was never answered.

--- a/internal/chutegate/fingerprint.go
+++ b/internal/chutegate/fingerprint.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"azurechute.example/azurechute/internal/chutequarantine"
 )
 
 // fingerprintBytes is the length of a fingerprint in bytes. With half of a SHA-256 nobody can
@@ -25,3 +27,16 @@
 
 	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
+
+// promptElements returns the elements that crashes are put down to of the parts of a prompt.
+func promptElements(parts []string) []string {
+	if len(parts) == 0 {
+		return nil
+	}
+	elements := make([]string, 0, len(parts))
+	for _, id := range parts {
+		elements = append(elements, chutequarantine.PartElement(id))
+	}
+
+	return elements
+}
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -282,7 +282,7 @@
 		line = line.Int64("AimMs", e.Aim.Milliseconds())
 	}
 	for _, field := range []struct{ name, value string }{
-		{"Fingerprint", e.Fingerprint}, {"Workspace", workspaceForLog(e)}, {"Upstream", e.Upstream}, {"UpstreamVersion", e.UpstreamVersion}, {"Peer", e.Peer}, {"At", e.Zone}, {"Reason", e.Reason},
+		{"Fingerprint", e.Fingerprint}, {"Workspace", workspaceForLog(e)}, {"Upstream", e.Upstream}, {"UpstreamVersion", e.UpstreamVersion}, {"Peer", e.Peer}, {"At", e.Zone}, {"Reason", e.Reason}, {"Verdict", e.Verdict},
 	} {
 		if field.value != "" {
 			line = line.Str(field.name, field.value)
--- a/internal/chutegate/quarantine.go
+++ b/internal/chutegate/quarantine.go
@@ -78,9 +78,7 @@
 		n.upstreamCrashes.Add(1)
 		n.logCrash(e)
 	case chuterelay.LogJudgement:
-		n.log.Warn().Str("Fingerprint", e.Judgement.Fingerprint).Str("Workspace", e.Judgement.Workspace).
-			Str("Pipeline", e.Judgement.Pipeline).Str("Verdict", string(e.Judgement.Verdict)).
-			Strs("Upstreams", e.Judgement.Upstreams).Bool("Heard", e.Announced).Msg("request judged")
+		n.logJudgement(e)
 	case chuterelay.JudgeAt:
 		n.sendEventAt(e.At, chuterelay.JudgeDue{})
 	default:
@@ -88,6 +86,20 @@
 	}
 }
 
+// logJudgement logs a judgement with its evidence. A part that a verdict is on is among the elements.
+func (n *Node) logJudgement(e chuterelay.LogJudgement) {
+	j := e.Judgement
+	line := n.log.Warn().Str("Fingerprint", j.Fingerprint).Str("Workspace", j.Workspace).Str("Pipeline", j.Pipeline).
+		Str("Verdict", string(j.Verdict)).Strs("Upstreams", j.Upstreams[:min(len(j.Upstreams), maxLoggedParts)]).Int("Crashes", len(j.Upstreams))
+	if len(j.Elements) > 0 {
+		line = line.Strs("Elements", partsForLog(j.Elements)).Strs("Workspaces", j.Workspaces).Strs("Pools", j.Pools)
+	}
+	if e.Since > 0 {
+		line = line.Int64("SinceMs", e.Since.Milliseconds()).Int("SurvivedCrashes", e.Survived)
+	}
+	line.Bool("Heard", e.Announced).Msg("request judged")
+}
+
 // logCrash logs one line for each upstream that ended, and one for further suspects of that crash.
 func (n *Node) logCrash(e chuterelay.LogCrash) {
 	suspects := make([]string, 0, len(e.Crash.Suspects))
--- a/internal/chutequarantine/bench_test.go
+++ b/internal/chutequarantine/bench_test.go
@@ -60,3 +60,72 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB/full")
 	runtime.KeepAlive(q)
 }
+
+// quarantineOfEngines returns a quarantine after crashes of engines with 64 running requests each, whose prompts have
+// twenty parts, half of which come once, and with a hundred verdicts on parts.
+func quarantineOfEngines(crashes int) (Quarantine, Suspect) {
+	h := &harness{q: New(), now: start}
+	var last Suspect
+	for range crashes {
+		var requests []Suspect
+		for n := range 64 {
+			var parts []string
+			for i := range 10 {
+				parts = append(parts, fmt.Sprintf("%08x", i+n%4), fmt.Sprintf("%08x", 1000*h.requestCount+1000+i))
+			}
+			last = h.request("team", parts...)
+			requests = append(requests, last)
+		}
+		h.crashUnderRequests("engines", requests...)
+		h.advance(time.Second)
+	}
+	for i := range 100 {
+		part := PartElement(fmt.Sprint("bad", i))
+		h.q, _ = h.q.WithJudgement(Judgement{
+			Suspect: Suspect{Fingerprint: part}, Verdict: VerdictQuarantined, Elements: []string{part}, Upstreams: []string{"a", "b", "c"},
+		}, h.now)
+	}
+
+	return h.q, last
+}
+
+func BenchmarkVerdictOn(b *testing.B) {
+	q, s := quarantineOfEngines(1)
+	b.ReportMetric(float64(len(s.Parts)), "parts")
+	for b.Loop() {
+		q.VerdictOn(s, "engines")
+	}
+}
+
+func BenchmarkWithAnswer(b *testing.B) {
+	q, s := quarantineOfEngines(1)
+	for b.Loop() {
+		q, _ = q.WithAnswer(s, "engines", start)
+	}
+}
+
+func BenchmarkJudgeEngines(b *testing.B) {
+	q, _ := quarantineOfEngines(30)
+	crash := q.KnownCrash("u30")
+	crash.Upstream = "u31"
+	q, _ = q.WithCrash(crash, true, start.Add(time.Hour))
+	for b.Loop() {
+		q.Judge(start.Add(time.Hour + time.Minute))
+	}
+}
+
+func BenchmarkPartSizes(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	q, _ := quarantineOfEngines(maxParts / maxCrashParts)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	crash, _ := json.Marshal(q.KnownCrash("u9"))
+	for b.Loop() {
+		_ = q
+	}
+	b.ReportMetric(float64(len(crash)), "B/crash-row")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB/full")
+	runtime.KeepAlive(q)
+}
--- a/internal/chutequarantine/evidence.go
+++ b/internal/chutequarantine/evidence.go
@@ -1,32 +1,36 @@
 package chutequarantine
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 )
 
-// candidate is the evidence against a request that has enough crashes.
+// candidate is the evidence against an element that has enough crashes.
 type candidate struct {
-	fingerprint string
-	upstreams   []string
-	weight      int
+	element   string
+	upstreams []string
+	weight    int
 	// survived is the highest number of calls that upstreams had survived at one of the crashes.
 	survived int
 }
 
-// weightAgainst returns the number of crashes that the ends of the given upstreams count for against a request.
-func (q Quarantine) weightAgainst(fingerprint string, upstreams []string, incidents map[string]*incident) int {
-	certain, doubtful := q.splitEvidence(fingerprint, upstreams)
+// weightAgainst returns the number of crashes that the ends of the given upstreams count for against an element.
+func (q Quarantine) weightAgainst(element string, upstreams []string, incidents map[string]*incident) int {
+	certain, doubtful := q.splitEvidence(element, upstreams)
+	maxWeight := maxIncidentWeight
+	if isPart(element) {
+		maxWeight = minCrashes
+		// While a pool answers nothing, nothing tells the cause from a part that all requests share.
+		doubtful = slices.DeleteFunc(doubtful, func(u string) bool { return !q.servesSince(u) })
+	}
 
-	return evidenceWeight(certain, incidents) + evidenceWeight(doubtful, incidents)/doubtfulCrashes
+	return evidenceWeight(certain, incidents, maxWeight) + evidenceWeight(doubtful, incidents, maxIncidentWeight)/doubtfulCrashes
 }
 
-// splitEvidence returns the upstreams whose crashes are certain evidence against a request, and the others.
-func (q Quarantine) splitEvidence(fingerprint string, upstreams []string) (certain, doubtful []string) {
+// splitEvidence returns the upstreams whose crashes are certain evidence against an element, and the others.
+func (q Quarantine) splitEvidence(element string, upstreams []string) (certain, doubtful []string) {
 	for _, u := range upstreams {
-		if q.isDoubtful(u, fingerprint) {
+		if q.isDoubtful(u, element) {
 			doubtful = append(doubtful, u)
 		} else {
 			certain = append(certain, u)
@@ -36,25 +40,23 @@
 	return certain, doubtful
 }
 
-// isDoubtful reports whether a request may have been running at a crash by chance: it is frequent, and another
-// suspect is far less so.
-func (q Quarantine) isDoubtful(upstream, fingerprint string) bool {
+// isDoubtful reports whether an element may have been running at a crash by chance: it is a request that is frequent
+// while another suspect is far less so, or a part that upstreams have answered before.
+func (q Quarantine) isDoubtful(upstream, element string) bool {
 	c, _ := q.crashes.Get(upstream)
-	survived, least := 0, math.MaxInt
-	for _, s := range c.Suspects {
-		if s.Fingerprint == fingerprint {
-			survived = s.Survived
-		} else {
-			least = min(least, s.Survived)
-		}
+	survived := c.survived(element)
+	if isPart(element) || survived < minFrequentCalls {
+		return isPart(element) && survived > 0
 	}
 
-	return survived >= minFrequentCalls && least <= survived/frequentFactor
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool {
+		return s.Fingerprint != element && s.Survived <= survived/frequentFactor
+	})
 }
 
-// evidenceWeight returns the number of crashes that the ends of the given upstreams count for: one
-// for each incident, or up to maxIncidentWeight if they are all crashes of the incident.
-func evidenceWeight(upstreams []string, incidents map[string]*incident) int {
+// evidenceWeight returns the number of crashes that the ends of the given upstreams count for: one for each incident,
+// or more if they are all crashes of the incident.
+func evidenceWeight(upstreams []string, incidents map[string]*incident, maxWeight int) int {
 	crashes := map[*incident]int{}
 	for _, u := range upstreams {
 		if inc, ok := incidents[u]; ok {
@@ -63,51 +65,71 @@
 	}
 	sum := 0
 	for inc, n := range crashes {
-		if n < inc.crashes {
-			n = 1
+		switch {
+		case n < inc.crashes:
+			sum++
+		case n < massCrashes:
+			sum += min(n, maxIncidentWeight)
+		default:
+			sum += min(n, maxWeight)
 		}
-		sum += min(n, maxIncidentWeight)
 	}
 
 	return sum
 }
 
-// mostSurvived returns the highest number of calls of a request that upstreams had survived at one of the crashes.
-func (q Quarantine) mostSurvived(fingerprint string, upstreams []string) int {
+// mostSurvived returns the highest number of calls of an element that upstreams had survived at one of the crashes.
+func (q Quarantine) mostSurvived(element string, upstreams []string) int {
 	most := 0
 	for _, u := range upstreams {
 		c, _ := q.crashes.Get(u)
-		most = max(most, c.survived(fingerprint))
+		most = max(most, c.survived(element))
 	}
 
 	return most
 }
 
-// commonSuspects returns the requests that can't be told apart from a candidate: they were running at the same
-// crashes, as far as all of these still count against them, and are frequent at the same ones. They are sorted by
-// fingerprint.
-func (q Quarantine) commonSuspects(a candidate) []Suspect {
+// commonElements returns the elements that have the same evidence against them as a candidate: the same crashes, as far
+// as all of these still count, which are doubtful evidence against both or neither. They are sorted.
+func (q Quarantine) commonElements(a candidate) []string {
 	first, _ := q.crashes.Get(a.upstreams[0])
-	var all []Suspect
-	for _, s := range first.Suspects {
-		evidence := q.EvidenceAgainst(s.Fingerprint)
-		differs := func(u string) bool {
-			return !slices.Contains(evidence, u) || q.isDoubtful(u, s.Fingerprint) != q.isDoubtful(u, a.fingerprint)
+	var all []string
+	for _, e := range first.elements() {
+		known, _ := q.upstreamsBySuspect.Get(e)
+		if !containsAll(known, a.upstreams) {
+			continue
 		}
-		if !slices.ContainsFunc(a.upstreams, differs) {
-			s.Survived = 0
-			all = append(all, s)
+		evidence := q.evidenceFor(e)
+		differs := func(u string) bool { return q.isDoubtful(u, e) != q.isDoubtful(u, a.element) }
+		if containsAll(evidence, a.upstreams) && !slices.ContainsFunc(a.upstreams, differs) {
+			all = append(all, e)
 		}
 	}
-	slices.SortFunc(all, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.Sort(all)
 
 	return all
 }
 
+func containsAll(list, items []string) bool {
+	return !slices.ContainsFunc(items, func(item string) bool { return !slices.Contains(list, item) })
+}
+
+// companions returns those of some elements that every suspect of the crashes has which has the candidate. Nothing shows
+// which of them is the cause.
+func (q Quarantine) companions(a candidate, elements []string) []string {
+	return slices.DeleteFunc(slices.Clone(elements), func(e string) bool {
+		return slices.ContainsFunc(a.upstreams, func(u string) bool {
+			c, _ := q.crashes.Get(u)
+
+			return slices.ContainsFunc(c.suspectsWith(a.element), func(s Suspect) bool { return !s.has(e) })
+		})
+	})
+}
+
 // mayLackReports reports whether a candidate with few crashes is likely innocent, so that reports which show it may
 // be late.
-func (q Quarantine) mayLackReports(a candidate) bool {
-	return len(a.upstreams) < minCrashesOfPair && (a.survived >= minFrequentCalls || q.hasRival(a.fingerprint, a.upstreams, 1))
+func (q Quarantine) mayLackReports(a candidate, companions []string) bool {
+	return len(a.upstreams) < minCrashesOfPair && (a.survived >= minFrequentCalls || q.hasRival(a.element, companions, a.upstreams, 1))
 }
 
 // allReportedAt returns when all reports on the crashes of a candidate count as known.
@@ -122,16 +144,20 @@
 	return last.Add(lateReportDelay)
 }
 
-// hasRival reports whether another request, of which upstreams have survived fewer calls, was running at the crashes of
-// a request, but for at most missing of them.
-func (q Quarantine) hasRival(fingerprint string, upstreams []string, missing int) bool {
+// hasRival reports whether something else, of which upstreams have survived fewer calls, was running at the crashes of
+// an element, but for at most missing of them. Its companions are no rivals.
+func (q Quarantine) hasRival(element string, companions, upstreams []string, missing int) bool {
 	crashes := map[string]int{}
 	for _, u := range upstreams {
 		c, _ := q.crashes.Get(u)
-		for _, s := range c.Suspects {
-			void, _ := q.voidEvidence.Get(s.Fingerprint)
-			if s.Survived < c.survived(fingerprint) && !slices.Contains(void, u) {
-				crashes[s.Fingerprint]++
+		survived := c.survived(element)
+		if survived == 0 {
+			continue
+		}
+		for _, e := range c.elements() {
+			void, _ := q.voidEvidence.Get(e)
+			if c.survived(e) < survived && !slices.Contains(companions, e) && !slices.Contains(void, u) {
+				crashes[e]++
 			}
 		}
 	}
@@ -143,3 +169,22 @@
 
 	return false
 }
+
+// Evidence returns when this node first heard of a crash that is evidence of a judgement, zero if it has heard of none, and
+// at how many of the crashes upstreams had survived what the judgement is on.
+func (q Quarantine) Evidence(j Judgement) (since time.Time, survived int) {
+	for _, u := range j.Upstreams {
+		c, ok := q.crashes.Get(u)
+		if !ok {
+			continue
+		}
+		if since.IsZero() || c.reportedAt.Before(since) {
+			since = c.reportedAt
+		}
+		if slices.ContainsFunc(j.judgedElements(), func(e string) bool { return c.survived(e) > 0 }) {
+			survived++
+		}
+	}
+
+	return since, survived
+}
--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -26,6 +26,12 @@
 	minFrequentCalls = 8
 	frequentFactor   = 4
 	doubtfulCrashes  = 4
+	// massCrashes is the number of crashes from which on an incident is enough to quarantine a part of prompts, if
+	// requests with it were running at all of them: none of them had begun to be answered, as some of a part that is
+	// in so many requests would have been.
+	massCrashes = 5
+	// watchWeight is the weight of the evidence from which on an answer to a part clears it at all nodes.
+	watchWeight = minCrashes - 1
 	// SurvivalWindow is the time for which calls that upstreams survive are counted.
 	SurvivalWindow = 10 * time.Second
 	// lateReportDelay is how long after its last crash a request with minCrashes is not judged yet if it is likely
@@ -43,10 +49,10 @@
 	return q.judgeAt
 }
 
-// Judge quarantines the requests that are found to cause crashes, and returns the judgements on
-// them. observed holds the fingerprints of those for which this node observed a crash itself.
+// Judge quarantines the requests and parts of prompts that are found to cause crashes, and returns the judgements on
+// them. observed holds the keys of those for which this node observed a crash itself.
 //
-// The request with the most crashes is quarantined first, and among those the one of which upstreams have
+// The element with the most crashes is quarantined first, and among those the one of which upstreams have
 // survived the fewest calls. Its crashes no longer count against others.
 func (q Quarantine) Judge(now time.Time) (judged Quarantine, judgements []Judgement, observed map[string]bool) {
 	if q.judgeAt.IsZero() || now.Before(q.judgeAt) {
@@ -55,7 +61,8 @@
 	observed = map[string]bool{}
 	var incidents map[string]*incident
 	incidents, q.judgeAt = q.incidents(now)
-	suspects := q.frequentSuspects()
+	q = q.withWatchedSuspects(incidents)
+	suspects := q.frequentSuspects(minCrashes)
 	for {
 		next, postponed := q.nextJudgements(suspects, incidents, now)
 		if len(next) == 0 {
@@ -78,7 +85,7 @@
 	q.newSuspects = q.suspectsJudgedSince(q.judgeAt)
 	for _, p := range postponed {
 		q = q.withJudgeAt(q.allReportedAt(p))
-		q.newSuspects = append(q.newSuspects, p.fingerprint)
+		q.newSuspects = append(q.newSuspects, p.element)
 	}
 
 	return q
@@ -127,39 +134,37 @@
 	return byUpstream, time.Time{}
 }
 
-// nextJudgements returns judgements on the request with the most crashes and on those that can't be
-// told apart from it; none if no request has enough crashes. A request that can't be told apart from
-// another one needs minCrashesOfPair. The requests that are not judged yet because of lateReportDelay are
+// nextJudgements returns judgements on the element with the most crashes and on those that can't be
+// told apart from it; none if no element has enough crashes. An element that can't be told apart from
+// one of other requests needs minCrashesOfPair. The elements that are not judged yet because of lateReportDelay are
 // returned too.
 func (q Quarantine) nextJudgements(suspects []string, incidents map[string]*incident, now time.Time) (next []Judgement, postponed []candidate) {
-	var candidates []candidate
-	for _, fingerprint := range suspects {
-		if _, quarantined := q.QuarantinedUntil(fingerprint); quarantined {
+	skipped := map[string]bool{}
+	for _, a := range q.candidates(suspects, incidents) {
+		if skipped[a.element] {
 			continue
 		}
-		upstreams := q.EvidenceAgainst(fingerprint)
-		if weight := q.weightAgainst(fingerprint, upstreams, incidents); weight >= minCrashes {
-			candidates = append(candidates, candidate{
-				fingerprint: fingerprint, upstreams: upstreams, weight: weight, survived: q.mostSurvived(fingerprint, upstreams),
-			})
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.survived, b.survived))
-	})
-	for _, a := range candidates {
-		indistinct := q.commonSuspects(a)
-		if len(indistinct) > 1 && a.weight < minCrashesOfPair {
+		common := q.commonElements(a)
+		a, companions := q.narrowest(a, common)
+		others := slices.DeleteFunc(slices.Clone(common), func(e string) bool { return slices.Contains(companions, e) || q.isCompanion(e, a) })
+		if len(others) > 0 && a.weight < minCrashesOfPair {
+			for _, e := range common {
+				skipped[e] = true
+			}
+
 			continue
 		}
-		if q.mayLackReports(a) && now.Before(q.allReportedAt(a)) {
+		if q.mayLackReports(a, companions) && now.Before(q.allReportedAt(a)) {
 			postponed = append(postponed, a)
 
 			continue
 		}
-		all := make([]Judgement, 0, len(indistinct))
-		for _, s := range indistinct {
-			all = append(all, Judgement{Suspect: s, Verdict: VerdictQuarantined, Upstreams: a.upstreams})
+		all := []Judgement{q.newVerdict(a, companions)}
+		for _, e := range others {
+			other := candidate{element: e, upstreams: a.upstreams}
+			if j := q.newVerdict(other, q.companions(other, others)); !hasJudgement(all, j.Fingerprint) {
+				all = append(all, j)
+			}
 		}
 
 		return all, nil
@@ -168,7 +173,94 @@
 	return nil, postponed
 }
 
-// suspectsJudgedSince returns the fingerprints of the suspects of all crashes that are due to be
+// narrowest returns which of the elements with the same evidence is always with the most others, and these: a verdict on
+// all of them is on the fewest requests. If it is too narrow, one more crash shows it.
+func (q Quarantine) narrowest(a candidate, common []string) (candidate, []string) {
+	best, companions := a, q.companions(a, common)
+	for _, e := range common {
+		if slices.Contains(companions, e) {
+			continue
+		}
+		other := a
+		other.element = e
+		if more := q.companions(other, common); slices.Contains(more, a.element) && len(more) > len(companions) {
+			best, companions = other, more
+		}
+	}
+
+	return best, companions
+}
+
+// candidates returns the elements with enough crashes that are not all put down to verdicts, those with the most crashes
+// first.
+func (q Quarantine) candidates(suspects []string, incidents map[string]*incident) []candidate {
+	var all []candidate
+	for _, e := range suspects {
+		upstreams := q.evidenceFor(e)
+		if len(upstreams) < minCrashes || q.isJudged(upstreams) {
+			continue
+		}
+		if weight := q.weightAgainst(e, upstreams, incidents); weight >= minCrashes {
+			all = append(all, candidate{element: e, upstreams: upstreams, weight: weight, survived: q.mostSurvived(e, upstreams)})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.survived, b.survived))
+	})
+
+	return all
+}
+
+// isCompanion reports whether an element is in every suspect of a candidate's crashes that has the candidate, or the
+// other way round.
+func (q Quarantine) isCompanion(element string, a candidate) bool {
+	other := a
+	other.element = element
+
+	return len(q.companions(other, []string{a.element})) > 0 || len(q.companions(a, []string{element})) > 0
+}
+
+func hasJudgement(all []Judgement, key string) bool {
+	return slices.ContainsFunc(all, func(j Judgement) bool { return j.Fingerprint == key })
+}
+
+// newVerdict returns the quarantine of a candidate with its companions, which are sorted.
+func (q Quarantine) newVerdict(a candidate, companions []string) Judgement {
+	j := Judgement{Verdict: VerdictQuarantined, Upstreams: a.upstreams}
+	workspaces, pools := map[string]bool{}, map[string]bool{}
+	for _, u := range a.upstreams {
+		c, _ := q.crashes.Get(u)
+		pools[c.Pool] = true
+		for _, s := range c.suspectsWith(a.element) {
+			if j.Fingerprint == "" {
+				j.Suspect = s.withoutParts()
+				j.Fingerprint = verdictKey(companions)
+			}
+			workspaces[s.Workspace] = true
+		}
+	}
+	if len(companions) > 1 || isPart(companions[0]) {
+		j.Elements = companions
+	}
+	if j.IsOnParts() {
+		j.Workspaces, j.Pools = scopeOf(workspaces), scopeOf(pools)
+	}
+
+	return j
+}
+
+// withWatchedSuspects has answers clear the parts that are close to a quarantine.
+func (q Quarantine) withWatchedSuspects(incidents map[string]*incident) Quarantine {
+	for _, e := range q.frequentSuspects(watchWeight) {
+		if isPart(e) && q.weightAgainst(e, q.evidenceFor(e), incidents) >= watchWeight {
+			q.watched = q.watched.Set(e, struct{}{})
+		}
+	}
+
+	return q
+}
+
+// suspectsJudgedSince returns the elements of the suspects of all crashes that are due to be
 // judged at judgeAt or later; none if judgeAt is zero.
 func (q Quarantine) suspectsJudgedSince(judgeAt time.Time) []string {
 	if judgeAt.IsZero() {
@@ -180,21 +272,18 @@
 		if c.reportedAt.Add(judgeDelay).Before(judgeAt) {
 			continue
 		}
-		for _, s := range c.Suspects {
-			all = append(all, s.Fingerprint)
-		}
+		all = append(all, c.elements()...)
 	}
 
 	return all
 }
 
-// frequentSuspects returns the sorted fingerprints of the new suspects that have at least minCrashes
-// crashes.
-func (q Quarantine) frequentSuspects() []string {
+// frequentSuspects returns those of the new suspects that have at least a number of crashes, sorted.
+func (q Quarantine) frequentSuspects(crashes int) []string {
 	var all []string
-	for _, fingerprint := range q.newSuspects {
-		if upstreams, _ := q.upstreamsBySuspect.Get(fingerprint); len(upstreams) >= minCrashes {
-			all = append(all, fingerprint)
+	for _, e := range q.newSuspects {
+		if upstreams, _ := q.upstreamsBySuspect.Get(e); len(upstreams) >= crashes {
+			all = append(all, e)
 		}
 	}
 	slices.Sort(all)
--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -23,6 +23,11 @@
 	// the workspace with the most judgements is dropped to make room, so that a workspace that
 	// sends thousands of poison requests displaces only its own judgements.
 	maxJudgements = 4096
+	// maxCrashParts is the number of parts of prompts that the suspects of one crash have, 20 bytes each in its row.
+	maxCrashParts = 1024
+	// maxParts is the number of parts of prompts that all crashes together have. The oldest crashes are dropped to make
+	// room for parts that callers invent.
+	maxParts = 65536
 )
 
 // Suspect identifies a request that was running at an upstream when the upstream crashed.
@@ -31,8 +36,10 @@
 	Fingerprint string
 	Workspace   string
 	Pipeline    string
-	// Parts are the ids of the parts of its prompt that other prompts may share.
+	// Parts are the elements of those parts of its prompt that other prompts may share.
 	Parts []string `json:",omitempty"`
+	// Answered are those of Parts that upstreams have answered, as far as the nodes know that report the crash.
+	Answered []string `json:",omitempty"`
 	// Survived is the number of its calls of the last SurvivalWindow, at the node that reports the crash, after
 	// which the upstream's process went on.
 	Survived int `json:",omitempty"`
@@ -59,11 +66,18 @@
 	VerdictLifted Verdict = "Lifted"
 )
 
-// Judgement is a verdict on one request, with its evidence.
+// Judgement is a verdict on a request, on a part of prompts, or on parts that were always together, with its evidence.
 type Judgement struct {
+	// Suspect is the request. For a verdict on parts, its Fingerprint is the key of the verdict, and the rest is that
+	// of a request that has them.
 	Suspect
 
 	Verdict Verdict
+	// Elements are what the verdict is on: requests that have all of them. It is empty if that is the fingerprint alone.
+	Elements []string `json:",omitempty"`
+	// Workspaces and Pools are those for which a verdict on parts holds; empty for all.
+	Workspaces []string `json:",omitempty"`
+	Pools      []string `json:",omitempty"`
 	// Upstreams are the incarnations that crashed while running the request: the evidence for
 	// VerdictQuarantined, the void evidence for the other verdicts.
 	Upstreams []string
@@ -76,6 +90,8 @@
 	reportedAt time.Time
 	// observed is true if this node observed the crash itself.
 	observed bool
+	// attributedTo are the keys of the verdicts on any of its suspects.
+	attributedTo []string
 }
 
 // hasSuspect reports whether a request was running at the crash.
@@ -83,26 +99,28 @@
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Fingerprint == fingerprint })
 }
 
-// survived returns the highest reported count of a suspect's survived calls; 0 if it is no suspect.
-func (c crashRecord) survived(fingerprint string) int {
-	for _, s := range c.Suspects {
-		if s.Fingerprint == fingerprint {
-			return s.Survived
-		}
+// withReport returns the crash with what another report tells of a suspect that it has: its highest count of survived
+// calls, and the parts that were answered.
+func (c crashRecord) withReport(s Suspect) crashRecord {
+	i := slices.IndexFunc(c.Suspects, func(known Suspect) bool { return known.Fingerprint == s.Fingerprint })
+	known := c.Suspects[i]
+	known.Survived = max(known.Survived, s.Survived)
+	for _, part := range s.Answered {
+		known = known.withAnsweredPart(part)
 	}
+	c.Suspects = slices.Clone(c.Suspects)
+	c.Suspects[i] = known
 
-	return 0
+	return c
 }
 
-// withSurvived returns the crash with a suspect's highest reported count of survived calls.
-func (c crashRecord) withSurvived(s Suspect) crashRecord {
-	i := slices.IndexFunc(c.Suspects, func(known Suspect) bool { return known.Fingerprint == s.Fingerprint })
-	if c.Suspects[i].Survived < s.Survived {
-		c.Suspects = slices.Clone(c.Suspects)
-		c.Suspects[i].Survived = s.Survived
+// withAnsweredPart returns the suspect with one of its parts marked as answered.
+func (s Suspect) withAnsweredPart(part string) Suspect {
+	if slices.Contains(s.Parts, part) && !slices.Contains(s.Answered, part) {
+		s.Answered = append(slices.Clip(s.Answered), part)
 	}
 
-	return c
+	return s
 }
 
 // judgementRecord is a judgement with the time when this node learned of it.
@@ -116,15 +134,24 @@
 type Quarantine struct {
 	// crashes maps an incarnation to its crash.
 	crashes *immutable.Map[string, crashRecord]
-	// upstreamsBySuspect maps a fingerprint to the incarnations that crashed while running the
-	// request.
+	// partCount is the number of parts that the suspects of all crashes have.
+	partCount int
+	// upstreamsBySuspect maps an element to the incarnations that crashed while running requests
+	// with it.
 	upstreamsBySuspect *immutable.Map[string, []string]
-	// judgements maps a fingerprint to the judgement on the request.
+	// judgements maps the key of a verdict to the judgement.
 	judgements *immutable.Map[string, judgementRecord]
-	// voidEvidence maps a fingerprint to the incarnations that no longer count against the request.
+	// verdictsByPart maps a part to the keys of the verdicts on it.
+	verdictsByPart *immutable.Map[string, []string]
+	// voidEvidence maps an element to the incarnations that no longer count against it.
 	voidEvidence *immutable.Map[string, []string]
-	// newSuspects are the fingerprints of the requests that became suspects since crashes were last
-	// judged: no other request can have reached the number of crashes for a quarantine.
+	// answered has the parts that this node's upstreams have answered, poolAnswers the pools that have answered any request.
+	answered    answerTimes
+	poolAnswers answerTimes
+	// watched are the parts that a few more crashes would quarantine, so that an answer clears them at all nodes.
+	watched *immutable.Map[string, struct{}]
+	// newSuspects are the elements that became suspects since crashes were last judged: no other one
+	// can have reached the number of crashes for a quarantine.
 	newSuspects []string
 	// judgeAt is when Judge has to be called next; zero if there is nothing to judge.
 	judgeAt time.Time
@@ -136,7 +163,11 @@
 		crashes:            immutable.NewMap[string, crashRecord](nil),
 		upstreamsBySuspect: immutable.NewMap[string, []string](nil),
 		judgements:         immutable.NewMap[string, judgementRecord](nil),
+		verdictsByPart:     immutable.NewMap[string, []string](nil),
 		voidEvidence:       immutable.NewMap[string, []string](nil),
+		answered:           newAnswerTimes(),
+		poolAnswers:        newAnswerTimes(),
+		watched:            immutable.NewMap[string, struct{}](nil),
 	}
 }
 
@@ -152,8 +183,9 @@
 	known.Suspects = slices.Clip(known.Suspects)
 	isNew := !ok
 	for _, s := range c.Suspects {
+		s = q.withAnswered(s)
 		if known.hasSuspect(s.Fingerprint) {
-			known = known.withSurvived(s)
+			known = known.withReport(s)
 
 			continue
 		}
@@ -161,12 +193,11 @@
 			continue
 		}
 		isNew = true
+		s.Parts = s.Parts[:min(len(s.Parts), maxCrashParts-known.partCount())]
 		known.Suspects = append(known.Suspects, s)
-		upstreams, _ := q.upstreamsBySuspect.Get(s.Fingerprint)
-		q.upstreamsBySuspect = q.upstreamsBySuspect.Set(s.Fingerprint, append(slices.Clip(upstreams), c.Upstream))
-		q.newSuspects = append(slices.Clip(q.newSuspects), s.Fingerprint)
+		q = q.withSuspect(c.Upstream, s)
 	}
-	q.crashes = q.crashes.Set(c.Upstream, known)
+	q.crashes = q.crashes.Set(c.Upstream, known.withAttribution(q))
 	q = q.withoutRefuted(known)
 	if isNew {
 		q = q.withJudgeAt(now.Add(judgeDelay))
@@ -175,33 +206,50 @@
 	return q, isNew
 }
 
-// withRoomForCrash drops the oldest crash if there are maxCrashes.
-func (q Quarantine) withRoomForCrash() Quarantine {
-	if q.crashes.Len() < maxCrashes {
-		return q
+// withSuspect adds the elements of a suspect of a crash.
+func (q Quarantine) withSuspect(upstream string, s Suspect) Quarantine {
+	elements := s.elements()
+	for _, e := range elements {
+		upstreams, _ := q.upstreamsBySuspect.Get(e)
+		if !slices.Contains(upstreams, upstream) {
+			q.upstreamsBySuspect = q.upstreamsBySuspect.Set(e, append(slices.Clip(upstreams), upstream))
+		}
 	}
-	var oldest crashRecord
-	for i := q.crashes.Iterator(); !i.Done(); {
-		if _, c, _ := i.Next(); oldest.Upstream == "" || c.reportedAt.Before(oldest.reportedAt) {
-			oldest = c
+	q.newSuspects = append(slices.Clip(q.newSuspects), elements...)
+	q.partCount += len(s.Parts)
+
+	return q
+}
+
+// withRoomForCrash drops the oldest crashes if there are maxCrashes, or too many parts for another one.
+func (q Quarantine) withRoomForCrash() Quarantine {
+	for q.crashes.Len() >= maxCrashes || q.partCount > maxParts-maxCrashParts {
+		var oldest crashRecord
+		for i := q.crashes.Iterator(); !i.Done(); {
+			if _, c, _ := i.Next(); oldest.Upstream == "" || c.reportedAt.Before(oldest.reportedAt) {
+				oldest = c
+			}
 		}
+		q = q.withoutCrash(oldest)
 	}
 
-	return q.withoutCrash(oldest)
+	return q
 }
 
 func (q Quarantine) withoutCrash(c crashRecord) Quarantine {
 	q.crashes = q.crashes.Delete(c.Upstream)
-	for _, s := range c.Suspects {
-		upstreams, _ := q.upstreamsBySuspect.Get(s.Fingerprint)
+	q.partCount -= c.partCount()
+	for _, e := range c.elements() {
+		upstreams, _ := q.upstreamsBySuspect.Get(e)
 		upstreams = withoutItem(upstreams, c.Upstream)
 		if len(upstreams) > 0 {
-			q.upstreamsBySuspect = q.upstreamsBySuspect.Set(s.Fingerprint, upstreams)
+			q.upstreamsBySuspect = q.upstreamsBySuspect.Set(e, upstreams)
 
 			continue
 		}
-		q.upstreamsBySuspect = q.upstreamsBySuspect.Delete(s.Fingerprint)
-		q.voidEvidence = q.voidEvidence.Delete(s.Fingerprint)
+		q.upstreamsBySuspect = q.upstreamsBySuspect.Delete(e)
+		q.voidEvidence = q.voidEvidence.Delete(e)
+		q.watched = q.watched.Delete(e)
 	}
 
 	return q
@@ -219,31 +267,66 @@
 // then is ignored.
 func (q Quarantine) WithJudgement(j Judgement, now time.Time) (Quarantine, bool) {
 	known, ok := q.judgements.Get(j.Fingerprint)
-	if ok && known.Verdict == j.Verdict && slices.Equal(known.Upstreams, j.Upstreams) {
+	if ok && known.Verdict == VerdictQuarantined && j.Verdict == VerdictQuarantined {
+		j = known.mergedWith(j)
+	}
+	if ok && known.isSame(j) {
 		return q, false
 	}
 	if j.Verdict == VerdictQuarantined && (q.lacksEvidence(j) || q.refutes(j)) {
-		return q, false
+		return q.withWatched(j), false
 	}
-	if !ok {
+	if ok {
+		q = q.withoutJudgement(known.Judgement)
+	} else {
 		q = q.withRoomForJudgement()
 	}
 	q.judgements = q.judgements.Set(j.Fingerprint, judgementRecord{Judgement: j, reportedAt: now})
-	if j.Verdict != VerdictQuarantined {
-		void, _ := q.voidEvidence.Get(j.Fingerprint)
-		void = append(slices.Clip(void), j.Upstreams...)
-		slices.Sort(void)
-		q.voidEvidence = q.voidEvidence.Set(j.Fingerprint, slices.Compact(void))
+	if j.Verdict == VerdictQuarantined {
+		return q.withVerdict(j), true
+	}
+	for _, e := range j.judgedElements() {
+		q = q.withVoidEvidence(e, j.Upstreams)
 	}
 
 	return q, true
 }
 
+// withVoidEvidence makes crashes void as evidence against an element, and drops the verdicts that lack evidence then.
+func (q Quarantine) withVoidEvidence(element string, upstreams []string) Quarantine {
+	void, _ := q.voidEvidence.Get(element)
+	void = append(slices.Clip(void), upstreams...)
+	slices.Sort(void)
+	q.voidEvidence = q.voidEvidence.Set(element, slices.Compact(void))
+	q.watched = q.watched.Delete(element)
+	keys, _ := q.verdictsByPart.Get(element)
+	for _, key := range keys {
+		if j, _ := q.judgements.Get(key); q.lacksEvidence(j.Judgement) {
+			q = q.withoutJudgement(j.Judgement)
+		}
+	}
+
+	return q
+}
+
+// withWatched has the next answer to the parts of a verdict, which this node has reason to doubt, clear them.
+func (q Quarantine) withWatched(j Judgement) Quarantine {
+	for _, e := range j.judgedElements() {
+		if isPart(e) {
+			q.watched = q.watched.Set(e, struct{}{})
+		}
+	}
+
+	return q
+}
+
 // withoutRefuted drops the quarantines whose evidence has become too doubtful by what was reported of a crash since.
 func (q Quarantine) withoutRefuted(c crashRecord) Quarantine {
 	for _, s := range c.Suspects {
-		if j, ok := q.judgements.Get(s.Fingerprint); ok && j.Verdict == VerdictQuarantined && q.refutes(j.Judgement) {
-			q.judgements = q.judgements.Delete(s.Fingerprint)
+		for _, key := range q.verdictKeys(s) {
+			if j, _ := q.judgements.Get(key); q.refutes(j.Judgement) {
+				q = q.withoutJudgement(j.Judgement)
+			}
 		}
 	}
 
@@ -253,21 +336,32 @@
 // refutes reports whether a quarantine's evidence is not enough by what this node knows of the crashes: too much of it
 // is doubtful, or another request that upstreams survived less often was running at all of them.
 func (q Quarantine) refutes(j Judgement) bool {
-	if len(j.Upstreams) < minCrashesOfPair && q.hasRival(j.Fingerprint, j.Upstreams, 0) {
+	if !j.IsOnParts() && len(j.Upstreams) < minCrashesOfPair && q.hasRival(j.Fingerprint, j.judgedElements(), j.Upstreams, 0) {
 		return true
 	}
-	certain, doubtful := q.splitEvidence(j.Fingerprint, j.Upstreams)
 
-	return len(doubtful) > 0 && len(certain)+len(doubtful)/doubtfulCrashes < minCrashes
+	return slices.ContainsFunc(j.judgedElements(), func(e string) bool {
+		if isPart(e) != j.IsOnParts() {
+			return false
+		}
+		certain, doubtful := q.splitEvidence(e, j.Upstreams)
+
+		return len(doubtful) > 0 && len(certain)+len(doubtful)/doubtfulCrashes < minCrashes
+	})
 }
 
 // lacksEvidence reports whether so much of a judgement's evidence is void that the rest is not enough
 // for a quarantine.
 func (q Quarantine) lacksEvidence(j Judgement) bool {
-	void, ok := q.voidEvidence.Get(j.Fingerprint)
-	valid := slices.DeleteFunc(slices.Clone(j.Upstreams), func(u string) bool { return slices.Contains(void, u) })
+	return slices.ContainsFunc(j.judgedElements(), func(e string) bool {
+		if isPart(e) != j.IsOnParts() {
+			return false
+		}
+		void, ok := q.voidEvidence.Get(e)
+		valid := slices.DeleteFunc(slices.Clone(j.Upstreams), func(u string) bool { return slices.Contains(void, u) || q.isAnsweredSince(u, e) })
 
-	return ok && len(valid) < minCrashes
+		return len(valid) < minCrashes && (ok || len(valid) < len(j.Upstreams))
+	})
 }
 
 // withRoomForJudgement drops the oldest judgement of the workspace with the most judgements if there
@@ -292,15 +386,14 @@
 			oldest = j
 		}
 	}
-	q.judgements = q.judgements.Delete(oldest.Fingerprint)
 
-	return q
+	return q.withoutJudgement(oldest.Judgement)
 }
 
-// QuarantinedUntil returns until when a request is quarantined, and whether it is. The time may have
-// passed if Expire was not called since.
-func (q Quarantine) QuarantinedUntil(fingerprint string) (until time.Time, quarantined bool) {
-	j, ok := q.judgements.Get(fingerprint)
+// QuarantinedUntil returns until when the verdict with a key quarantines, and whether it does. The key is a request's
+// fingerprint, an element, or that of several parts. The time may have passed if Expire was not called since.
+func (q Quarantine) QuarantinedUntil(key string) (until time.Time, quarantined bool) {
+	j, ok := q.judgements.Get(key)
 	if !ok || j.Verdict != VerdictQuarantined {
 		return time.Time{}, false
 	}
@@ -308,23 +401,12 @@
 	return j.reportedAt.Add(TTL), true
 }
 
-// EvidenceAgainst returns the upstreams whose crashes count against a request now.
-func (q Quarantine) EvidenceAgainst(fingerprint string) []string {
-	upstreams, _ := q.upstreamsBySuspect.Get(fingerprint)
-	void, _ := q.voidEvidence.Get(fingerprint)
+// EvidenceAgainst returns the upstreams whose crashes count against an element now.
+func (q Quarantine) EvidenceAgainst(element string) []string {
+	upstreams, _ := q.upstreamsBySuspect.Get(element)
+	void, _ := q.voidEvidence.Get(element)
 
-	return slices.DeleteFunc(slices.Clone(upstreams), func(u string) bool { return slices.Contains(void, u) || q.isAttributedToOther(u, fingerprint) })
-}
-
-// isAttributedToOther reports whether a crash is attributed to another request, which is quarantined.
-func (q Quarantine) isAttributedToOther(upstream, fingerprint string) bool {
-	c, _ := q.crashes.Get(upstream)
-
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool {
-		_, quarantined := q.QuarantinedUntil(s.Fingerprint)
-
-		return quarantined && s.Fingerprint != fingerprint
-	})
+	return slices.DeleteFunc(slices.Clone(upstreams), func(u string) bool { return slices.Contains(void, u) || q.isAttributedToOther(u, element) })
 }
 
 // KnownCrash returns an upstream's crash with all suspects known so far; its Upstream is empty if no
@@ -375,7 +457,7 @@
 	}
 	for i := q.judgements.Iterator(); !i.Done(); {
 		if _, j, _ := i.Next(); now.Sub(j.reportedAt) >= TTL {
-			q.judgements = q.judgements.Delete(j.Fingerprint)
+			q = q.withoutJudgement(j.Judgement)
 		}
 	}
 
--- a/internal/chutequarantine/quarantine_test.go
+++ b/internal/chutequarantine/quarantine_test.go
@@ -15,9 +15,10 @@
 type harness struct {
 	*qt.C
 
-	q          Quarantine
-	now        time.Time
-	crashCount int
+	q            Quarantine
+	now          time.Time
+	crashCount   int
+	requestCount int
 }
 
 func newHarness(t testing.TB) *harness {
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -99,7 +99,7 @@
 	if !st.now.Before(r.Deadline) {
 		return Refusal{Kind: RefusedNotRun, Reason: "the deadline has passed"}, true
 	}
-	if refusal, quarantined := st.quarantineRefusalFor(r.Fingerprint); quarantined {
+	if refusal, quarantined := st.quarantineRefusalFor(r.suspect(), r.pool); quarantined {
 		return refusal, true
 	}
 	if !slices.ContainsFunc(r.Pipeline.Targets, func(t chuteroute.Target) bool { return t.Pool == r.pool }) {
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -10,7 +10,7 @@
 
 // sendCall sends the request to an upstream, after all its stages are done.
 func (st *reduction) sendCall(r request) {
-	if refusal, quarantined := st.quarantineRefusalFor(r.Fingerprint); quarantined {
+	if refusal, quarantined := st.quarantineRefusalFor(r.suspect(), r.pool); quarantined {
 		st.giveUp(r, refusal)
 
 		return
@@ -102,7 +102,7 @@
 		st.callTimes = st.callTimes.with(r, st.now.Sub(r.current.sentAt))
 	}
 	r.answerBegun = true
-	r.current.began = true
+	r.current.began, r.current.beganAt = true, st.now
 	took := st.now.Sub(r.current.sentAt)
 	if !r.current.bound {
 		st.countRolloutAnswer(r.current.upstream, r.Pipeline.Name, func(c chutecanary.Counts) chutecanary.Counts { return c.WithAnswer(took) })
@@ -136,7 +136,7 @@
 	st.countRolloutEnd(r, e)
 	st.uncountAttempt(r)
 	if e.UpstreamEnded {
-		st.recordCrash(r.current.upstream, e.describe(), r.suspect())
+		st.recordRequestCrash(r, e.describe())
 	} else if e.UpstreamAlive || e.End.isFromUpstream() {
 		st.survived = st.survived.with(r.Fingerprint, st.now)
 	}
--- a/internal/chuterelay/collect.go
+++ b/internal/chuterelay/collect.go
@@ -6,6 +6,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutequarantine"
 )
 
 const (
@@ -87,7 +88,7 @@
 
 		return
 	}
-	if _, quarantined := st.quarantineRefusalFor(job.Fingerprint); quarantined {
+	if _, quarantined := st.quarantineRefusalFor(chutequarantine.Suspect{Fingerprint: job.Fingerprint}, job.Pool); quarantined {
 		st.rejectJob(chutebatch.FailedJob{Job: job, Reason: chutebatch.PartQuarantined})
 
 		return
--- a/internal/chuterelay/effect.go
+++ b/internal/chuterelay/effect.go
@@ -186,6 +186,10 @@
 // one.
 type LogJudgement struct {
 	Judgement chutequarantine.Judgement
+	// Since is how long ago this node first heard of a crash that is evidence. Survived is at how many of the crashes
+	// upstreams had survived what the judgement is on.
+	Since     time.Duration
+	Survived  int
 	Announced bool
 }
 
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -30,7 +30,7 @@
 	// none.
 	Affinity     string
 	PromptTokens int64
-	// PromptParts are the ids of the parts of the prompt that other prompts may share, each once.
+	// PromptParts are the elements of the parts of the prompt that other prompts may share, each once.
 	PromptParts []string
 	// Parts is the number of parts of each stage; a stage with 0 parts is skipped.
 	Parts []int
--- a/internal/chuterelay/logstep.go
+++ b/internal/chuterelay/logstep.go
@@ -32,6 +32,8 @@
 	// Fingerprint is that of the request. It is set when the request is admitted or refused, and
 	// when a call of it failed.
 	Fingerprint string
+	// Verdict is the key of the quarantine that a refused request is under.
+	Verdict string
 	// PromptParts are the parts of its prompt that other prompts may share. They are set when the request is admitted.
 	PromptParts []string
 	// Workspace is the request's workspace; empty if the pipeline takes no keys.
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -17,23 +17,18 @@
 // strayEvidence is the evidence in the log for suspects that another node's crash report lacks.
 const strayEvidence = "calls to the process before may have reached it"
 
-// quarantineRefusal refuses a request that is quarantined for the given time from now.
-func quarantineRefusal(retryAfter time.Duration) Refusal {
-	return Refusal{
-		Kind: RefusedNotRun, Reason: "upstreams ended each time that they ran this request; it is set aside",
-		RetryAfter: retryAfter,
-	}
-}
-
-// quarantineRefusalFor returns the refusal of a request that is quarantined, and false for any
+// quarantineRefusalFor returns the refusal of a request that is quarantined in a pool, and false for any
 // other.
-func (st *reduction) quarantineRefusalFor(fingerprint string) (Refusal, bool) {
-	until, quarantined := st.quarantine.QuarantinedUntil(fingerprint)
+func (st *reduction) quarantineRefusalFor(s chutequarantine.Suspect, pool string) (Refusal, bool) {
+	j, until, quarantined := st.quarantine.VerdictOn(s, pool)
 	if !quarantined || !st.now.Before(until) {
 		return Refusal{}, false
 	}
 
-	return quarantineRefusal(until.Sub(st.now)), true
+	return Refusal{
+		Kind: RefusedNotRun, Reason: "upstreams ended each time that they ran this request; it is set aside",
+		RetryAfter: until.Sub(st.now), Verdict: j.Fingerprint,
+	}, true
 }
 
 // suspect identifies the request to other nodes.
@@ -101,16 +96,22 @@
 	st.collector = st.collector.WithUpstreamEnded(call)
 }
 
-// clearSuspicion clears a request that an upstream has answered: it was not the cause of crashes
-// of upstreams that ran it.
+// clearSuspicion clears a request that an upstream has answered, and the parts of its prompt: they were not the cause of
+// crashes of upstreams that ran them.
 func (st *reduction) clearSuspicion(r request) {
-	upstreams := st.quarantine.EvidenceAgainst(r.Fingerprint)
-	if len(upstreams) == 0 {
-		return
+	var cleared []chutequarantine.Judgement
+	st.quarantine, cleared = st.quarantine.WithAnswer(r.suspect(), r.pool, st.now)
+	for _, j := range cleared {
+		st.emit(AnnounceJudgement{Judgement: j})
 	}
-	j := chutequarantine.Judgement{Suspect: r.suspect(), Verdict: chutequarantine.VerdictCleared, Upstreams: upstreams}
-	st.quarantine, _ = st.quarantine.WithJudgement(j, st.now)
-	st.emit(AnnounceJudgement{Judgement: j})
+}
+
+// recordRequestCrash records that an upstream ended while it ran a request's call.
+func (st *reduction) recordRequestCrash(r request, evidence string) {
+	if r.current.began && st.now.Sub(r.current.beganAt) >= chutequarantine.AnswerStartTime {
+		st.quarantine = st.quarantine.WithSurvivors(r.suspect(), st.now)
+	}
+	st.recordCrash(r.current.upstream, evidence, r.suspect())
 }
 
 // quarantineAnnounced applies the crashes and judgements that other nodes have announced.
@@ -122,7 +123,7 @@
 	for _, j := range e.Judgements {
 		var isNew bool
 		if st.quarantine, isNew = st.quarantine.WithJudgement(j, st.now); isNew {
-			st.emit(LogJudgement{Judgement: j, Announced: true})
+			st.logJudgement(j, true)
 			st.enforceQuarantine(j)
 		}
 	}
@@ -163,7 +164,7 @@
 	var sawCrash map[string]bool
 	st.quarantine, judgements, sawCrash = st.quarantine.Judge(st.now)
 	for _, j := range judgements {
-		st.emit(LogJudgement{Judgement: j})
+		st.logJudgement(j, false)
 		if sawCrash[j.Fingerprint] {
 			st.emit(AnnounceJudgement{Judgement: j})
 		}
@@ -172,6 +173,16 @@
 	st.scheduleJudgement()
 }
 
+// logJudgement logs a judgement with what this node knows of its evidence.
+func (st *reduction) logJudgement(j chutequarantine.Judgement, announced bool) {
+	since, survived := st.quarantine.Evidence(j)
+	logged := LogJudgement{Judgement: j, Survived: survived, Announced: announced}
+	if !since.IsZero() {
+		logged.Since = st.now.Sub(since)
+	}
+	st.emit(logged)
+}
+
 // enforceQuarantine ends what is in progress of a quarantined request: what waits for its stages
 // or its upstream, and calls that have not replied yet. An upstream drops a call whose connection
 // closes, mostly before the call has ended the upstream's process. A stream that has begun goes
@@ -180,12 +191,10 @@
 	if j.Verdict != chutequarantine.VerdictQuarantined {
 		return
 	}
-	refusal, quarantined := st.quarantineRefusalFor(j.Fingerprint)
-	if !quarantined {
-		return
-	}
 	for i := st.requests.Iterator(); !i.Done(); {
-		if _, r, _ := i.Next(); r.Fingerprint == j.Fingerprint && !r.answerBegun {
+		_, r, _ := i.Next()
+		refusal, quarantined := st.quarantineRefusalFor(r.suspect(), r.pool)
+		if quarantined && refusal.Verdict == j.Fingerprint && !r.answerBegun {
 			st.cancelCall(r)
 			st.giveUp(r, refusal)
 		}
--- a/internal/chuterelay/refusal.go
+++ b/internal/chuterelay/refusal.go
@@ -30,6 +30,8 @@
 	Reason string
 	// RetryAfter is the delay after which to retry; zero where that does not help.
 	RetryAfter time.Duration
+	// Verdict is the key of the quarantine that the request is under, for the log; empty if it is under none.
+	Verdict string
 	// Elsewhere says that nothing has run and that another node may serve the request now.
 	Elsewhere bool
 }
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -44,8 +44,9 @@
 	peer   Peer
 	tokens int64
 	sentAt time.Time
-	// began says that the first event of its answer has arrived.
-	began bool
+	// began says that the first event of its answer has arrived, at beganAt.
+	began   bool
+	beganAt time.Time
 	// bound says that the stream was bound to a version when it was sent.
 	bound bool
 }
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -187,7 +187,7 @@
 	inputsGone := e.Reason == string(chutebatch.PartInputGone) || e.Reason == string(chutebatch.PartLate)
 	isOverloaded := e.Reason == string(chutebatch.PartOverloaded)
 	if e.Reason == string(chutebatch.PartQuarantined) || e.Reason == string(chutebatch.PartUpstreamsEnded) {
-		refusal, quarantined := st.quarantineRefusalFor(r.Fingerprint)
+		refusal, quarantined := st.quarantineRefusalFor(r.suspect(), r.pool)
 		if !quarantined {
 			refusal = Refusal{Kind: RefusedNotRun, Reason: "upstreams ended while they ran its stage", RetryAfter: crashRetryAfter}
 		}
@@ -227,6 +227,7 @@
 	}
 	refusal.Elsewhere = refusal.Elsewhere && refusal.Kind == RefusedNotRun
 	st.logStep(StepRefused, r, func(n *LogStep) {
+		n.Verdict = refusal.Verdict
 		n.Fingerprint, n.Reason, n.Wait = r.Fingerprint, string(refusal.Kind)+": "+refusal.Reason, refusal.RetryAfter
 	})
 	st.emit(Refuse{Handle: r.Handle, Refusal: refusal})
