--- a/internal/chutequarantine/evidence.go
+++ b/internal/chutequarantine/evidence.go
@@ -17,14 +17,77 @@
 // weightAgainst returns the number of crashes that the ends of the given upstreams count for against an element.
 func (q Quarantine) weightAgainst(element string, upstreams []string, incidents map[string]*incident) int {
 	certain, doubtful := q.splitEvidence(element, upstreams)
-	maxWeight := maxIncidentWeight
 	if isPart(element) {
-		maxWeight = minCrashes
 		// While a pool answers nothing, nothing tells the cause from a part that all requests share.
 		doubtful = slices.DeleteFunc(doubtful, func(u string) bool { return !q.servesSince(u) })
 	}
+	sum := 0
+	known, _ := q.upstreamsBySuspect.Get(element)
+	withAttributed := byIncident(known, incidents)
+	for inc, crashes := range byIncident(certain, incidents) {
+		sum += max(incidentWeight(len(crashes), inc), q.partWeight(element, crashes, withAttributed[inc]))
+	}
+	doubts := 0
+	for inc, crashes := range byIncident(doubtful, incidents) {
+		doubts += incidentWeight(len(crashes), inc)
+	}
+
+	return sum + doubts/doubtfulCrashes
+}
+
+// byIncident groups upstreams that crashed by the incident; those whose incident is not judged yet are left out.
+func byIncident(upstreams []string, incidents map[string]*incident) map[*incident][]string {
+	groups := map[*incident][]string{}
+	for _, u := range upstreams {
+		if inc, ok := incidents[u]; ok {
+			groups[inc] = append(groups[inc], u)
+		}
+	}
+
+	return groups
+}
+
+// incidentWeight returns the number of crashes that an incident counts for against an element that was running at some of
+// its crashes: one, or more if that are all.
+func incidentWeight(crashes int, inc *incident) int {
+	if crashes < inc.crashes {
+		return 1
+	}
+
+	return min(crashes, maxIncidentWeight)
+}
+
+// partWeight returns the number of crashes that some of one incident count for against a part of prompts; 0 for a request.
+// Besides these, which are put down to no other verdict, all of the incident at which the part was running are evidence.
+func (q Quarantine) partWeight(element string, upstreams, withAttributed []string) int {
+	if !isPart(element) || len(upstreams) == 0 {
+		return 0
+	}
+	answeredBeside := func(u string) bool {
+		c, _ := q.crashes.Get(u)
 
-	return evidenceWeight(certain, incidents, maxWeight) + evidenceWeight(doubtful, incidents, maxIncidentWeight)/doubtfulCrashes
+		return slices.ContainsFunc(c.suspectsWith(element), func(s Suspect) bool { return len(s.Answered) > 0 })
+	}
+	crashes := count(withAttributed, answeredBeside)
+	switch {
+	case count(upstreams, answeredBeside) < 2 || crashes < someCrashes:
+		return 1
+	case crashes < manyCrashes:
+		return maxIncidentWeight
+	default:
+		return minCrashes
+	}
+}
+
+func count(list []string, matches func(string) bool) int {
+	n := 0
+	for _, item := range list {
+		if matches(item) {
+			n++
+		}
+	}
+
+	return n
 }
 
 // splitEvidence returns the upstreams whose crashes are certain evidence against an element, and the others.
@@ -54,30 +117,6 @@
 	})
 }
 
-// evidenceWeight returns the number of crashes that the ends of the given upstreams count for: one for each incident,
-// or more if they are all crashes of the incident.
-func evidenceWeight(upstreams []string, incidents map[string]*incident, maxWeight int) int {
-	crashes := map[*incident]int{}
-	for _, u := range upstreams {
-		if inc, ok := incidents[u]; ok {
-			crashes[inc]++
-		}
-	}
-	sum := 0
-	for inc, n := range crashes {
-		switch {
-		case n < inc.crashes:
-			sum++
-		case n < massCrashes:
-			sum += min(n, maxIncidentWeight)
-		default:
-			sum += min(n, maxWeight)
-		}
-	}
-
-	return sum
-}
-
 // mostSurvived returns the highest number of calls of an element that upstreams had survived at one of the crashes.
 func (q Quarantine) mostSurvived(element string, upstreams []string) int {
 	most := 0
--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -26,10 +26,11 @@
 	minFrequentCalls = 8
 	frequentFactor   = 4
 	doubtfulCrashes  = 4
-	// massCrashes is the number of crashes from which on an incident is enough to quarantine a part of prompts, if
-	// requests with it were running at all of them: none of them had begun to be answered, as some of a part that is
-	// in so many requests would have been.
-	massCrashes = 5
+	// someCrashes and manyCrashes are the numbers of crashes of one incident from which on it counts as two and as
+	// minCrashes against a part of prompts that was never answered, while other parts of the same prompts were. Sound
+	// requests with a part that is new are hardly ever at so many upstreams before the first answer.
+	someCrashes = 3
+	manyCrashes = 5
 	// watchWeight is the weight of the evidence from which on an answer to a part clears it at all nodes.
 	watchWeight = minCrashes - 1
 	// SurvivalWindow is the time for which calls that upstreams survive are counted.
--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -92,6 +92,8 @@
 	observed bool
 	// attributedTo are the keys of the verdicts on any of its suspects.
 	attributedTo []string
+	// vouchedFor are the parts that announced reports tell of as answered.
+	vouchedFor []string
 }
 
 // hasSuspect reports whether a request was running at the crash.
@@ -150,6 +152,8 @@
 	poolAnswers answerTimes
 	// watched are the parts that a few more crashes would quarantine, so that an answer clears them at all nodes.
 	watched *immutable.Map[string, struct{}]
+	// toVouch are the incarnations at whose crashes parts were running that this node may have to vouch for.
+	toVouch []string
 	// newSuspects are the elements that became suspects since crashes were last judged: no other one
 	// can have reached the number of crashes for a quarantine.
 	newSuspects []string
@@ -183,7 +187,13 @@
 	known.Suspects = slices.Clip(known.Suspects)
 	isNew := !ok
 	for _, s := range c.Suspects {
+		if !observed {
+			known = known.withVouchedFor(s)
+		}
 		s = q.withAnswered(s)
+		if observed {
+			known = known.withVouchedFor(s)
+		}
 		if known.hasSuspect(s.Fingerprint) {
 			known = known.withReport(s)
 
@@ -198,6 +208,7 @@
 		q = q.withSuspect(c.Upstream, s)
 	}
 	q.crashes = q.crashes.Set(c.Upstream, known.withAttribution(q))
+	q = q.withVouching(known)
 	q = q.withoutRefuted(known)
 	if isNew {
 		q = q.withJudgeAt(now.Add(judgeDelay))
--- a/internal/chuterelay/quarantine.go
+++ b/internal/chuterelay/quarantine.go
@@ -147,6 +147,10 @@
 
 // scheduleJudgement schedules the next judgement of crashes.
 func (st *reduction) scheduleJudgement() {
+	if st.quarantine.MustVouch() && st.vouchAt.IsZero() {
+		st.vouchAt = st.now.Add(time.Duration(st.randomFraction() * float64(chutequarantine.MaxVouchDelay)))
+		st.emit(JudgeAt{At: st.vouchAt})
+	}
 	at := st.quarantine.JudgeAt()
 	if at.IsZero() || !st.judgeAt.IsZero() && !at.Before(st.judgeAt) {
 		return
@@ -160,6 +164,14 @@
 // Only nodes that observed a crash announce the verdict, which all reach alike.
 func (st *reduction) judgeCrashes() {
 	st.quarantine = st.quarantine.Expire(st.now)
+	if !st.vouchAt.IsZero() && !st.now.Before(st.vouchAt) {
+		st.vouchAt = time.Time{}
+		var reports []chutequarantine.Crash
+		st.quarantine, reports = st.quarantine.Vouch()
+		for _, c := range reports {
+			st.emit(AnnounceCrash{Crash: c})
+		}
+	}
 	var judgements []chutequarantine.Judgement
 	var sawCrash map[string]bool
 	st.quarantine, judgements, sawCrash = st.quarantine.Judge(st.now)
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -72,6 +72,8 @@
 	rollouts        rollouts
 	// judgeAt is when the next JudgeDue event is due; zero if none is.
 	judgeAt time.Time
+	// vouchAt is when this node vouches for parts of prompts; zero if it has to for none.
+	vouchAt time.Time
 	// tickAt is when the next Ticked event is due; zero if none is.
 	tickAt   time.Time
 	draining bool
