--- a/internal/chuteconn/exchange.go
+++ b/internal/chuteconn/exchange.go
@@ -143,8 +143,11 @@
 	return nil, errNoMatch
 }
 
-// readFinalResponse reads the next response and skips interim (1xx) responses.
+// readFinalResponse reads the next response and skips interim (1xx) responses. All heads together have at most
+// maxHeadBytes.
 func (x *exchange) readFinalResponse() (*http.Response, error) {
+	x.conn.source.setLimit(maxHeadBytes)
+	defer x.conn.source.unlimit()
 	for {
 		response, err := http.ReadResponse(x.conn.reader, x.request)
 		if err != nil {
--- a/internal/chuteconn/pool.go
+++ b/internal/chuteconn/pool.go
@@ -31,6 +31,9 @@
 	keepaliveCount    = 2
 	// readBufferSize is in bytes and suffices for a usual response head.
 	readBufferSize = 4 << 10
+	// maxHeadBytes bounds the heads of one response, interim ones included; what is read ahead into the buffer does not
+	// count.
+	maxHeadBytes = 64 << 10
 )
 
 // Pool keeps connections to upstreams by address.
@@ -49,6 +52,7 @@
 	net.Conn
 	pool    *Pool
 	address string
+	source  *limitedSource
 	reader  *bufio.Reader
 	// idleSince is when the connection became idle, idleLimit how long it may stay idle.
 	idleSince time.Time
@@ -101,9 +105,11 @@
 		return nil, err
 	}
 
+	source := &limitedSource{Reader: opened}
+
 	return &conn{
-		Conn: opened, pool: p, address: address, idleLimit: maxIdleTime,
-		reader: bufio.NewReaderSize(opened, readBufferSize),
+		Conn: opened, pool: p, address: address, idleLimit: maxIdleTime, source: source,
+		reader: bufio.NewReaderSize(source, readBufferSize),
 	}, nil
 }
 
