Look at a part's earlier crashes only where no report has vouched for it

Cause: each report of a crash made a node look at all crashes of every answered part of its suspects, so that the work of a report grew with the crashes of the last hour for a part that all prompts share.

Change: a part is looked at once for each report, and only if no report of this crash has told that it was answered, as those of nodes with traffic do.

What it costs was not measured; by reading, no loop over all crashes is left in the usual case.

--- a/internal/chutequarantine/vouch.go
+++ b/internal/chutequarantine/vouch.go
@@ -9,17 +9,28 @@
 // withVouching has this node vouch for those parts of a crash that it knows to be answered, if it is not their first
 // crash: the nodes that report the crashes may have answered none of them.
 func (q Quarantine) withVouching(c crashRecord) Quarantine {
+	seen := map[string]bool{}
 	for _, s := range c.Suspects {
 		for _, part := range s.Answered {
-			upstreams, _ := q.upstreamsBySuspect.Get(part)
-			if len(upstreams) < watchWeight || q.answered.last(part).IsZero() {
-				continue
-			}
-			for _, u := range upstreams {
-				if known, _ := q.crashes.Get(u); !slices.Contains(known.vouchedFor, part) && !slices.Contains(q.toVouch, u) {
-					q.toVouch = append(slices.Clip(q.toVouch), u)
-				}
+			if !seen[part] && !slices.Contains(c.vouchedFor, part) && !q.answered.last(part).IsZero() {
+				q = q.withVouchingFor(part)
 			}
+			seen[part] = true
+		}
+	}
+
+	return q
+}
+
+// withVouchingFor has this node vouch for a part at all of its crashes, if there is more than one.
+func (q Quarantine) withVouchingFor(part string) Quarantine {
+	upstreams, _ := q.upstreamsBySuspect.Get(part)
+	if len(upstreams) < watchWeight {
+		return q
+	}
+	for _, u := range upstreams {
+		if known, _ := q.crashes.Get(u); !slices.Contains(known.vouchedFor, part) && !slices.Contains(q.toVouch, u) {
+			q.toVouch = append(slices.Clip(q.toVouch), u)
 		}
 	}
 
