Shorten comments, in the quarantine's new files and in others

Change: comments alone, by some 1,070 words; what is left out is told by the names or by the sentence before. No line of code differs (git diff without comment lines is empty).

--- a/internal/chuteadmission/scheduler.go
+++ b/internal/chuteadmission/scheduler.go
@@ -4,10 +4,9 @@
 
 // scheduler divides service among its flows by start-time fair queueing; immutable.
 //
-// Each flow has a virtual start tag. The backlogged flow with the lowest tag goes
-// first, and its tag then advances by the cost of the call divided by its weight. So
-// over any period backlogged flows get service in proportion to their weights, and
-// a flow that was idle can't claim the time that it left unused.
+// The backlogged flow with the lowest virtual start tag goes first, and its tag advances by the cost of the call
+// divided by its weight. So backlogged flows get service in proportion to their weights, and an idle one can't claim
+// unused time.
 type scheduler[B backlogged] struct {
 	// virtualTime is the highest start tag picked so far.
 	virtualTime int64
--- a/internal/chuteadmission/treap.go
+++ b/internal/chuteadmission/treap.go
@@ -8,13 +8,9 @@
 	"azurechute.example/azurechute/internal/chuterequest"
 )
 
-// treap is an immutable map with access to its entry of lowest rank: it is both a
-// binary search tree by key and a heap by rank.
-//
-// Keys are ordered by hash, which is independent of rank, so the tree stays balanced
-// like a treap with random priorities. An immutable.Map with an
-// immutable.SortedMap would also work; with them BenchmarkNext allocated about four
-// times the bytes per pick at 5,000 waiters.
+// treap is an immutable map with access to its entry of lowest rank: a binary search tree by key and a heap by rank.
+// Keys are ordered by a hash that is independent of rank, so it stays balanced. It allocates a quarter of what two
+// immutable.Maps would.
 type treap[V keyed] struct {
 	root *treapNode[V]
 	size int
--- a/internal/chutebatch/admit.go
+++ b/internal/chutebatch/admit.go
@@ -6,12 +6,9 @@
 // in practice: calls are not always full, and memory for results is short at times.
 const achievableRate = 0.8
 
-// Admits reports whether a job can finish by its admission deadline if it waits for
-// the given time, here and at the stages that follow, before its parts run. A job that
-// waits no longer than the time of a full call is always admitted.
-//
-// Callers that are refused on arrival can retry in time. A job is refused only for the queue ahead of it,
-// never for being late by itself.
+// Admits reports whether a job can finish by its admission deadline if it waits for the given time, here and at the
+// stages that follow, before its parts run. A job that waits no longer than a full call is always admitted: it is
+// refused only for the queue ahead of it, never for being late by itself.
 func (c Collector) Admits(j Job, wait time.Duration, now time.Time) bool {
 	fullCallTime := c.pools[j.Pool].FullCall()
 	if wait <= fullCallTime {
--- a/internal/chutebatch/fill.go
+++ b/internal/chutebatch/fill.go
@@ -245,10 +245,8 @@
 
 // hasLargeData reports whether the job's data should not cross zones.
 //
-// Each part fetches all inputs, so several inputs outweigh the results. The size of the
-// results counts only at the last stage: the results of other stages are fetched by the
-// next stage, which runs near them. If those jobs waited for a zone too, each request
-// with a chain of stages would lose time before its target for no gain.
+// Each part fetches all inputs, so several inputs outweigh the results, which count only at the last stage: those of
+// other stages are fetched near by. A chain that waited for a zone at each stage would gain nothing.
 func (j *jobState) hasLargeData() bool {
 	isLastStage := len(j.FollowingPools) == 0
 
--- a/internal/chutebatch/outcome.go
+++ b/internal/chutebatch/outcome.go
@@ -9,11 +9,8 @@
 	// maxFailuresPerPart is the number of failures after which a job fails, as an average
 	// over its parts.
 	maxFailuresPerPart = 3
-	// maxEndedUpstreams is the number of upstreams that may end while they run one job.
-	// maxFailuresPerPart is not a sufficient bound: it allows a job of 16 parts 48 failures,
-	// enough to crash each upstream of a pool several times within a second. A job that
-	// only shared a call with the cause is isolated after the first end and completes with
-	// its second call.
+	// maxEndedUpstreams is the number of upstreams that may end while they run one job; maxFailuresPerPart would
+	// allow a job of 16 parts 48. A job that only shared a call with the cause is isolated after the first end.
 	maxEndedUpstreams = 2
 	// refusedPause is how long an upstream that refused a call gets no other call: its
 	// slot is taken by another collector's call, which lasts longer than this.
@@ -220,13 +217,9 @@
 	}
 }
 
-// requeuePart queues a part again that its upstream had no memory for. It does not
-// count as a failure.
-//
-// After all nodes were killed, results that no node frees fill the memory for seconds.
-// When such parts counted as failures, jobs reached their failure limit within
-// milliseconds, and requests with seconds left were refused. The estimate of free
-// memory bounds how often the parts are sent.
+// requeuePart queues a part again that its upstream had no memory for. It does not count as a failure: after all
+// nodes were killed, results that no node frees fill the memory for seconds. The estimate of free memory bounds how
+// often the parts are sent.
 func (e *callCompletion) requeuePart(p Part) {
 	e.collector = e.collector.withoutReservation(e.call.Upstream, p)
 	if j, ok := e.collector.jobs.Get(p.Job); ok {
--- a/internal/chutebatch/queue.go
+++ b/internal/chutebatch/queue.go
@@ -87,12 +87,8 @@
 	fairQueue    chutefair.Queue
 }
 
-// Level returns how far a job would exceed its workspace's share of its queue if it were
-// added now; 0 if it would be within the share.
-//
-// A workspace that sends many times its usual number of requests fills the queue. Without
-// levels its jobs have the same target times as those of the others, and the jobs of all
-// workspaces are late.
+// Level returns how far a job would exceed its workspace's share of its queue if it were added now; 0 if it would be
+// within the share. Without levels one workspace's burst makes the jobs of all late.
 func (c Collector) Level(j Job) int {
 	q, ok := c.queues.Get(j.Lane())
 	if !ok {
@@ -178,11 +174,8 @@
 	return now.Add(b.FullCall()).UnixNano()
 }
 
-// visitWaiting calls visit for the lane's waiting jobs in queue order until visit returns
-// false: first for those that can still meet their target time, then for the late ones.
-//
-// With the earliest target first and no other rule, a burst makes every job wait until
-// it is just too late. So late jobs run after those that are not late.
+// visitWaiting calls visit for the lane's waiting jobs in queue order until visit returns false: first for those that
+// can still meet their target time, then for the late ones. By target alone, a burst makes every job just too late.
 func (c Collector) visitWaiting(l Lane, now time.Time, visit func(j *jobState) bool) {
 	q, ok := c.queues.Get(l)
 	if !ok {
--- a/internal/chutecore/arrival.go
+++ b/internal/chutecore/arrival.go
@@ -47,12 +47,8 @@
 	}
 }
 
-// refuseUnlessAlreadyRun looks up the claim of the request's key before it refuses the request.
-//
-// The request may be a resend: a balancer sends an enrolment again after its
-// first node died, or a caller asks again with the same RequestID. Answering
-// NotRun because this node is full would be false if the first submission ran. The
-// look-up is enough, since whatever runs has written its claim row first.
+// refuseUnlessAlreadyRun looks up the claim of the request's key before it refuses the request: it may be a resend of
+// one that ran, of which NotRun would be false. Whatever runs has written its claim row first.
 func (st *transition) refuseUnlessAlreadyRun(r Request, refusal chuterequest.Outcome) {
 	r.Refusal = &refusal
 	st.setRequest(r.WithPhase(PhaseRefusing))
@@ -103,13 +99,9 @@
 	}
 }
 
-// checkAdmission refuses a request if the queue of its pool is full or if it is
-// predicted to miss its deadline.
-//
-// Without this check an overloaded node starts work that it abandons later: the
-// early stages are paid for and the caller is told only near the deadline. The
-// prediction errs towards admitting; Queue.RemoveUnfinishable removes the
-// requests that were admitted wrongly.
+// checkAdmission refuses a request if the queue of its pool is full or if it is predicted to miss its deadline,
+// before its early stages are paid for. The prediction errs towards admitting; Queue.RemoveUnfinishable corrects
+// that.
 func (st *transition) checkAdmission(r Request) (refusal chuterequest.Outcome, refused bool) {
 	pool := r.currentStage().Pool
 	if st.queue.Len(pool) >= st.config.Limits.MaxQueued {
--- a/internal/chutecore/attempt.go
+++ b/internal/chutecore/attempt.go
@@ -73,13 +73,9 @@
 	st.emit(CancelAttempt{Handle: r.Handle, Attempt: a.ID})
 }
 
-// settleQueueCharge replaces the estimated cost, charged to the workspace when the
-// queue released the request, by the time that the attempt took; 0 means that it
-// never ran.
-//
-// Each waiter that the queue releases is settled once. Otherwise the pool would
-// count it as in flight forever and predict waits that are too short. A hedge
-// bypasses the queue and has no charge to settle.
+// settleQueueCharge replaces the estimated cost, charged to the workspace when the queue released the request, by the
+// time that the attempt took; 0 means that it never ran. A waiter that is not settled would count as in flight for
+// ever. A hedge has no charge to settle.
 func (st *transition) settleQueueCharge(r Request, a Attempt, took time.Duration) {
 	if a.Hedge {
 		return
@@ -156,14 +152,9 @@
 	st.startStage(r)
 }
 
-// allowTriedUpstreams clears the list of tried upstreams when a connection failure
-// leaves no other candidate.
-//
-// Connections to several upstreams can stall at once, when something on the path has
-// lost their state, while new connections to the same upstreams work. Ending the
-// request after one stall at each upstream would fail requests that another attempt
-// answers. This applies only to failures of the connection; MaxAttempts and the
-// retry budget still limit it.
+// allowTriedUpstreams clears the list of tried upstreams when a connection failure leaves no other candidate:
+// connections can stall at several upstreams at once while new ones work. MaxAttempts and the retry budget still
+// limit it.
 func (st *transition) allowTriedUpstreams(r Request, f chuterequest.Failure) Request {
 	connection := f.Kind == chuterequest.FailureStalled || f.Kind == chuterequest.FailureBroken
 	if connection && st.routing.CountCandidates(st.routingQuery(r)) == 0 {
--- a/internal/chutefair/demand.go
+++ b/internal/chutefair/demand.go
@@ -129,11 +129,11 @@
 	return kept
 }
 
-// Share returns a workspace's share of a queue, from 0 to 1. At first all workspaces have equal shares.
-// While demand is learned, the share changes gradually to the workspace's part of the usual demand.
+// Share returns a workspace's share of a queue, from 0 to 1. All are equal at first, and change gradually to the
+// workspace's part of the usual demand.
 //
-// A node that takes over a queue in the middle of one workspace's burst has seen nothing but the
-// burst. If that counted as usual at once, the burst would be within the workspace's share.
+// A node that takes over a queue in the middle of a burst has seen nothing else; counted as usual at once, the burst
+// would be within the share.
 func (d Demand) Share(workspace string, now time.Time) float64 {
 	others := d.workspaces.Len()
 	if _, known := d.workspaces.Get(workspace); known {
--- a/internal/chutefair/queue.go
+++ b/internal/chutefair/queue.go
@@ -13,11 +13,8 @@
 	shareTolerance = 2
 )
 
-// Queue counts the waiting work by workspace and level. It is immutable.
-//
-// Level 0 holds the work within its workspace's share and goes first. Each further level holds the
-// work that exceeds the share of the level before, by the same rule. If two workspaces send too much
-// work, each is therefore limited to its part of the work of the two.
+// Queue counts the waiting work by workspace and level. It is immutable. Level 0 holds the work within its
+// workspace's share and goes first, each further level what exceeds the share of the level before.
 type Queue struct {
 	waiting *immutable.Map[workspaceLevel, int]
 	// totals are the sums of the waiting work of each level.
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -267,11 +267,11 @@
 	}
 }
 
-// nextPollWait returns how long the next poll for changes stays open, with the age of the table now.
-// storeAnswered is true if the store answered the previous one, which was to stay open for lastWait.
+// nextPollWait returns how long the next poll for changes stays open, with the age of the table now. storeAnswered is
+// true if the store answered the previous one, which was to stay open for lastWait.
 //
-// The first poll after a failure, after following a source, or after changes is to return at once: until then
-// this node counts as out of date, and its followers would ask the store themselves.
+// The first poll after a failure, after following a source, or after changes returns at once: until then this node
+// counts as out of date.
 func nextPollWait(storeAnswered bool, lastWait, age, pollWait time.Duration) time.Duration {
 	if !storeAnswered || lastWait > 0 && age >= minConfirmStep {
 		return 0
--- a/internal/chutegate/ready.go
+++ b/internal/chutegate/ready.go
@@ -10,10 +10,9 @@
 // node refused them at once, the callers would go to another node that has started just as late.
 const startupWait = time.Second
 
-// quarantineWait is how long after its start a node lets requests wait for the list of quarantined
-// requests. Loading it usually takes some milliseconds more than the rest. When all nodes start at
-// once, the callers of a poison request retry at all of them, and each node without the list would
-// let it crash an upstream. If the store is unavailable, the node serves without the list.
+// quarantineWait is how long after its start a node lets requests wait for the list of quarantined requests. When all
+// nodes start at once, callers of a poison request would otherwise crash an upstream from each. Without the store,
+// the node serves without the list.
 const quarantineWait = 300 * time.Millisecond
 
 // Ready reports whether the node can serve new callers.
--- a/internal/chutegate/refresh.go
+++ b/internal/chutegate/refresh.go
@@ -25,10 +25,9 @@
 	// as having lost the store, if its table is still that old after the store has answered this
 	// node.
 	lostSourceDivisor = 2
-	// inPlaceRetryPause is the pause after the first failed read in place of the source. It doubles
-	// with each further failure up to maxInPlaceRetryPause, because while the store is unavailable
-	// to all nodes, reads by hundreds of them achieve nothing. A node counts as in touch 3 s after
-	// the store's return, and a read that was lost on the way takes readTimeout of these 3 s.
+	// inPlaceRetryPause is the pause after the first failed read in place of the source. It doubles up to
+	// maxInPlaceRetryPause: a node counts as in touch 3 s after the store's return, of which a lost read takes
+	// readTimeout.
 	inPlaceRetryPause    = 1400 * time.Millisecond
 	maxInPlaceRetryPause = 2 * time.Second
 	// sharedFailureAge is how long a failed read of one table also counts as a failure for the
--- a/internal/chutemember/digest.go
+++ b/internal/chutemember/digest.go
@@ -149,11 +149,9 @@
 	return w
 }
 
-// nodeNews lists the news about the members in the digest's scope. Members that
-// are dead by this node's judgement are left out: passed on, a dead member
-// would come back at nodes that have forgotten it, and go round for ever. Only
-// the peer itself is told of its own dead incarnation, so that it can go above
-// its epoch, see withRaisedEpoch.
+// nodeNews lists the news about the members in the digest's scope. Members that are dead by this node's judgement are
+// left out, or they would come back at nodes that have forgotten them; only the peer is told of its own dead
+// incarnation, see withRaisedEpoch.
 func (s Set) nodeNews(peer string, known Digest, b *budget) ([]NodeNews, []Beat) {
 	var news []NodeNews
 	var beats []Beat
--- a/internal/chutemember/plan.go
+++ b/internal/chutemember/plan.go
@@ -13,12 +13,8 @@
 	Scope   Scope
 }
 
-// Plan picks the nodes to exchange with now: of the own zone each time, of
-// other zones seldom, more of both while there is news. It is meant to be
-// called once a second. random(n) must be in [0, n).
-//
-// A node talks to a fixed few of each zone rather than to all: connections to
-// 400 nodes would cost more memory and keepalive traffic than the exchanges.
+// Plan picks the nodes to exchange with now: a fixed few of the own zone each time, of other zones seldom, more of
+// both while there is news. It is meant to be called once a second. random(n) must be in [0, n).
 func (s Set) Plan(now time.Time, random func(n int) int) []Peer {
 	p := s.planner(now, random)
 	p.ownZone()
--- a/internal/chutequarantine/answered.go
+++ b/internal/chutequarantine/answered.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// answeredTime is how long a part that was answered is remembered, at least. A pool that answers nothing for
-	// minutes must not make the parts suspect that all of its requests share.
+	// answeredTime is how long an answered part is remembered, at least. A pool that answers nothing for minutes must
+	// not make suspect what all of its requests share.
 	answeredTime = 5 * time.Minute
 	// maxAnsweredParts is the number of parts above which the oldest ones are forgotten earlier: twice as many are
 	// kept, some 100 bytes each.
@@ -55,8 +55,8 @@
 	return at
 }
 
-// WithAnswer records that an upstream of a pool has answered a request. It returns the judgements that clear what was
-// suspected: the request itself, and those parts of its prompt that are close to a quarantine or in one.
+// WithAnswer records that an upstream of a pool has answered a request, and returns the judgements that clear it and
+// those parts of its prompt that are close to a quarantine or in one.
 func (q Quarantine) WithAnswer(s Suspect, pool string, now time.Time) (Quarantine, []Judgement) {
 	var cleared []Judgement
 	if evidence := q.EvidenceAgainst(s.Fingerprint); len(evidence) > 0 {
@@ -87,8 +87,8 @@
 	return q
 }
 
-// refutedEvidence returns the crashes that an answer of a pool's upstream to a part makes void. It is empty unless the
-// part is close to a quarantine or in one, as most parts that run beside a crash are answered soon after.
+// refutedEvidence returns the crashes that an answer of a pool's upstream to a part makes void; none unless the part
+// is close to a quarantine or in one.
 func (q Quarantine) refutedEvidence(part, pool string) []string {
 	_, isWatched := q.watched.Get(part)
 	_, isJudged := q.verdictsByPart.Get(part)
--- a/internal/chutequarantine/element.go
+++ b/internal/chutequarantine/element.go
@@ -143,9 +143,8 @@
 	return a
 }
 
-// scopeOf returns the scope of a verdict by the names found at its crashes. A single workspace can't have others'
-// requests refused, and a part that crashes one pool's upstreams may be harmless in another; two of them are evidence
-// enough against the part itself.
+// scopeOf returns the scope of a verdict by the names at its crashes: a single workspace can't have others' requests
+// refused, and a part may be harmless in another pool.
 func scopeOf(names map[string]bool) []string {
 	if len(names) != 1 {
 		return nil
--- a/internal/chutequarantine/evidence.go
+++ b/internal/chutequarantine/evidence.go
@@ -57,8 +57,9 @@
 	return min(crashes, maxIncidentWeight)
 }
 
-// partWeight returns the number of crashes that some of one incident count for against a part of prompts; 0 for a request.
-// Besides these, which are put down to no other verdict, all of the incident at which the part was running are evidence.
+// partWeight returns the number of crashes that some of one incident count for against a part of prompts; 0 for a
+// request. All of the incident at which the part was running are evidence then, also those put down to another
+// verdict.
 func (q Quarantine) partWeight(element string, upstreams, withAttributed []string) int {
 	if !isPart(element) || len(upstreams) == 0 {
 		return 0
--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -26,19 +26,17 @@
 	minFrequentCalls = 8
 	frequentFactor   = 4
 	doubtfulCrashes  = 4
-	// someCrashes and manyCrashes are the numbers of crashes of one incident from which on it counts as two and as
-	// minCrashes against a part of prompts that was never answered, while other parts of the same prompts were. Sound
-	// requests with a part that is new are hardly ever at so many upstreams before the first answer.
+	// someCrashes and manyCrashes are the numbers of crashes of one incident that count as two and as minCrashes
+	// against a part of prompts that was never answered, while other parts of the same prompts were.
 	someCrashes = 3
 	manyCrashes = 5
 	// watchWeight is the weight of the evidence from which on an answer to a part clears it at all nodes.
 	watchWeight = minCrashes - 1
 	// SurvivalWindow is the time for which calls that upstreams survive are counted.
 	SurvivalWindow = 10 * time.Second
-	// lateReportDelay is how long after its last crash a request with minCrashes is not judged yet if it is likely
-	// that reports on other suspects of these crashes are late, as those of a node that is frozen or cut off for a
-	// moment: the request is frequent, or another one, of which upstreams have survived fewer calls, was running at
-	// all but one of the crashes.
+	// lateReportDelay is how long after its last crash a request with minCrashes is not judged yet if reports on
+	// other suspects are likely late, as those of a frozen node: the request is frequent, or another one, of which
+	// upstreams have survived fewer calls, ran at all but one of the crashes.
 	lateReportDelay = 2 * time.Second
 	// judgeDelay is the age at which an incident is judged. By then all of its crashes are known,
 	// and all nodes have reported their suspects.
@@ -50,11 +48,8 @@
 	return q.judgeAt
 }
 
-// Judge quarantines the requests and parts of prompts that are found to cause crashes, and returns the judgements on
-// them. observed holds the keys of those for which this node observed a crash itself.
-//
-// The element with the most crashes is quarantined first, and among those the one of which upstreams have
-// survived the fewest calls. Its crashes no longer count against others.
+// Judge quarantines the requests and parts of prompts that are found to cause crashes, those with the most crashes
+// first, and returns the judgements. observed holds the keys of those for which this node observed a crash itself.
 func (q Quarantine) Judge(now time.Time) (judged Quarantine, judgements []Judgement, observed map[string]bool) {
 	if q.judgeAt.IsZero() || now.Before(q.judgeAt) {
 		return q, nil, nil
@@ -135,10 +130,9 @@
 	return byUpstream, time.Time{}
 }
 
-// nextJudgements returns judgements on the element with the most crashes and on those that can't be
-// told apart from it; none if no element has enough crashes. An element that can't be told apart from
-// one of other requests needs minCrashesOfPair. The elements that are not judged yet because of lateReportDelay are
-// returned too.
+// nextJudgements returns judgements on the element with the most crashes and on those that can't be told apart from
+// it, which takes minCrashesOfPair; none if no element has enough. It returns the elements too that lateReportDelay
+// postpones.
 func (q Quarantine) nextJudgements(suspects []string, incidents map[string]*incident, now time.Time) (next []Judgement, postponed []candidate) {
 	skipped := map[string]bool{}
 	for _, a := range q.candidates(suspects, incidents) {
@@ -174,8 +168,8 @@
 	return nil, postponed
 }
 
-// narrowest returns which of the elements with the same evidence is always with the most others, and these: a verdict on
-// all of them is on the fewest requests. If it is too narrow, one more crash shows it.
+// narrowest returns which of the elements with the same evidence is always with the most others, and these: a verdict
+// on all of them is on the fewest requests.
 func (q Quarantine) narrowest(a candidate, common []string) (candidate, []string) {
 	best, companions := a, q.companions(a, common)
 	for _, e := range common {
--- a/internal/chutequarantine/vouch.go
+++ b/internal/chutequarantine/vouch.go
@@ -6,8 +6,8 @@
 // announce it before the others hear of it.
 const MaxVouchDelay = judgeDelay / 2
 
-// withVouching has this node vouch for those parts of a crash that it knows to be answered, if it is not their first
-// crash: the nodes that report the crashes may have answered none of them.
+// withVouching has this node vouch for those parts of a crash that it knows to be answered, from their second crash
+// on.
 func (q Quarantine) withVouching(c crashRecord) Quarantine {
 	seen := map[string]bool{}
 	for _, s := range c.Suspects {
--- a/internal/chutequota/allocator.go
+++ b/internal/chutequota/allocator.go
@@ -33,12 +33,11 @@
 	return len(a.nodeHashes)
 }
 
-// Quota returns this node's part of a total that all nodes share, 0 if it has none. The key names
-// what is divided.
+// Quota returns this node's part of a total that all nodes share, 0 if it has none. The key names what is divided,
+// and determines an order of the nodes, the first of which get a quota.
 //
-// The key determines an order of the nodes, and the first of them get a quota. If the lists of two nodes
-// differ in n nodes, at most n nodes add their quotas to the total. A node that is not on its own list gets
-// nothing.
+// If the lists of two nodes differ in n nodes, at most n nodes add their quotas to the total. A node that is not on
+// its own list gets nothing.
 func (a Allocator) Quota(key string, total int) int {
 	if total <= 0 || !a.listed {
 		return 0
--- a/internal/chuterelay/admit.go
+++ b/internal/chuterelay/admit.go
@@ -69,10 +69,8 @@
 	}
 }
 
-// recordWait stores a collector's report of its queue's wait. The waits of resent requests are
-// ignored: those wait for all requests that can still be on time, so their wait says nothing about
-// others. The wait of a workspace over its share is stored for that workspace alone, since it
-// would have the requests of others refused.
+// recordWait stores a collector's report of its queue's wait. That of a resent request is ignored, since those wait
+// for all others; that of a workspace over its share is stored for it alone.
 func (st *reduction) recordWait(r request, queue queueKey, wait time.Duration, overShare bool) {
 	if r.waitedBefore > 0 {
 		return
--- a/internal/chuterelay/notice.go
+++ b/internal/chuterelay/notice.go
@@ -79,10 +79,8 @@
 	return ok && blocked.Until.After(st.now.Add(stagesTime))
 }
 
-// noUsableUpstreamRefusal refuses a request because no upstream can be used. If rests and limits
-// are the only reason, the caller may retry when this node may send the next call. With a limit,
-// another node may have calls left sooner; during a rest it is not to be expected, since a resting
-// upstream refuses the calls of other nodes too.
+// noUsableUpstreamRefusal refuses a request because no upstream can be used. If rests and limits are the only reason,
+// the caller may retry when this node may send the next call; a limited upstream may have calls left at another node.
 func (st *reduction) noUsableUpstreamRefusal(r request) Refusal {
 	use := r.use()
 	refusal := notRunRefusal("no upstream of pool " + r.pool + " can be used now: " + st.fleet.DescribeBlocked(r.pool, use, st.now))
--- a/internal/chuterelay/peers.go
+++ b/internal/chuterelay/peers.go
@@ -161,11 +161,9 @@
 // collectorRole is the prefix of a collector's role in Elect; the shard follows.
 const collectorRole = "collector|"
 
-// collector returns the node that collects the parts of a lane; false if the lane must not leave its
-// regions and no node there can be asked.
-//
-// It is the same for all lanes of a shard, so that it knows the queues of a request's later stages. Two
-// collectors for one lane cost refused calls but no correctness, so no lease is needed.
+// collector returns the node that collects the parts of a lane, the same for all lanes of a shard; false if the lane
+// must not leave its regions and no node there can be asked. Two collectors for one lane cost refused calls but no
+// correctness.
 func (p peers) collector(lane chutebatch.Lane, unreachable []string, now time.Time) (Peer, bool) {
 	candidates := p.candidates(lane.Shard, unreachable, now)
 	if !lane.Regions.IsAll() {
--- a/internal/chuterelay/source.go
+++ b/internal/chuterelay/source.go
@@ -14,14 +14,12 @@
 // node has for control traffic.
 const maxDirectFollowers = 12
 
-// TableSource returns the node from which another one takes the store's tables. It returns false
-// if that one reads the store itself, as the first of its region.
+// TableSource returns the node from which another one takes the store's tables. It returns false if that one reads
+// the store itself, as the first of its region.
 //
-// Each node that reads the store reads the heartbeats of all upstreams, so the first node of a zone follows
-// the first of the region. Up to twelve others follow the first of their zone; where there are more, as many
-// as the square root of their number do, and these serve the rest. A node only ever follows one that comes
-// before it in an order that depends on the two alone, so that nodes with different lists never follow each
-// other in a cycle.
+// The first node of a zone follows the first of the region, up to twelve others follow the first of their zone; where
+// there are more, as many as the square root of their number do and serve the rest. A node only follows one before it
+// in an order that depends on the two alone, so that differing lists make no cycle.
 func TableSource(self Peer, nodes []Peer) (Peer, bool) {
 	order := sourceOrder(nodes)
 	zone := slices.DeleteFunc(slices.Clone(order), func(p Peer) bool { return p.Zone != self.Zone })
--- a/internal/chuterouting/choose.go
+++ b/internal/chuterouting/choose.go
@@ -32,12 +32,10 @@
 	cachedBlocks float64
 }
 
-// Choose returns the upstream for a call, or false if there is none. random(n) returns a
-// number in [0,n).
+// Choose returns the upstream for a call, or false if there is none. random(n) returns a number in [0,n).
 //
-// It takes a random sample, removes the hot candidates, and compares two random ones and
-// the one with the longest cached prefix by cost. Always taking the best of all would
-// send the calls of every node with the same stale reports to the same upstream.
+// Of a random sample without hot candidates it compares two at random and the one with the longest cached prefix by
+// cost. The best of all would get the calls of every node with the same stale reports.
 func (t Table) Choose(q Query, random func(n int) int) (Choice, bool) {
 	group := t.group(q.Pool)
 	if group == nil {
--- a/internal/chuterouting/suspension.go
+++ b/internal/chuterouting/suspension.go
@@ -19,13 +19,10 @@
 	successesToResetBackoff = 10
 )
 
-// failureWeights maps a kind of failure to what one such failure adds to the failure
-// score.
+// failureWeights maps a kind of failure to what it adds to the failure score.
 //
-// An error may be caused by the input, and a broken connection by the network, so a
-// single one does not suspend an upstream. An unreachable or stalled upstream costs each
-// caller a whole timeout, and a crossed answer means that the upstream mixes up its
-// callers, so a single one of these suspends it.
+// An error may come from the input, a broken connection from the network: one does not suspend an upstream. An
+// unreachable or stalled one costs each caller a timeout, and a crossed answer mixes up callers: one does.
 var failureWeights = map[chuterequest.FailureKind]int{
 	chuterequest.FailureErrored:     1,
 	chuterequest.FailureMalformed:   2,
@@ -35,12 +32,8 @@
 	chuterequest.FailureCrossed:     2 * suspendThreshold,
 }
 
-// suspension holds the failures of an upstream and its state as a circuit breaker.
-//
-// Until the back-off ends, the upstream is not chosen. After it, the upstream is
-// half-open: it gets one trial call at a time, whose result ends or renews the
-// suspension. An upstream that refused a call only reported that it is full; it returns
-// to service without a trial.
+// suspension holds the failures of an upstream and its state as a circuit breaker: not chosen until the back-off
+// ends, then half-open with one trial call at a time. One that refused a call returns without a trial.
 type suspension struct {
 	reason SuspensionReason
 	until  time.Time
--- a/internal/chuteshare/pack.go
+++ b/internal/chuteshare/pack.go
@@ -15,10 +15,8 @@
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
 )
 
-// minPackedRows is the number of rows, and minPackedBytes the size of their values, from which on rows are
-// packed, that is compressed with deflate. A table of thousands of upstreams shrinks to a third, which
-// matters when a whole zone starts at once and reads from nodes with slow links; a few rows are not worth
-// the CPU time.
+// minPackedRows is the number of rows, and minPackedBytes the size of their values, from which on rows are packed,
+// that is compressed with deflate. A few rows are not worth the CPU time.
 const (
 	minPackedRows  = 64
 	minPackedBytes = 4 << 10
--- a/internal/chutestore/publish.go
+++ b/internal/chutestore/publish.go
@@ -143,10 +143,8 @@
 
 // wrote says whether the rows of a committed transaction are those of this very publication.
 //
-// Two operators at once write the same keys, so the answer to the other's
-// transaction fits ours in all but the content. Taken as it comes, both would be
-// told that they published. Such an answer tells nothing of our own transaction,
-// so it is sent again like one whose answer was lost.
+// Two operators at once write the same keys; the answer to the other's transaction tells nothing of ours, which is
+// sent again like one whose answer was lost.
 func wrote(rows []chutetable.Row, next Head) bool {
 	row, ok := chutetable.RowOf(rows, historyKey(next.Version))
 	if !ok {
--- a/internal/chutetable/endpoint.go
+++ b/internal/chutetable/endpoint.go
@@ -109,12 +109,9 @@
 	return answer{}, unknown(cause(ctx, err))
 }
 
-// build makes the request. net/http sends a request again by itself when a
-// reused connection ends before the answer; a conditional write that had taken
-// effect the first time then fails its own condition and its sender would
-// believe that another was faster. Without GetBody no request with a body is
-// ever sent twice. Repeatable ones carry the mark by which net/http may do so
-// (a header without values is not sent).
+// build makes the request. Without GetBody net/http never sends a request with a body again by itself: a conditional
+// write that took effect would then fail its own condition. Repeatable requests carry the mark by which it may (a
+// header without values is not sent).
 func (e *endpoint) build(ctx context.Context, req request) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, req.method, e.base+req.path, bytes.NewReader(req.body))
 	if err != nil {
