End the judgement of parts that are not proven, and bound what it compares

What callers would have seen: a node that hangs. A part with two certain crashes in a volley that counts as three, and a doubtful one before, was a candidate by its weight, and ignored as a verdict by the number of its crashes; the judgement then met it again, without an end.

Cause: Judge took a judgement for made that WithJudgement had ignored. Found by reading the change.

Change: a verdict that is not proven is no judgement (isProven, in both places), and Judge ends once nothing new was judged.

--- a/internal/chutequarantine/bench_test.go
+++ b/internal/chutequarantine/bench_test.go
@@ -129,3 +129,24 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB/full")
 	runtime.KeepAlive(q)
 }
+
+// BenchmarkJudgeInvented judges four crashes under the same sixteen requests with 32 parts each that nobody else has.
+func BenchmarkJudgeInvented(b *testing.B) {
+	h := &harness{q: New(), now: start}
+	var requests []Suspect
+	for range 16 {
+		var parts []string
+		for range 32 {
+			parts = append(parts, fmt.Sprint(h.requestCount, "-", len(parts)))
+		}
+		requests = append(requests, h.request("team", parts...))
+	}
+	for range minCrashesOfPair {
+		h.now = h.now.Add(time.Second)
+		h.crashUnderRequests("engines", requests...)
+	}
+	for b.Loop() {
+		_, judgements, _ := h.q.Judge(h.now.Add(time.Second))
+		b.ReportMetric(float64(len(judgements)), "verdicts")
+	}
+}
--- a/internal/chutequarantine/evidence.go
+++ b/internal/chutequarantine/evidence.go
@@ -157,12 +157,14 @@
 // companions returns those of some elements that every suspect of the crashes has which has the candidate. Nothing shows
 // which of them is the cause.
 func (q Quarantine) companions(a candidate, elements []string) []string {
-	return slices.DeleteFunc(slices.Clone(elements), func(e string) bool {
-		return slices.ContainsFunc(a.upstreams, func(u string) bool {
-			c, _ := q.crashes.Get(u)
+	var suspects []Suspect
+	for _, u := range a.upstreams {
+		c, _ := q.crashes.Get(u)
+		suspects = append(suspects, c.suspectsWith(a.element)...)
+	}
 
-			return slices.ContainsFunc(c.suspectsWith(a.element), func(s Suspect) bool { return !s.has(e) })
-		})
+	return slices.DeleteFunc(slices.Clone(elements), func(e string) bool {
+		return slices.ContainsFunc(suspects, func(s Suspect) bool { return !s.has(e) })
 	})
 }
 
--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -30,6 +30,9 @@
 	// against a part of prompts that was never answered, while other parts of the same prompts were.
 	someCrashes = 3
 	manyCrashes = 5
+	// maxCompared is the number of elements with the same evidence that are compared at a time: callers may invent
+	// hundreds of parts. The others are judged after these.
+	maxCompared = 32
 	// watchWeight is the weight of the evidence from which on an answer to a part clears it at all nodes.
 	watchWeight = minCrashes - 1
 	// SurvivalWindow is the time for which calls that upstreams survive are counted.
@@ -64,14 +67,20 @@
 		if len(next) == 0 {
 			return q.withPostponed(postponed), judgements, observed
 		}
+		known := len(judgements)
 		for _, j := range next {
 			for _, u := range j.Upstreams {
 				c, _ := q.crashes.Get(u)
 				observed[j.Fingerprint] = observed[j.Fingerprint] || c.observed
 			}
-			q, _ = q.WithJudgement(j, now)
+			var isNew bool
+			if q, isNew = q.WithJudgement(j, now); isNew {
+				judgements = append(judgements, j)
+			}
+		}
+		if len(judgements) == known {
+			return q.withPostponed(nil), judgements, observed
 		}
-		judgements = append(judgements, next...)
 	}
 }
 
@@ -154,25 +163,33 @@
 
 			continue
 		}
-		all := []Judgement{q.newVerdict(a, companions)}
-		for _, e := range others {
-			other := candidate{element: e, upstreams: a.upstreams}
-			if j := q.newVerdict(other, q.companions(other, others)); !hasJudgement(all, j.Fingerprint) {
-				all = append(all, j)
-			}
+		if all := q.verdictsOn(a, companions, others); len(all) > 0 {
+			return all, nil
 		}
-
-		return all, nil
 	}
 
 	return nil, postponed
 }
 
+// verdictsOn returns the quarantines of a candidate with its companions and of the others that can't be told apart from
+// it, without those that WithJudgement would ignore.
+func (q Quarantine) verdictsOn(a candidate, companions, others []string) []Judgement {
+	all := []Judgement{q.newVerdict(a, companions)}
+	for _, e := range others[:min(len(others), maxCompared)] {
+		other := candidate{element: e, upstreams: a.upstreams}
+		if j := q.newVerdict(other, q.companions(other, others)); !hasJudgement(all, j.Fingerprint) {
+			all = append(all, j)
+		}
+	}
+
+	return slices.DeleteFunc(all, func(j Judgement) bool { return !q.isProven(j) })
+}
+
 // narrowest returns which of the elements with the same evidence is always with the most others, and these: a verdict
 // on all of them is on the fewest requests.
 func (q Quarantine) narrowest(a candidate, common []string) (candidate, []string) {
 	best, companions := a, q.companions(a, common)
-	for _, e := range common {
+	for _, e := range common[:min(len(common), maxCompared)] {
 		if slices.Contains(companions, e) {
 			continue
 		}
--- a/internal/chutequarantine/parts_test.go
+++ b/internal/chutequarantine/parts_test.go
@@ -345,6 +345,28 @@
 		h.assertRefused(true, "bad")
 	})
 
+	t.Run("a part whose evidence is enough by its weight and too doubtful by its crashes", func(t *testing.T) {
+		// Without an end of the judgement here, the node hangs.
+		h := newHarness(t)
+		s := h.request("team", "new", "system")
+		s.Answered = s.Parts
+		h.crashUnderRequests("engines", s)
+		h.advance(judgeDelay)
+		for range minCrashes {
+			h.crashParts("bad")
+		}
+		h.answer(h.request("team", "system"))
+		for range minCrashes {
+			h.crashUnderRequests("engines", h.request("team", "bad"), h.request("team", "new", "system"))
+		}
+		for range 2 {
+			h.crashUnderRequests("engines", h.request("team", "new", "system"))
+		}
+		h.advance(judgeDelay)
+		h.assertRefused(true, "bad")
+		h.assertRefused(false, "new", "system")
+	})
+
 	t.Run("a rare part beside a part that crashes", func(t *testing.T) {
 		h := newHarness(t)
 		for range minCrashes - 1 {
--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -284,7 +284,7 @@
 	if ok && known.isSame(j) {
 		return q, false
 	}
-	if j.Verdict == VerdictQuarantined && (q.lacksEvidence(j) || q.refutes(j)) {
+	if j.Verdict == VerdictQuarantined && !q.isProven(j) {
 		return q.withWatched(j), false
 	}
 	if ok {
@@ -344,6 +344,11 @@
 	return q
 }
 
+// isProven reports whether the evidence of a quarantine is enough by what this node knows.
+func (q Quarantine) isProven(j Judgement) bool {
+	return !q.lacksEvidence(j) && !q.refutes(j)
+}
+
 // refutes reports whether a quarantine's evidence is not enough by what this node knows of the crashes: too much of it
 // is doubtful, or another request that upstreams survived less often was running at all of them.
 func (q Quarantine) refutes(j Judgement) bool {
