--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -255,6 +255,8 @@
 		j.Elements = companions
 	}
 	if j.IsOnParts() {
+		// All nodes write the same judgement.
+		j.Upstreams = slices.Sorted(slices.Values(a.upstreams))
 		j.Workspaces, j.Pools = scopeOf(workspaces), scopeOf(pools)
 	}
 
