Judge by survived calls what the fourth crash does not tell apart

All sound streams of that soak are alike and run at every one of its three engines.

Cause, suspected: a request that always runs beside a bad part can't be told apart from it by crashes, and both were judged at the fourth, though upstreams had survived calls of the one and none of the other. Their counts decided only from eight calls on.

Change: of what has the same crashes only the least survived is judged; its verdict explains the crashes, and what is left of the others is judged by further ones.

--- a/internal/chutequarantine/judge.go
+++ b/internal/chutequarantine/judge.go
@@ -158,6 +158,8 @@
 
 			continue
 		}
+		// What upstreams have survived more often is judged by further crashes.
+		others = slices.DeleteFunc(others, func(e string) bool { return q.mostSurvived(e, a.upstreams) > a.survived })
 		if q.mayLackReports(a, companions) && now.Before(q.allReportedAt(a)) {
 			postponed = append(postponed, a)
 
