Keep the outstanding prompt tokens, speed and pace of upstreams

Cause: a node knew only the number of calls at an upstream, and dropped the pace that it reports. Change: chutefleet keeps unprocessed prompt tokens of other nodes, event intervals and pace per upstream, for pools whose upstreams report a pace; chutework.Report is what nodes exchange of it. Nothing reads it yet. Not covered: the exchange itself and the choice by work, which follow.

--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -155,6 +155,12 @@
 	zoneRegions map[string]string
 	// versionRules holds the rules on versions by pool; the map is replaced, never modified.
 	versionRules map[string]VersionRule
+	// work holds what is known of the work of upstreams whose pools report a pace, reportable those with calls of this
+	// node or something learned that other nodes have not heard.
+	work       *immutable.Map[string, work]
+	reportable *immutable.Map[string, struct{}]
+	// workPools holds the pools whose upstreams report a pace; the map is replaced, never modified.
+	workPools map[string]poolWork
 }
 
 // New returns an empty fleet for a node in a zone.
@@ -165,6 +171,7 @@
 		replacedIDs: immutable.NewMap[string, struct{}](nil), missing: immutable.NewMap[string, struct{}](nil),
 		departed: immutable.NewMap[string, departedUpstream](nil),
 		notices:  immutable.NewMap[string, notice](nil), observedLimit: minObservedLimit,
+		work: immutable.NewMap[string, work](nil), reportable: immutable.NewMap[string, struct{}](nil),
 	}
 }
 
@@ -233,6 +240,10 @@
 
 // WithCallSent counts a call that is sent to the upstream, with its prompt tokens.
 func (f Fleet) WithCallSent(id string, tokens int64, now time.Time) Fleet {
+	if m, ok := f.members.Get(id); ok && f.PlacesByWork(m.Pool) {
+		f.reportable = f.reportable.Set(id, struct{}{})
+	}
+
 	return f.withMember(id, func(m *member) {
 		m.inFlight++
 		if m.warmup.isCold(now) {
--- a/internal/chutefleet/list.go
+++ b/internal/chutefleet/list.go
@@ -166,7 +166,7 @@
 	if !ok {
 		return f
 	}
-	f = f.withoutIndexed(&m.Upstream)
+	f = f.withoutIndexed(&m.Upstream).withoutWork(m)
 	f.members = f.members.Delete(id)
 	if m.observation != unobserved {
 		f.observed = f.observed.Delete(id)
