--- a/internal/chutegate/forward.go
+++ b/internal/chutegate/forward.go
@@ -27,7 +27,7 @@
 		Wait: in.Wait, LastEventID: a.request.lastEventID, Affinity: in.Affinity, PromptTokens: in.PromptTokens, PromptParts: in.PromptParts, Parts: in.Parts,
 		PartKey: in.PartKey, Left: s.Deadline.Sub(now), Waited: now.Sub(s.ArrivedAt), PossibleRuns: s.PossibleRuns,
 		ConfigVersion: version, Node: n.settings.Self.Name, Counted: s.Counted,
-		Binding: a.request.binding,
+		Binding: a.request.binding, MaxOutputTokens: in.MaxOutputTokens, OutputHint: in.OutputHint, SharedTokens: in.SharedTokens,
 	}, s.Replaceable)
 	if err != nil {
 		return Answer{}, nil, forwardSendError(err)
@@ -67,6 +67,7 @@
 	in := &IncomingRequest{
 		ID: f.ID, Host: f.Host, Method: f.Method, URI: f.URI, Path: f.Path, Header: f.Header, Body: f.Body, Key: f.Key, Wait: f.Wait,
 		LastEventID: f.LastEventID, Affinity: f.Affinity, PromptTokens: f.PromptTokens, PromptParts: f.PromptParts, Parts: f.Parts, PartKey: f.PartKey,
+		MaxOutputTokens: f.MaxOutputTokens, OutputHint: f.OutputHint, SharedTokens: f.SharedTokens,
 	}
 	submission, refusal := n.submit(in)
 	if refusal != nil {
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -45,6 +45,12 @@
 	PromptTokens int64
 	// PromptParts are the ids of the parts of the prompt that other prompts may share, each once.
 	PromptParts []string
+	// MaxOutputTokens is the most tokens that the answer may have; 0 if the caller did not say. OutputHint is the caller's
+	// estimate of them; 0 if there is none. SharedTokens is how many of the prompt's tokens are in parts that other
+	// prompts may share.
+	MaxOutputTokens int64
+	OutputHint      int64
+	SharedTokens    int64
 	// Parts is the number of parts of each stage. PartKey is the input of the first stage.
 	Parts   []int
 	PartKey string
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -174,6 +174,7 @@
 		Handle: n.lastHandle.Add(1), ID: in.ID, Fingerprint: requestFingerprint(workspace.Name, in), Pipeline: pipeline, Workspace: workspace,
 		Affinity: in.Affinity, PromptTokens: in.PromptTokens, PromptParts: promptElements(in.PromptParts), Parts: in.Parts, PartKey: in.PartKey,
 		Deadline: n.Now().Add(wait), CallerWait: in.Wait,
+		MaxOutputTokens: in.MaxOutputTokens, OutputHint: in.OutputHint, SharedTokens: in.SharedTokens,
 	}, nil
 }
 
--- a/internal/chuteshare/forward.go
+++ b/internal/chuteshare/forward.go
@@ -59,6 +59,10 @@
 	Counted bool
 	// Binding is what the stream is bound to; zero if the caller has no event yet.
 	Binding chutestream.Binding
+	// MaxOutputTokens, OutputHint and SharedTokens are those of the caller's request; 0 if unknown.
+	MaxOutputTokens int64
+	OutputHint      int64
+	SharedTokens    int64
 }
 
 // ForwardRefusal is why the peer does not answer a forwarded request.
--- a/internal/chuteshare/forward_test.go
+++ b/internal/chuteshare/forward_test.go
@@ -22,7 +22,7 @@
 		Body: bytes.Repeat([]byte("b"), 100_000), Key: "k", Wait: 3 * time.Second, LastEventID: -1, Affinity: "s", PromptTokens: 7,
 		PromptParts: []string{"a", "b"},
 		Parts:       []int{1, 0, 2}, PartKey: "p", Left: 2 * time.Second, Waited: 40 * time.Millisecond, PossibleRuns: 1, ConfigVersion: 9,
-		Node: "n1", Counted: true,
+		Node: "n1", Counted: true, MaxOutputTokens: 512, OutputHint: 300, SharedTokens: 5,
 	}
 }
 
--- a/internal/chuteshare/forwardwire.go
+++ b/internal/chuteshare/forwardwire.go
@@ -14,6 +14,7 @@
 		WaitMs: r.Wait.Milliseconds(), LastEvent: int64(r.LastEventID) + 1, Affinity: r.Affinity, PromptTokens: r.PromptTokens, PromptParts: r.PromptParts, PartKey: r.PartKey,
 		LeftMs: r.Left.Milliseconds(), WaitedMs: r.Waited.Milliseconds(), PossibleRuns: int32(r.PossibleRuns), //nolint:gosec // a few
 		ConfigVersion: r.ConfigVersion, Node: r.Node, Counted: r.Counted, Binding: encodeBinding(r.Binding),
+		MaxOutputTokens: r.MaxOutputTokens, OutputHint: r.OutputHint, SharedTokens: r.SharedTokens,
 	}
 	for _, n := range r.Parts {
 		message.Parts = append(message.Parts, int32(n)) //nolint:gosec // some dozens
@@ -30,6 +31,7 @@
 		LastEventID: int(message.GetLastEvent()) - 1, Affinity: message.GetAffinity(), PromptTokens: message.GetPromptTokens(), PromptParts: message.GetPromptParts(), PartKey: message.GetPartKey(),
 		Left: milliseconds(message.GetLeftMs()), Waited: milliseconds(message.GetWaitedMs()), PossibleRuns: int(max(0, message.GetPossibleRuns())),
 		ConfigVersion: message.GetConfigVersion(), Node: message.GetNode(), Counted: message.GetCounted(),
+		MaxOutputTokens: message.GetMaxOutputTokens(), OutputHint: message.GetOutputHint(), SharedTokens: message.GetSharedTokens(),
 	}
 	r.Binding, _ = decodeBinding(message.GetBinding()) // one that is too long matches no upstream
 	for _, n := range message.GetParts() {
