--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -247,11 +247,6 @@
 	return max(1, r.Pipeline.MaxAttempts)
 }
 
-// sharedTokens returns the number of prompt tokens that an upstream which caches the prefix does not process.
-func (r request) sharedTokens() int64 {
-	return 0
-}
-
 // callTime returns the usual time from the last stage's end to the answer or first event.
 func (r request) callTime() time.Duration {
 	if r.PromptTokens == 0 {
