Exchange reports of the work at upstreams among nodes

Cause: a node knows only its own calls at an upstream, so that the placement by outstanding work misses those of all other nodes.

Change: chutework.Table adds up the reports of nodes, chutework.Outbox holds what a node still has to send, and ExchangeWork (chuteshare) carries both. The reducer elects the aggregator of the zone and says to whom streams are kept; chutegate keeps them.

--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -121,6 +121,8 @@
 	departedLedgers ledgerCopies
 	// streams knows which version began streams that can be taken up.
 	streams *streams
+	// work exchanges reports of the work at upstreams.
+	work *workExchange
 
 	runContext context.Context
 	cancelRun  context.CancelFunc
@@ -162,6 +164,7 @@
 		rolloutOrdered: make(chan struct{}), rolloutsLoaded: make(chan struct{}),
 		storeCalls:  newStoreCalls(),
 		gossipQueue: newReportQueue(), storeQueue: newReportQueue(), streams: newStreams(streamNode(settings.Self)),
+		work: newWorkExchange(settings.Self.Zone),
 	}
 	identity := chutecore.Identity{
 		Node: settings.Self.Name, Zone: settings.Self.Zone, PeerAddress: settings.Self.Address,
@@ -235,6 +238,7 @@
 	n.spawn(n.trimConnections)
 	n.spawn(n.flushLedger)
 	n.spawn(n.performStreamEffects)
+	n.spawn(n.exchangeWork)
 }
 
 // Stop ends all background tasks and cuts off requests in flight.
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -44,6 +44,7 @@
 	n.addUpstreamGauges()
 	n.storeCalls.addGauges(n.meter.Gauge)
 	n.addStreamGauges()
+	n.addWorkGauges()
 	n.meter.Gauge("upstreams_ended_under_requests_total", func() float64 { return float64(n.upstreamCrashes.Load()) })
 	n.meter.Gauge("requests_quarantined", func() float64 {
 		held := 0
--- a/internal/chutegate/rollout.go
+++ b/internal/chutegate/rollout.go
@@ -188,7 +188,7 @@
 		n.log.Warn().Str("Pool", r.Pool).Str("To", r.Version).Uint64("Order", r.Order).Uint64("Epoch", r.Epoch).
 			Str("Phase", string(r.Phase)).Int64("ElapsedMs", r.ElapsedMs).Str("By", r.By).Str("Reason", r.Reason).Msg("rollout")
 	default:
-		n.performPartsEffect(effect)
+		n.performWorkEffect(effect)
 	}
 }
 
--- a/internal/chutegate/source.go
+++ b/internal/chutegate/source.go
@@ -113,6 +113,7 @@
 		OnForward:          n.serveForwarded,
 		OnTell:             n.receiveReports,
 		OnStreamsAnnounced: func(records []chutestream.Record) { n.reduceStreams(chutestream.Announced{Records: records}) },
+		OnWork:             n.acceptWork,
 		OnFindStream:       func(id chutestream.ID) (chutestream.Record, bool) { return n.streams.find(id, n.Now()) },
 	}
 }
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -70,6 +70,7 @@
 	strays          strayCalls
 	survived        survivedCalls
 	rollouts        rollouts
+	work            workExchange
 	// judgeAt is when the next JudgeDue event is due; zero if none is.
 	judgeAt time.Time
 	// vouchAt is when this node vouches for parts of prompts; zero if it has to for none.
@@ -161,6 +162,7 @@
 func Reduce(s State, now time.Time, event Event) (State, []Effect) {
 	st := reduction{State: s, now: now}
 	st.apply(event)
+	st.startWorkExchange()
 
 	return st.State, st.effects
 }
@@ -219,6 +221,8 @@
 		st.noticeReceived(e)
 	case RolloutsOrdered, RolloutsRecorded, RolloutReported, RolloutReportFailed, RolloutWriteEnded, RolloutTicked:
 		st.applyRolloutEvent(event)
+	case WorkTicked, WorkReceived, WorkPeerHeard, WorkPeerLost:
+		st.applyWorkEvent(event)
 	case JudgeDue:
 		st.judgeAt = time.Time{}
 		st.judgeCrashes()
--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -28,6 +28,8 @@
 	Rollouts []RolloutView `json:",omitempty"`
 	// Quarantined are the judgements of the requests that are quarantined.
 	Quarantined []chutequarantine.Judgement `json:",omitempty"`
+	// Work describes the exchange of work among nodes; nil if there is none.
+	Work *WorkView `json:",omitempty"`
 }
 
 // RequestView describes one request in flight.
@@ -111,7 +113,7 @@
 	v := View{
 		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
 		Quarantined: s.quarantine.Quarantined(now), Evacuated: s.fleet.EvacuatedZones(),
-		Budgets: s.budgetViews(now), Rollouts: s.rolloutViews(),
+		Budgets: s.budgetViews(now), Rollouts: s.rolloutViews(), Work: s.workView(now),
 	}
 	for i := s.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -53,7 +53,7 @@
 	Loads []chutefleet.LoadReport
 }
 
-// Handlers holds the functions that serve the calls of other nodes; all fields but Traffic must be set.
+// Handlers holds the functions that serve the calls of other nodes; all fields but Traffic and OnWork must be set.
 type Handlers struct {
 	// OnJob starts a job. Its one update is sent on the channel, which is buffered for it.
 	OnJob func(token uint64, request JobRequest, updates chan<- JobUpdate)
@@ -69,6 +69,8 @@
 	// OnStreamsAnnounced takes records of streams, OnFindStream returns one, or false if it is not known.
 	OnStreamsAnnounced func(records []chutestream.Record)
 	OnFindStream       func(id chutestream.ID) (chutestream.Record, bool)
+	// OnWork begins an exchange of work with a node that asks for it; nil answers as an older build does.
+	OnWork func(peer WorkPeer) WorkSession
 	// Traffic counts the bytes of all messages; nil counts nothing.
 	Traffic *Traffic
 	// Now returns the current time, to which the relative times of received jobs are added.
--- /dev/null
+++ b/internal/chutework/subscription.go
@@ -0,0 +1,90 @@
+package chutework
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxWaiting bounds the changes that wait for a subscriber. What exceeds it has the fewest tokens, and is sent when it
+// changes again.
+const maxWaiting = 512
+
+// Subscription is what a subscriber of a table has been sent. It is immutable.
+type Subscription struct {
+	scope Scope
+	// seen is the number of the last change that was looked at, waiting are upstreams whose earlier changes were not sent.
+	seen    uint64
+	waiting []string
+}
+
+// NewSubscription returns the subscription of one who has been sent nothing.
+func NewSubscription(scope Scope) Subscription {
+	return Subscription{scope: scope}
+}
+
+// ranked is an upstream with what decides when its change is sent.
+type ranked struct {
+	upstream string
+	row      row
+	tokens   int64
+}
+
+// Changes returns the sums that have changed since the subscriber's last message, at most limit, those with the most
+// tokens first, and the subscription after it. The rest follows in the next message. The table must have no expired
+// reports (WithoutExpired).
+func (t Table) Changes(s Subscription, now time.Time, limit int) ([]Report, Subscription) {
+	candidates := t.candidates(s)
+	s.seen = t.lastChange
+	s.waiting = nil
+	if len(candidates) > limit {
+		slices.SortFunc(candidates, func(a, b ranked) int {
+			return cmp.Or(cmp.Compare(b.tokens, a.tokens), cmp.Compare(a.upstream, b.upstream))
+		})
+		for _, c := range candidates[limit:min(len(candidates), limit+maxWaiting)] {
+			s.waiting = append(s.waiting, c.upstream)
+		}
+		candidates = candidates[:limit]
+	}
+	reports := make([]Report, 0, len(candidates))
+	for _, c := range candidates {
+		reports = append(reports, c.row.report(c.upstream, s.scope, milliseconds(now)))
+	}
+
+	return reports, s
+}
+
+// candidates returns the upstreams that have changed and were not sent, each once.
+func (t Table) candidates(s Subscription) []ranked {
+	var found []ranked
+	add := func(upstream string, r row) {
+		c := ranked{upstream: upstream, row: r, tokens: r.sumZone.tokens}
+		if s.scope == ScopeAll {
+			c.tokens += r.sumForeign.tokens
+		}
+		found = append(found, c)
+	}
+	changed := t.changedInZone
+	if s.scope == ScopeAll {
+		changed = t.changedInAll
+	}
+	i := changed.Iterator()
+	i.Seek(s.seen + 1)
+	for !i.Done() {
+		_, upstream, _ := i.Next()
+		r, _ := t.rows.Get(upstream)
+		add(upstream, r)
+	}
+	for _, upstream := range s.waiting {
+		r, ok := t.rows.Get(upstream)
+		last := r.changeZone.number
+		if s.scope == ScopeAll {
+			last = r.changeAll.number
+		}
+		if ok && last <= s.seen {
+			add(upstream, r)
+		}
+	}
+
+	return found
+}
