Weigh the delay of streams, distance and shared parts in the choice by work

Cause: a long prompt on a slow upstream makes all streams there late, results of stages crossed zones, and shared parts were read again. Change: the cost of an upstream includes the streams there if what it has to process takes longer than the strictest pause of its pool, the zone of the stages' results, and shared parts twice where they are not cached. The decision is logged with the call (Placement).

--- a/internal/chutefleet/choose.go
+++ b/internal/chutefleet/choose.go
@@ -38,6 +38,8 @@
 	// upstream which caches the prefix does not process.
 	Tokens       int64
 	SharedTokens int64
+	// Pause is the longest time between two events of a stream of the pool that is not late; 0 if there is no bound.
+	Pause time.Duration
 }
 
 // candidate is an available member with its estimated load and penalties, in calls.
--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"azurechute.example/azurechute/internal/chutework"
 )
 
 const (
@@ -18,8 +20,21 @@
 	// an upstream has no free slot.
 	callTokens    = 500
 	waitingTokens = 2000
-	// remoteTokens is the work that being in another zone than the results of the call's stages counts as.
-	remoteTokens = 250
+	// remoteTokens is the work that being in another zone counts as, remoteResultTokens the same if the results of the
+	// call's stages are in the zone: they are several megabytes.
+	remoteTokens       = 100
+	remoteResultTokens = 2000
+	// rereadFactor is how many times the shared part of a prompt counts at an upstream that does not cache it: it takes the
+	// time of the others there too, and evicts what they share.
+	rereadFactor = 2
+	// homeSpeedExponent is the power of an upstream's speed by which prompts are distributed. Above 1 the faster ones are
+	// used more: waiting and processing are shorter there.
+	homeSpeedExponent = 1.5
+	// pauseShare is the share of the longest pause from which on prompts that are processed between two events of a stream
+	// count as a delay of the streams there, and latePause the share at which they count in full.
+	pauseShare, latePause = 0.6, 1.2
+	// lateStreamTime is how much later a call may begin elsewhere to keep one stream from a pause that makes it late.
+	lateStreamTime = 150 * time.Millisecond
 )
 
 // Choice is an upstream selected for a call, with what decided.
@@ -35,6 +50,8 @@
 	Pace  float64
 	// Rank is its place in the order for the call's affinity, from 1; 0 if the call has none or it was drawn at random.
 	Rank int
+	// FirstEvent is the expected time until the first event; 0 if the call was not placed by work.
+	FirstEvent time.Duration
 }
 
 // ChooseCall selects the upstream for a call like Choose, and returns what decided.
@@ -75,43 +92,86 @@
 	var best Choice
 	bestCost := math.Inf(1)
 	for i := range compared {
-		tokens, rank := q.Tokens, 0
+		rank := 0
 		if q.Affinity != "" && i < home {
 			rank = i + 1
 		}
-		if rank == 1 {
-			tokens -= min(q.SharedTokens, q.Tokens)
-		}
-		if cost := f.workCost(&compared[i], q, tokens, now); cost < bestCost {
-			best, bestCost = f.choiceOf(&compared[i], tokens, rank, now), cost
+		if cost := f.workCost(&compared[i], q, rank, now); cost < bestCost {
+			best, bestCost = f.choiceOf(&compared[i], q, rank, now), cost
 		}
 	}
 
 	return best, true
 }
 
-func (f Fleet) choiceOf(c *candidate, tokens int64, rank int, now time.Time) Choice {
+func (f Fleet) choiceOf(c *candidate, q Query, rank int, now time.Time) Choice {
 	w, _ := f.work.Get(c.ID)
+	tokens := q.Tokens
+	if rank == 1 {
+		tokens -= min(q.SharedTokens, q.Tokens)
+	}
+
+	firstEvent, _ := f.ExpectedFirstEvent(c.ID, tokens, now)
 
 	return Choice{
-		Upstream: c.Upstream, Tokens: tokens, Outstanding: int64(f.outstandingTokens(c.member, now)),
+		FirstEvent: firstEvent, Upstream: c.Upstream, Tokens: tokens, Outstanding: int64(f.outstandingTokens(c.member, now)),
 		Speed: f.speed(c.member), Pace: w.paceFactor(now), Rank: rank,
 	}
 }
 
-// workCost returns the time until an upstream is expected to begin a call with tokens to process, in prompt tokens at the
-// usual speed.
-func (f Fleet) workCost(c *candidate, q Query, tokens int64, now time.Time) float64 {
+// workCost returns the cost of a call at an upstream, in prompt tokens at the usual speed: the time until it is expected to
+// begin there, and the delay that it causes to the streams that run there.
+func (f Fleet) workCost(c *candidate, q Query, rank int, now time.Time) float64 {
 	w, _ := f.work.Get(c.ID)
-	work := f.outstandingTokens(c.member, now) + float64(tokens) + callTokens*c.penalty(now)
-	if free := float64(c.Slots) - c.load; free < 1 {
+	tokens, shared := float64(q.Tokens), float64(min(q.SharedTokens, q.Tokens))
+	if rank == 1 {
+		tokens -= shared
+	} else {
+		tokens += (rereadFactor - 1) * shared
+	}
+	calls := f.calls(c.member, now)
+	work := f.outstandingTokens(c.member, now) + tokens + callTokens*c.penalty(now)
+	if free := float64(c.Slots) - calls; free < 1 {
 		work += waitingTokens * (1 - free)
 	}
-	if q.Zone != "" && c.Zone != q.Zone {
-		work += remoteTokens
+	slowness := w.paceFactor(now) / f.speed(c.member)
+
+	return work*slowness + f.remoteWork(c, q) + f.streamDelay(q, calls, work*slowness)
+}
+
+// remoteWork returns the work that the distance of an upstream counts as.
+func (f Fleet) remoteWork(c *candidate, q Query) float64 {
+	switch zone := cmp.Or(q.Zone, f.zone); {
+	case c.Zone == zone:
+		return 0
+	case q.Zone != "":
+		return remoteResultTokens
+	default:
+		return remoteTokens
+	}
+}
+
+// streamDelay returns what the delay of an upstream's streams counts as, if it has tokens to process that take some time at the
+// usual speed.
+func (f Fleet) streamDelay(q Query, streams, tokens float64) float64 {
+	if q.Pause <= 0 {
+		return 0
+	}
+	rate := f.rate(q.Pool)
+	pauses := tokens / rate / float64(q.Pause/time.Millisecond)
+	late := min(max(0, (pauses-pauseShare)/(latePause-pauseShare)), 1)
+
+	return late * streams * rate * float64(lateStreamTime/time.Millisecond)
+}
+
+// calls returns the number of calls at an upstream, those of other nodes as last reported.
+func (f Fleet) calls(m *member, now time.Time) float64 {
+	w, _ := f.work.Get(m.ID)
+	if now.Sub(w.othersAt) >= chutework.ReportLifetime {
+		return m.estimatedLoad(now)
 	}
 
-	return work * w.paceFactor(now) / f.speed(c.member)
+	return float64(m.inFlight + w.calls)
 }
 
 // penalty returns the load, in calls, that recent failures count as.
@@ -158,7 +218,7 @@
 func (f Fleet) sortByAffinity(candidates []candidate, affinity string) {
 	for i := range candidates {
 		uniform := (float64(pairHash(affinity, candidates[i].Name)) + 1) / (math.MaxUint64 + 2)
-		candidates[i].affinity = -math.Log(uniform) / f.speed(candidates[i].member)
+		candidates[i].affinity = -math.Log(uniform) / math.Pow(f.speed(candidates[i].member), homeSpeedExponent)
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.affinity, b.affinity) })
 }
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -294,6 +294,9 @@
 	if e.Budget != nil {
 		line = line.Object("Budget", budgetFields(*e.Budget))
 	}
+	if e.Placement != nil {
+		line = line.Object("Placement", placementFields(*e.Placement))
+	}
 	if len(e.PromptParts) > 0 {
 		line = line.Strs("PromptParts", partsForLog(e.PromptParts))
 	}
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -125,7 +125,7 @@
 	use.Side = side
 	query := chutefleet.Query{
 		Pool: r.pool, Use: use, Exclude: r.triedUpstreams, Zone: r.resultZone(), Unreachable: st.zoneSilence.allCutOff(st.now),
-		Tokens: r.PromptTokens, SharedTokens: r.SharedTokens,
+		Tokens: r.PromptTokens, SharedTokens: r.SharedTokens, Pause: st.config.Pause(r.pool),
 	}
 	if r.Pipeline.Affinity {
 		query.Affinity = r.Affinity
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -52,6 +52,7 @@
 	st.putRequest(r)
 	st.logStep(StepSent, r, func(n *LogStep) {
 		n.Upstream, n.UpstreamVersion, n.Peer, n.Zone = u.ID, u.Version, u.Address, u.Zone
+		n.Placement = placementOf(choice)
 		if r.maybeReached {
 			n.RepeatOf, n.Budget = r.lastEnd, st.budgetForLog(r.pool)
 		}
@@ -63,6 +64,15 @@
 	})
 }
 
+// placementOf returns what decided on an upstream; nil unless the call was placed by work.
+func placementOf(c chutefleet.Choice) *Placement {
+	if c.Speed == 0 {
+		return nil
+	}
+
+	return &Placement{Tokens: c.Tokens, Outstanding: c.Outstanding, Speed: c.Speed, Pace: c.Pace, Rank: c.Rank, FirstEvent: c.FirstEvent}
+}
+
 // noneUsable hands a request to another node if this one can't reach any upstream of its pool, which may be
 // a fault of its own links, and refuses it otherwise.
 func (st *reduction) noneUsable(r request) {
--- a/internal/chuterelay/logstep.go
+++ b/internal/chuterelay/logstep.go
@@ -67,6 +67,8 @@
 	// Wait is the expected wait that the step was based on, or the retry delay of a refusal.
 	Wait   time.Duration
 	Reason string
+	// Placement is what decided on the upstream of a call that was placed by work; nil for others.
+	Placement *Placement
 	// RepeatOf is how the previous call ended, if a call is sent again.
 	RepeatOf AttemptEnd
 	// Budget is the pool's retry budget, if it allowed or refused a retry.
@@ -75,6 +77,21 @@
 	Version uint64
 }
 
+// Placement is what decided on the upstream of a call.
+type Placement struct {
+	// Tokens is the number of prompt tokens that the upstream is expected to process for the call, Outstanding the number
+	// that it has to process before.
+	Tokens      int64
+	Outstanding int64
+	// Speed is relative to the pool's mean, Pace how long work takes there at the moment as a multiple of the usual time.
+	Speed float64
+	Pace  float64
+	// Rank is the upstream's place in the order for the prompt's prefix, from 1; 0 if it was drawn at random.
+	Rank int
+	// FirstEvent is the expected time until the first event.
+	FirstEvent time.Duration
+}
+
 func (LogStep) relayEffect() {}
 
 // logStep emits a step of a request; setDetails sets the fields that are particular to it.
--- a/internal/chuteroute/config.go
+++ b/internal/chuteroute/config.go
@@ -32,6 +32,8 @@
 
 	// byHost maps a host and a prefix to the index of the pipeline.
 	byHost map[string]map[string]int
+	// pauses maps a pool to the strictest pause of the pipelines that stream from it.
+	pauses map[string]time.Duration
 }
 
 // Pipeline is one kind of request: stages that run first, then one call that is relayed to the caller.
@@ -151,8 +153,14 @@
 // WithIndex returns the configuration ready for Match.
 func (c Config) WithIndex() Config {
 	c.byHost = make(map[string]map[string]int)
+	c.pauses = make(map[string]time.Duration)
 	for i := range c.Pipelines {
 		p := &c.Pipelines[i]
+		for _, t := range p.Targets {
+			if known, ok := c.pauses[t.Pool]; p.Streams && p.Pause > 0 && (!ok || p.Pause < known) {
+				c.pauses[t.Pool] = p.Pause
+			}
+		}
 		if c.byHost[p.Host] == nil {
 			c.byHost[p.Host] = make(map[string]int)
 		}
@@ -164,6 +172,11 @@
 	return c
 }
 
+// Pause returns the strictest Pause of the pipelines that stream from a pool; 0 if none has one.
+func (c Config) Pause(pool string) time.Duration {
+	return c.pauses[pool]
+}
+
 // Match returns the pipeline of the host with the longest prefix of the path.
 func (c Config) Match(host, path string) (Pipeline, bool) {
 	byPrefix := c.byHost[hostName(host)]
