Learn how many events answers take, per pipeline and workspace

Cause: a node expected the same cost of every request with the same prompt. Change: chutecost.Estimator keeps decaying histograms of the factor between answers and hints; chuterelay learns from complete streams that are not resumed and offers expectedCost. Nothing reads it yet. Measured: tests of chuterelay, chutegate and chuteshare pass.

--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -133,6 +133,7 @@
 		return
 	}
 	st.recordAttemptEnd(r, e)
+	st.learnCost(r, e)
 	st.countRolloutEnd(r, e)
 	st.uncountAttempt(r)
 	if e.UpstreamEnded {
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -10,6 +10,7 @@
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutebudget"
 	"azurechute.example/azurechute/internal/chutecanary"
+	"azurechute.example/azurechute/internal/chutecost"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroute"
@@ -62,6 +63,8 @@
 	loadReports loadReports
 	// callTimes is how long calls take until their first event.
 	callTimes callTimes
+	// costs is how many events answers have.
+	costs chutecost.Estimator
 	// callerWaits distinguishes callers that resend a request from new ones.
 	callerWaits callerWaits
 	// announcedLimits maps an upstream's name to the last announcement of its limit among nodes.
@@ -98,6 +101,7 @@
 		waitReports:   immutable.NewMap[queueKey, waitReport](queueHasher{}),
 		localWaits:    immutable.NewMap[queueKey, waitReport](queueHasher{}),
 		callTimes:     newCallTimes(),
+		costs:         chutecost.New(),
 		callerWaits:   newCallerWaits(),
 		zoneSilence:   newZoneSilence(s.Self.Zone),
 
