Test the estimates of answers, and list them in metrics and the state dump

Cause: the error of estimates, the bound on memory and the effect on decisions were not checked; learning took three rows and a full scan with exponentials. Metrics cost_*, Costs in the state dump.

--- a/internal/chutecost/estimator.go
+++ b/internal/chutecost/estimator.go
@@ -14,7 +14,7 @@
 	medianQuantile = 0.5
 	upperQuantile  = 0.9
 	// workspacePrior is the number of a workspace's own samples that weigh as much as those of its pipeline.
-	workspacePrior = 4
+	workspacePrior = 2
 	// pipelinePrior is the number of a pipeline's samples that weigh as much as the assumption about hints.
 	pipelinePrior = 2
 	// maxTokens and maxEvents bound what a request or an answer states, so that no sum overflows.
@@ -92,7 +92,7 @@
 // Estimate returns what a request that arrives now is expected to take.
 func (e Estimator) Estimate(r Request, now time.Time) Estimate {
 	hint, hinted := r.hint()
-	median, upper, basis := e.factors(key{pipeline: r.Pipeline, workspace: r.Workspace, hinted: hinted}, now)
+	median, upper, basis := e.factors(key{pipeline: r.Pipeline, workspace: r.Workspace}, hinted, now)
 	base := baseEvents(hint, hinted)
 	limit := r.eventLimit()
 	prompt := min(max(0, r.PromptTokens), maxTokens)
@@ -116,13 +116,16 @@
 	hint, hinted := r.hint()
 	factor := count / baseEvents(hint, hinted)
 	if r.Workspace != "" {
-		e.table = e.table.withSample(key{pipeline: r.Pipeline, workspace: r.Workspace, hinted: hinted}, factor, now)
+		k := key{pipeline: r.Pipeline, workspace: r.Workspace}
+		e.table = e.table.withRow(k, e.table.find(k).withSample(hinted, factor, now))
 	}
+	k := key{pipeline: r.Pipeline}
+	pipeline := e.table.find(k)
 	if hinted {
-		e.table = e.table.withSample(key{pipeline: r.Pipeline, hinted: true}, factor, now)
+		pipeline = pipeline.withSample(true, factor, now)
 	}
 	// Answers to requests with a hint show as well what to expect of those without.
-	e.table = e.table.withSample(key{pipeline: r.Pipeline}, count/usualEvents, now)
+	e.table = e.table.withRow(k, pipeline.withSample(false, count/usualEvents, now))
 
 	return e
 }
@@ -131,12 +134,13 @@
 //
 // A workspace's samples are mixed with those of its pipeline, and these with the assumption about hints, so that an
 // estimate passes from one to the other without a step as samples come and lose weight.
-func (e Estimator) factors(k key, now time.Time) (median, upper float64, basis Basis) {
+func (e Estimator) factors(k key, hinted bool, now time.Time) (median, upper float64, basis Basis) {
 	basis = BasisDefault
-	if k.hinted {
+	if hinted {
 		basis = BasisHint
 	}
-	pipeline, pipelineLeft := e.table.find(key{pipeline: k.pipeline, hinted: k.hinted}, now)
+	pipeline := e.table.find(key{pipeline: k.pipeline}).samples(hinted)
+	pipelineLeft := float32(pipeline.decay(now))
 	pipelineTotal := pipeline.total * pipelineLeft
 	if pipelineTotal >= pipelinePrior {
 		basis = BasisPipeline
@@ -148,7 +152,8 @@
 		mixed.add(pipeline, share*pipelineLeft)
 	}
 	if k.workspace != "" {
-		workspace, workspaceLeft := e.table.find(k, now)
+		workspace := e.table.find(k).samples(hinted)
+		workspaceLeft := float32(workspace.decay(now))
 		if total := workspace.total * workspaceLeft; total > 0 {
 			mixed.add(workspace, workspaceLeft)
 			if total >= workspacePrior {
--- a/internal/chutecost/histogram.go
+++ b/internal/chutecost/histogram.go
@@ -76,7 +76,7 @@
 // as evenly distributed.
 func (m *mixture) quantiles() (median, upper float64) {
 	medianRank, upperRank := m.total*medianQuantile, m.total*upperQuantile
-	below := float32(0)
+	below, highest := float32(0), 0
 	for i, weight := range m.weights {
 		if weight == 0 {
 			continue
@@ -88,11 +88,11 @@
 			return median, factorAt(i, (upperRank-below)/weight)
 		}
 		below += weight
-		// Rounding can leave the sum of the weights below a rank.
-		upper = factorAt(i, 1)
+		highest = i
 	}
 
-	return median, upper
+	// Rounding can leave the sum of the weights below a rank.
+	return median, factorAt(highest, 1)
 }
 
 // factorAt returns the factor at a position within a bucket, from 0 to 1.
--- a/internal/chutecost/summary.go
+++ b/internal/chutecost/summary.go
@@ -54,12 +54,18 @@
 		if k.workspace != "" {
 			continue
 		}
-		median, upper, _ := e.factors(k, now)
-		s.Pipelines = append(s.Pipelines, PipelineSummary{
-			Pipeline: k.pipeline, Hinted: k.hinted, Samples: float64(found.total) * found.decay(now), Median: median, Upper: upper,
-		})
+		for _, hinted := range []bool{true, false} {
+			samples := found.samples(hinted)
+			if samples.total == 0 {
+				continue
+			}
+			median, upper, _ := e.factors(k, hinted, now)
+			s.Pipelines = append(s.Pipelines, PipelineSummary{
+				Pipeline: k.pipeline, Hinted: hinted, Samples: float64(samples.total) * samples.decay(now), Median: median, Upper: upper,
+			})
+		}
 	}
-	slices.SortFunc(s.Pipelines, func(a, b PipelineSummary) int {
+	slices.SortStableFunc(s.Pipelines, func(a, b PipelineSummary) int {
 		return cmp.Or(cmp.Compare(b.Samples, a.Samples), cmp.Compare(a.Pipeline, b.Pipeline))
 	})
 	s.Pipelines = s.Pipelines[:min(len(s.Pipelines), maxSummaryPipelines)]
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -9,6 +9,7 @@
 
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutecore"
+	"azurechute.example/azurechute/internal/chutecost"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
 )
@@ -42,6 +43,7 @@
 	n.meter.Gauge("refused_by_stale_config_total", func() float64 { return float64(n.staleRefusals.Load()) })
 	n.meter.Gauge("zones_evacuated", func() float64 { return float64(n.evacuatedZoneCount.Load()) })
 	n.addUpstreamGauges()
+	n.addCostGauges()
 	n.storeCalls.addGauges(n.meter.Gauge)
 	n.addStreamGauges()
 	n.meter.Gauge("upstreams_ended_under_requests_total", func() float64 { return float64(n.upstreamCrashes.Load()) })
@@ -100,6 +102,21 @@
 	})
 }
 
+// addCostGauges registers the gauges about what is learned of requests' costs. About a tenth of the answers exceed their
+// upper estimates where estimates are right.
+func (n *Node) addCostGauges() {
+	counts := func() chutecost.Counts {
+		var counts chutecost.Counts
+		n.Query(func(s chutecore.State) { counts = s.Relay().CostCounts() })
+
+		return counts
+	}
+	n.meter.Gauge("cost_keys", func() float64 { return float64(counts().Keys) })
+	n.meter.Gauge("cost_keys_evicted_total", func() float64 { return float64(counts().Evicted) })
+	n.meter.Gauge("cost_answers_total", func() float64 { return float64(counts().Answers) })
+	n.meter.Gauge("cost_answers_above_upper_total", func() float64 { return float64(counts().Exceeded) })
+}
+
 func boolToFloat(b bool) float64 {
 	if b {
 		return 1
--- a/internal/chuterelay/cost.go
+++ b/internal/chuterelay/cost.go
@@ -29,7 +29,17 @@
 	st.costs = st.costs.WithAnswer(r.costRequest(), e.Events, st.now)
 }
 
-// Costs describes what the node has learned of the cost of requests.
-func (s State) Costs(now time.Time) chutecost.Summary {
-	return s.costs.Summary(now)
+// CostCounts returns totals of what the node has learned of the cost of requests.
+func (s State) CostCounts() chutecost.Counts {
+	return s.costs.Counts()
+}
+
+// costView describes what the node has learned of the cost of requests; nil if nothing.
+func (s State) costView(now time.Time) *chutecost.Summary {
+	if s.costs.Counts().Answers == 0 {
+		return nil
+	}
+	summary := s.costs.Summary(now)
+
+	return &summary
 }
--- a/internal/chuterelay/cost_test.go
+++ b/internal/chuterelay/cost_test.go
@@ -48,7 +48,8 @@
 		}
 		estimate = n.expectCost(hintedRequest(99), 200)
 		n.Assert(estimate.Basis, qt.Equals, chutecost.BasisWorkspace)
-		n.Assert(n.state.Costs(n.now).Answers, qt.Equals, uint64(20))
+		n.Assert(n.state.CostCounts().Answers, qt.Equals, uint64(20))
+		n.Assert(n.state.View(n.now).Costs.Pipelines[0].Samples, qt.Equals, 20.0)
 	})
 
 	t.Run("broken, failed and plain answers are not", func(t *testing.T) {
@@ -61,7 +62,8 @@
 		n.answerStream(n.submit(s), EndErrored, 3)
 		s.Handle = 3
 		n.answerStream(n.submit(s), EndAnswered, 0)
-		n.Assert(n.state.Costs(n.now).Counts, qt.Equals, chutecost.Counts{})
+		n.Assert(n.state.CostCounts(), qt.Equals, chutecost.Counts{})
+		n.Assert(n.state.View(n.now).Costs, qt.IsNil)
 	})
 
 	t.Run("resumed streams are not", func(t *testing.T) {
@@ -73,7 +75,7 @@
 		resumed := takeOne[Send](n)
 		n.Assert(resumed.Resume, qt.IsTrue)
 		n.answerStream(resumed, EndAnswered, 10)
-		n.Assert(n.state.Costs(n.now).Answers, qt.Equals, uint64(0))
+		n.Assert(n.state.CostCounts().Answers, qt.Equals, uint64(0))
 	})
 
 	t.Run("what is learned fades", func(t *testing.T) {
--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -7,6 +7,7 @@
 
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutecanary"
+	"azurechute.example/azurechute/internal/chutecost"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
 )
@@ -24,6 +25,8 @@
 	Evacuated []string `json:",omitempty"`
 	// Budgets are the retry budgets by pool.
 	Budgets []BudgetView `json:",omitempty"`
+	// Costs is what has been learned of the cost of requests.
+	Costs *chutecost.Summary `json:",omitempty"`
 	// Rollouts are the pools that are being moved to another version, or were last.
 	Rollouts []RolloutView `json:",omitempty"`
 	// Quarantined are the judgements of the requests that are quarantined.
@@ -111,7 +114,7 @@
 	v := View{
 		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
 		Quarantined: s.quarantine.Quarantined(now), Evacuated: s.fleet.EvacuatedZones(),
-		Budgets: s.budgetViews(now), Rollouts: s.rolloutViews(),
+		Budgets: s.budgetViews(now), Rollouts: s.rolloutViews(), Costs: s.costView(now),
 	}
 	for i := s.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
