--- a/internal/chutecost/estimator_test.go
+++ b/internal/chutecost/estimator_test.go
@@ -192,6 +192,20 @@
 	runtime.KeepAlive(e)
 }
 
+// Guards against the eviction of a workspace that answers seldom, but within the last 3,072 updates.
+func TestSeldomUsedKey(t *testing.T) {
+	const others = 1500 // each answer updates two keys
+	e := New()
+	for i := range 10 * others {
+		if i%others == 0 {
+			e = e.WithAnswer(newRequest("seldom"), 20, start)
+		}
+		e = e.WithAnswer(newRequest(fmt.Sprint("w", i)), 200, start)
+	}
+	qt.Assert(t, e.Counts().Evicted > 0, qt.IsTrue)
+	expectNear(t, e.Estimate(newRequest("seldom"), start).Events, 20)
+}
+
 // Guards against quantiles that are off by more than one bucket.
 func TestQuantiles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
