Take zones and configuration from one state of the table

Cause: watchConfig took the evacuated zones from one state of its table and the configuration from a later one. A node whose source is silent looks at its empty table at each status of the source (needsReview), while refreshIfStale applies the store's rows in another goroutine. Rows that arrived between the two made the node ready without its evacuated zones; the zones followed with the next look. Seen once in TestEvacuationReachesAll on a busy machine.

Evidence: TestEvacuationsBeforeConfig lets the rows arrive while the zones are read. With the two reads it fails (the node is ready, no zones); with one read it passes.

Change: configUpdates.apply takes both from snapshotWithRetained, under one lock.

--- a/internal/chutegate/evacuate_test.go
+++ b/internal/chutegate/evacuate_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -124,3 +125,39 @@
 		c.Assert(n.evacuatedZones(local.snapshot()), qt.DeepEquals, []string{"z1"})
 	})
 }
+
+func TestEvacuationsBeforeConfig(t *testing.T) {
+	// The table changes while a node that starts looks at its rows: it follows a node that has sent nothing
+	// yet, and its own read of the store arrives. A node that took the zones from the earlier state and the
+	// configuration from the later one would be ready, and send its first requests into an evacuated zone.
+	c := qt.New(t)
+	decode := testDecoders()
+	var local *localTable
+	var arrive sync.Once
+	decode.EvacuatedZone = func(key string) (string, bool) {
+		arrive.Do(func() {
+			local.mergeChanges(Page{Version: 4, Rows: []Row{
+				{Key: "c", Value: []byte("1"), Version: 3}, {Key: "evacuate/z1", Value: []byte("{}"), Version: 4},
+			}})
+		})
+
+		return evacuatedZone(key)
+	}
+	n, _ := newTestNode(decode)
+	n.settings.Tables.ConfigKey = "c"
+	local = n.localTables["c"]
+	local.replaceAll(Page{Version: 1, Rows: []Row{{Key: "other", Value: []byte("{}"), Version: 1}}})
+	updates := &configUpdates{node: n, local: local, orders: &rolloutOrders{node: n}}
+
+	updates.apply()
+	_, ready := n.Config()
+	c.Assert(ready, qt.IsFalse)
+	c.Assert(n.messages, qt.HasLen, 0)
+
+	updates.apply()
+	_, ready = n.Config()
+	c.Assert(ready, qt.IsTrue)
+	c.Assert((<-n.messages).relayEvent, qt.DeepEquals, chuterelay.Event(chuterelay.ZonesEvacuated{Zones: []string{"z1"}}))
+	_, isConfig := (<-n.messages).relayEvent.(chuterelay.ConfigAdopted)
+	c.Assert(isConfig, qt.IsTrue)
+}
--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -18,24 +18,38 @@
 
 // watchConfig keeps the configuration and the evacuated zones up to date, which are rows of one
 // table.
-//
-// Evacuations are applied first, so that a node that starts sends nothing to an evacuated zone.
 func (n *Node) watchConfig(ctx context.Context) {
 	local := n.localTables[n.settings.Tables.Config]
-	var lastZones []string
-	orders := &rolloutOrders{node: n}
-	n.keepCurrent(ctx, local, configPollWait, 0, func() {
-		table := local.effective()
-		if zones := n.evacuatedZones(table); !slices.Equal(zones, lastZones) {
-			lastZones = zones
-			n.evacuatedZoneCount.Store(int64(len(zones)))
-			n.sendEvent(chuterelay.ZonesEvacuated{Zones: zones})
-		}
-		if n.settings.Rollouts.Enabled() {
-			orders.update(table)
-		}
-		n.adoptConfig(local)
-	})
+	updates := &configUpdates{node: n, local: local, orders: &rolloutOrders{node: n}}
+	n.keepCurrent(ctx, local, configPollWait, 0, updates.apply)
+}
+
+// configUpdates puts the rows of the configuration's table in force. It is used by one goroutine at a time.
+type configUpdates struct {
+	node   *Node
+	local  *localTable
+	orders *rolloutOrders
+	// zones are the evacuated zones as last sent to the event loop.
+	zones []string
+}
+
+// apply puts the present rows in force: evacuations first, so that a node that starts sends nothing to an
+// evacuated zone.
+//
+// All rows are of one state of the table. Another goroutine may change the table meanwhile; a configuration
+// from a later state would make the node ready before the evacuations of that state are applied.
+func (u *configUpdates) apply() {
+	n := u.node
+	table, effective := u.local.snapshotWithRetained()
+	if zones := n.evacuatedZones(effective); !slices.Equal(zones, u.zones) {
+		u.zones = zones
+		n.evacuatedZoneCount.Store(int64(len(zones)))
+		n.sendEvent(chuterelay.ZonesEvacuated{Zones: zones})
+	}
+	if n.settings.Rollouts.Enabled() {
+		u.orders.update(effective)
+	}
+	n.adoptConfig(u.local, table)
 }
 
 // evacuatedZones returns the zones that the table lists as evacuated, sorted. A row counts whatever
@@ -52,10 +66,9 @@
 	return zones
 }
 
-// adoptConfig puts a newer configuration in force. If it can't be decoded, the previous one stays
-// in force.
-func (n *Node) adoptConfig(local *localTable) {
-	table := local.snapshot()
+// adoptConfig puts a newer configuration in force, from a state of the local table. If it can't be
+// decoded, the previous one stays in force.
+func (n *Node) adoptConfig(local *localTable, table chutefeed.Table) {
 	row, ok := table.Get(n.settings.Tables.ConfigKey)
 	if !ok {
 		return
--- a/internal/chutegate/retained.go
+++ b/internal/chutegate/retained.go
@@ -63,6 +63,15 @@
 	return local.withRetained(local.now())
 }
 
+// snapshotWithRetained returns the present state of the table, and the same state with the rows that are
+// retained.
+func (local *localTable) snapshotWithRetained() (table, effective chutefeed.Table) {
+	local.mu.Lock()
+	defer local.mu.Unlock()
+
+	return local.table, local.withRetained(local.now())
+}
+
 // lostRows returns the rows that are retained and have not been written again.
 func (local *localTable) lostRows() []chutefeed.Row {
 	local.mu.Lock()
--- a/internal/chutegate/vouch_test.go
+++ b/internal/chutegate/vouch_test.go
@@ -38,7 +38,7 @@
 		c.Assert(err, qt.IsNil)
 	}
 	read()
-	n.adoptConfig(local)
+	n.adoptConfig(local, local.snapshot())
 	clock.Advance(startupWait)
 	c.Assert(refusalOfUnknown(n).Kind, qt.Equals, chuterelay.RefusedNoPipeline)
 
@@ -52,7 +52,7 @@
 
 		return decode(value)
 	}
-	n.adoptConfig(local)
+	n.adoptConfig(local, local.snapshot())
 	c.Assert(during.Kind, qt.Equals, chuterelay.RefusedNotRun)
 	c.Assert(refusalOfUnknown(n).Kind, qt.Equals, chuterelay.RefusedNoPipeline)
 }
