--- a/internal/chutenode/node_test.go
+++ b/internal/chutenode/node_test.go
@@ -15,6 +15,8 @@
 	"github.com/rs/zerolog"
 
 	"azurechute.example/azurechute/internal/chuteclaim"
+	"azurechute.example/azurechute/internal/chutecore"
+	"azurechute.example/azurechute/internal/chuteledger"
 	"azurechute.example/azurechute/internal/chuteprompt"
 	"azurechute.example/azurechute/internal/chuterequest"
 	"azurechute.example/azurechute/internal/chutesettings"
@@ -80,6 +82,13 @@
 // newSite starts the stand-ins, publishes the configuration and waits until the node has adopted it.
 func newSite(t *testing.T, cfg chuteconfig.Config) site {
 	t.Helper()
+
+	return newSiteWith(t, cfg, clockwork.NewRealClock(), func(*Node) {})
+}
+
+// newSiteWith is newSite with the node's clock, and with a function that is called before the node starts.
+func newSiteWith(t *testing.T, cfg chuteconfig.Config, clock clockwork.Clock, prepare func(*Node)) site {
+	t.Helper()
 	engine := chutestandin.NewEngine(chutestandin.EngineSettings{
 		UpstreamSettings: chutestandin.UpstreamSettings{Slots: 4}, CacheBlocks: 16, Model: testModel, Version: "1", Role: "Mixed",
 	})
@@ -102,7 +111,8 @@
 			listed("forum-1", "forum", serve(t, forum), forum.Incarnation()),
 		)),
 	}
-	node := New(settings, clockwork.NewRealClock(), zerolog.Nop())
+	node := New(settings, clock, zerolog.Nop())
+	prepare(node)
 	store := chutestore.New(chutestore.NewPlatform(node.platform), node.clock)
 	_, err := store.Publish(t.Context(), chuteconfig.Set{Sites: map[string]chuteconfig.Config{"site": cfg}}, 0, "test")
 	qt.Assert(t, err, qt.IsNil)
@@ -199,6 +209,57 @@
 	qt.Assert(t, outcome, qt.Equals, chuterequest.OutcomeAnswered)
 }
 
+// timerClock calls onTimer before each AfterFunc.
+type timerClock struct {
+	clockwork.Clock
+
+	onTimer func(after time.Duration)
+}
+
+func (c *timerClock) AfterFunc(after time.Duration, f func()) clockwork.Timer {
+	c.onTimer(after)
+
+	return c.Clock.AfterFunc(after, f)
+}
+
+// An attempt is given up, and its usage arrives before the goroutine that gave it up has gone on, as happens on a
+// busy machine. A node that did not know yet what the attempt was for would charge the work to nobody: the sums in
+// the table would stay below what the upstreams ran.
+func TestLateUsageIsChargedHoweverEarly(t *testing.T) {
+	// How long an abandoned exchange may go on; no other timer of this test has this duration.
+	const lateWait = 7 * time.Second
+	reported := make(chan struct{})
+	clock := &timerClock{Clock: clockwork.NewRealClock(), onTimer: func(after time.Duration) {
+		if after == lateWait {
+			<-reported
+		}
+	}}
+	s := newSiteWith(t, twoGenerations(), clock, func(n *Node) {
+		n.upstreams.LateWait = lateWait
+		report := n.upstreams.OnLateUsage
+		n.upstreams.OnLateUsage = func(attempt chuterequest.AttemptID, usage chuterequest.Usage) {
+			report(attempt, usage)
+			close(reported)
+		}
+	})
+	err := s.forum.SetFaults(chutestandin.Faults{Rules: []chutestandin.Fault{{Kind: chutestandin.FaultLate, Delay: chuteconfig.Duration(time.Second)}}})
+	qt.Assert(t, err, qt.IsNil)
+	outcome := chuterequest.OutcomeNotRun
+	for outcome == chuterequest.OutcomeNotRun {
+		outcome = s.node.Submit(t.Context(), chuterequest.Submission{
+			Key: chuterequest.Key{Workspace: "w", RequestID: "late"}, Team: "team", Pipeline: "post",
+			Deadline: time.Now().Add(400 * time.Millisecond), Input: json.RawMessage(`{}`),
+		}, nil).Outcome.Kind
+	}
+	qt.Assert(t, outcome, qt.Equals, chuterequest.OutcomeUnknown)
+	<-reported
+	counted := make(chan chuteledger.Count, 1)
+	s.node.sendWith(chutecore.Ticked{Stamp: s.node.stamp()}, func() {
+		counted <- s.node.state.Ledger().Counters().Get(chuteledger.Key{Team: "team", Workspace: "w", Pipeline: "post", Stage: "post", Wasted: true})
+	})
+	qt.Assert(t, (<-counted).Units, qt.Equals, int64(1))
+}
+
 // The table is down and a post is sent again. What this process says of its key
 // decides between NotRun and Unknown, so it must remember a run for as long as a
 // resend can come, and forget one that certainly ran nothing.
