Judge what records of streams carry without a time limit of the machine's

The same dial stays in the test, which now connects first and has no time limit.

Change: the time limit of the two calls is a function field of the client. What was tested beside the contents, that a silent peer ends the calls, has a subtest that also checks the two limits.

--- a/internal/chuteshare/client.go
+++ b/internal/chuteshare/client.go
@@ -43,6 +43,9 @@
 	// Traffic counts the bytes of all messages. It must not be replaced after the first call.
 	Traffic *Traffic
 
+	// limitCall bounds one call by its time limit. It is replaced in tests that judge what calls carry.
+	limitCall func(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc)
+
 	mu            sync.Mutex
 	connByAddress map[string]*grpc.ClientConn
 	// closing counts the connections that are being closed.
@@ -51,7 +54,9 @@
 
 // NewClient returns a client without open connections.
 func NewClient() *Client {
-	return &Client{Clock: clockwork.NewRealClock(), Traffic: &Traffic{}, connByAddress: map[string]*grpc.ClientConn{}}
+	return &Client{
+		Clock: clockwork.NewRealClock(), Traffic: &Traffic{}, limitCall: context.WithTimeout, connByAddress: map[string]*grpc.ClientConn{},
+	}
 }
 
 // Close closes all connections; calls that still run on them fail.
--- a/internal/chuteshare/streams.go
+++ b/internal/chuteshare/streams.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return errorContext.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, announceStreamsTimeout)
+	ctx, cancel := c.limitCall(ctx, announceStreamsTimeout)
 	defer cancel()
 	request := &chutesharepb.AnnounceStreamsRequest{}
 	for _, r := range records {
@@ -88,7 +88,7 @@
 	if err != nil {
 		return chutestream.Record{}, false, errorContext.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
+	ctx, cancel := c.limitCall(ctx, findStreamTimeout)
 	defer cancel()
 	reply, err := chutesharepb.NewShareClient(conn).FindStream(ctx, &chutesharepb.FindStreamRequest{Id: id[:]})
 	if err != nil {
--- a/internal/chuteshare/streams_test.go
+++ b/internal/chuteshare/streams_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 
 	"azurechute.example/azurechute/internal/chuteshare/chutesharepb"
@@ -24,11 +26,40 @@
 	}
 }
 
+// newPatientClient returns a client that is connected to an address, and whose calls have no time limit. What a
+// call carries doesn't depend on how soon a busy machine connects and answers.
+func newPatientClient(c *qt.C, client *Client, address string) *Client {
+	client.limitCall = func(ctx context.Context, _ time.Duration) (context.Context, context.CancelFunc) {
+		return context.WithCancel(ctx)
+	}
+	conn, err := client.connTo(address)
+	c.Assert(err, qt.IsNil)
+	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
+		conn.Connect()
+		conn.WaitForStateChange(context.Background(), state)
+	}
+
+	return client
+}
+
+// slowFirstDial connects by TCP, the first time after a delay, as on a busy machine.
+func slowFirstDial(delay time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
+	var delayed sync.Once
+
+	return func(_ context.Context, address string) (net.Conn, error) {
+		delayed.Do(func() { time.Sleep(delay + delay/2) })
+
+		return net.Dial("tcp", address)
+	}
+}
+
 // TestStreams guards against records of streams that change on their way, and against invalid ones that are taken.
 func TestStreams(t *testing.T) {
 	t.Run("a record arrives as announced, and is found", func(t *testing.T) {
 		c := qt.New(t)
 		s, client := startServer(t), newClient(t)
+		client.Dial = slowFirstDial(announceStreamsTimeout)
+		client = newPatientClient(c, client, s.address)
 		c.Assert(client.AnnounceStreams(context.Background(), s.address, []chutestream.Record{testRecord(1), testRecord(2)}, startTime), qt.IsNil)
 		c.Assert(s.records, qt.HasLen, 2)
 		got, known, err := client.FindStream(context.Background(), s.address, testRecord(2).ID, startTime)
@@ -40,14 +71,36 @@
 
 	t.Run("a stream that is not known is no error", func(t *testing.T) {
 		c := qt.New(t)
-		_, known, err := newClient(t).FindStream(context.Background(), startServer(t).address, testRecord(1).ID, startTime)
+		s := startServer(t)
+		_, known, err := newPatientClient(c, newClient(t), s.address).FindStream(context.Background(), s.address, testRecord(1).ID, startTime)
 		c.Assert(err, qt.IsNil)
 		c.Assert(known, qt.IsFalse)
 	})
 
+	t.Run("calls end at their time limits", func(t *testing.T) {
+		// A peer accepts connections and never answers. The caller of a stream waits for the question.
+		c := qt.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		t.Cleanup(func() { _ = l.Close() })
+		client := newClient(t)
+		var limits []time.Duration
+		client.limitCall = func(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+			limits = append(limits, limit)
+
+			return context.WithTimeout(ctx, time.Millisecond)
+		}
+		err = client.AnnounceStreams(context.Background(), l.Addr().String(), []chutestream.Record{testRecord(1)}, startTime)
+		c.Assert(status.Code(err), qt.Equals, codes.DeadlineExceeded)
+		_, _, err = client.FindStream(context.Background(), l.Addr().String(), testRecord(1).ID, startTime)
+		c.Assert(status.Code(err), qt.Equals, codes.DeadlineExceeded)
+		c.Assert(limits, qt.DeepEquals, []time.Duration{announceStreamsTimeout, findStreamTimeout})
+	})
+
 	t.Run("malformed records are rejected as a whole", func(t *testing.T) {
 		c := qt.New(t)
-		s, client := startServer(t), newClient(t)
+		s := startServer(t)
+		client := newPatientClient(c, newClient(t), s.address)
 		long, empty := testRecord(1), testRecord(2)
 		long.Binding.Version = strings.Repeat("v", maxBindingText+1)
 		empty.Binding = chutestream.Binding{}
@@ -98,6 +151,7 @@
 
 		return countingConn{Conn: conn, count: &count}, err
 	}
+	client = newPatientClient(c, client, s.address)
 	for n := range calls {
 		c.Assert(client.AnnounceStreams(context.Background(), s.address, []chutestream.Record{testRecord(n)}, startTime), qt.IsNil)
 	}
