--- a/internal/chutework/subscription.go
+++ b/internal/chutework/subscription.go
@@ -6,9 +6,15 @@
 	"time"
 )
 
-// maxWaiting bounds the changes that wait for a subscriber. What exceeds it has the fewest tokens, and is sent when it
-// changes again.
-const maxWaiting = 512
+const (
+	// maxWaiting bounds the changes that wait for a subscriber. What exceeds it has the fewest tokens, and is sent when it
+	// changes again.
+	maxWaiting = 512
+	// maxScanned bounds the changes that one message looks at, the newest ones. Older ones are sent when they change again,
+	// as all upstreams with work do several times a second. Without this bound each node that comes to a new aggregator
+	// takes 15 ms of its processor's time at 10,000 upstreams.
+	maxScanned = 1024
+)
 
 // Subscription is what a subscriber of a table has been sent. It is immutable.
 type Subscription struct {
@@ -69,9 +75,11 @@
 		changed = t.changedInAll
 	}
 	i := changed.Iterator()
-	i.Seek(s.seen + 1)
-	for !i.Done() {
-		_, upstream, _ := i.Next()
+	for i.Last(); !i.Done() && len(found) < maxScanned; {
+		number, upstream, _ := i.Prev()
+		if number <= s.seen {
+			break
+		}
 		r, _ := t.rows.Get(upstream)
 		add(upstream, r)
 	}
--- a/internal/chutework/table.go
+++ b/internal/chutework/table.go
@@ -68,7 +68,8 @@
 // A report replaces the one that the same node has sent before of the same upstream, and expires ReportLifetime after it
 // was true. An update costs work for its own reports and for those that have expired, none for other upstreams or nodes.
 //
-// A table keeps at most 16,384 upstreams and 65,536 reports.
+// A table keeps at most 16,384 upstreams and 65,536 reports. With 985 nodes, their subscriptions and 10,000 upstreams it
+// takes 14 MB if each node uses 10 upstreams at a time, and 25 MB if each reports 64 (TestTableMemory).
 type Table struct {
 	zone      string
 	rows      *immutable.Map[string, row]
@@ -236,6 +237,9 @@
 // withReport applies a report of a reporter that the table knows.
 func (t Table) withReport(by Reporter, r Report, nowMs int64) Table {
 	before, known := t.rows.Get(r.Upstream)
+	if !known && t.rows.Len() >= maxUpstreams {
+		t = t.withoutOldest(nowMs)
+	}
 	if r.Upstream == "" || !known && t.rows.Len() >= maxUpstreams {
 		t.rejected++
 
