--- a/internal/chutegate/cluster_sim_test.go
+++ b/internal/chutegate/cluster_sim_test.go
@@ -162,6 +162,21 @@
 	return len(line), nil
 }
 
+// count returns the number of lines that contain a text.
+func (l *simLog) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	count := 0
+	for _, line := range l.lines {
+		if strings.Contains(line, text) {
+			count++
+		}
+	}
+
+	return count
+}
+
 // shownLogLines is the number of lines of a node's log that a failure shows.
 const shownLogLines = 30
 
@@ -184,25 +199,32 @@
 	peers    []chuterelay.Peer
 	stops    map[string]func()
 	logs     map[string]*simLog
+	// withoutWork are the nodes of a build that exchanges no work.
+	withoutWork map[string]bool
 }
 
 // newSimCluster starts all nodes at once, in several zones of one region. It has to be called in a
 // synctest bubble.
 func newSimCluster(t *testing.T, size, zones int) *simCluster {
+	return startSimCluster(t, newPeers(size, zones), Settings{Tables: testTables})
+}
+
+// newPeers returns nodes in several zones of one region.
+func newPeers(size, zones int) []chuterelay.Peer {
 	var peers []chuterelay.Peer
 	for i := range size {
 		name := fmt.Sprint("n", i)
 		peers = append(peers, chuterelay.Peer{Name: name, Zone: fmt.Sprint("z", i%zones), Region: "r", Address: name, Power: 1})
 	}
 
-	return startSimCluster(t, peers, Settings{Tables: testTables})
+	return peers
 }
 
 // startSimCluster starts nodes all at once. It has to be called in a synctest bubble.
 func startSimCluster(t *testing.T, peers []chuterelay.Peer, settings Settings) *simCluster {
 	cluster := &simCluster{
 		C: qt.New(t), network: newSimNetwork(), store: newMemoryStore(), settings: settings, peers: peers,
-		nodes: map[string]*Node{}, stops: map[string]func(){}, logs: map[string]*simLog{},
+		nodes: map[string]*Node{}, stops: map[string]func(){}, logs: map[string]*simLog{}, withoutWork: map[string]bool{},
 	}
 	cluster.store.put("config", "c", "1")
 	cluster.store.put("upstreams", "u", "ready")
@@ -219,7 +241,11 @@
 	settings.Self = self
 	n := New(settings, clockwork.NewRealClock(), zerolog.New(cluster.logs[self.Name]), cluster.store.storeFor(self.Name), testDecoders(), Upstreams{TrimIdle: func() {}})
 	n.peers.Dial = cluster.network.dial(self.Name)
-	server := chuteshare.NewServer(n.Handlers())
+	handlers := n.Handlers()
+	if cluster.withoutWork[self.Name] {
+		handlers.OnWork = nil
+	}
+	server := chuteshare.NewServer(handlers)
 	l := bufconn.Listen(1 << 16)
 	cluster.network.mu.Lock()
 	cluster.network.listeners[self.Name] = l
--- a/internal/chutegate/region_test.go
+++ b/internal/chutegate/region_test.go
@@ -329,6 +329,8 @@
 
 			return nil
 		},
+		// Cost counters are taken and not kept.
+		ReplaceIfUnchanged: func(context.Context, string, string, []Row) (uint64, []Row, error) { return 1, nil, nil },
 	}
 }
 
--- a/internal/chuterelay/work.go
+++ b/internal/chuterelay/work.go
@@ -17,6 +17,9 @@
 	maxWorkInterval     = time.Second
 	workIntervalPerNode = 4 * time.Millisecond
 	workIntervalNodes   = 25
+	// maxWorkPeerPause bounds how long a lost node is skipped. It is shorter than that of collectors: an attempt costs no
+	// request, but leaves a zone without the sums of others for up to half a second.
+	maxWorkPeerPause = 8 * time.Second
 	// outdatedPeerPause is how long a node of an older build is not asked again. An upgrade starts a new incarnation,
 	// which is asked at once.
 	outdatedPeerPause = 5 * time.Minute
@@ -127,7 +130,7 @@
 			next[name] = lost
 		}
 	}
-	pause := max(minPeerPause, min(maxPeerPause, 2*next[e.Peer.Name].pause))
+	pause := max(minPeerPause, min(maxWorkPeerPause, 2*next[e.Peer.Name].pause))
 	if e.Outdated {
 		pause = outdatedPeerPause
 	}
--- a/internal/chutework/outbox_test.go
+++ b/internal/chutework/outbox_test.go
@@ -8,55 +8,76 @@
 	"pgregory.net/rapid"
 )
 
+// outboxRun is an outbox with what was put into it and what was taken.
+type outboxRun struct {
+	*rapid.T
+
+	now      time.Time
+	outbox   Outbox
+	reported map[string]Report
+	received map[string]Report
+	// samplesReported and samplesReceived count the streams behind the intervals.
+	samplesReported, samplesReceived int
+}
+
+func (r *outboxRun) put() {
+	reports := drawReports(r.T)
+	for i := range reports {
+		reports[i].Age = 0
+		reports[i].Samples = rapid.IntRange(0, 2).Draw(r.T, "samples")
+		reports[i].EventInterval = time.Duration(reports[i].Samples) * time.Millisecond
+		r.samplesReported += reports[i].Samples
+		r.reported[reports[i].Upstream] = reports[i]
+	}
+	r.outbox = r.outbox.With(reports, r.now)
+}
+
+func (r *outboxRun) take(limit int) int {
+	var reports []Report
+	reports, r.outbox = r.outbox.Take(r.now, limit)
+	if len(reports) > limit {
+		r.Fatalf("%d reports, more than %d", len(reports), limit)
+	}
+	for _, report := range reports {
+		r.received[report.Upstream] = report
+		r.samplesReceived += report.Samples
+	}
+
+	return len(reports)
+}
+
+// expectAllReceived takes what is left, and checks that all was received.
+func (r *outboxRun) expectAllReceived() {
+	for r.take(2) > 0 {
+	}
+	for upstream, want := range r.reported {
+		if got := r.received[upstream]; got.Calls != want.Calls || got.Tokens != want.Tokens {
+			r.Fatalf("%s was sent as %+v, not as %+v", upstream, got, want)
+		}
+	}
+	if r.samplesReceived != r.samplesReported {
+		r.Fatalf("%d samples were sent, not %d", r.samplesReceived, r.samplesReported)
+	}
+}
+
 // Guards against an aggregator that does not get what a node last reported: changes that are left out, intervals that are
 // sent twice or not at all, and upstreams without work that stay in the outbox.
 func TestOutboxSendsAll(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		now, outbox := start, NewOutbox()
-		reported, received := map[string]Report{}, map[string]Report{}
-		samplesReported, samplesReceived := 0, 0
-		take := func(limit int) int {
-			var reports []Report
-			reports, outbox = outbox.Take(now, limit)
-			for _, r := range reports {
-				received[r.Upstream] = r
-				samplesReceived += r.Samples
-			}
-
-			return len(reports)
-		}
+		r := outboxRun{T: t, now: start, outbox: NewOutbox(), reported: map[string]Report{}, received: map[string]Report{}}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pass")) * time.Millisecond)
-			reports := drawReports(t)
-			for i := range reports {
-				reports[i].Age = 0
-				reports[i].Samples = rapid.IntRange(0, 2).Draw(t, "samples")
-				reports[i].EventInterval = time.Duration(reports[i].Samples) * time.Millisecond
-				samplesReported += reports[i].Samples
-				reported[reports[i].Upstream] = reports[i]
-			}
-			outbox = outbox.With(reports, now)
-			if limit := rapid.IntRange(0, 6).Draw(t, "limit"); take(limit) > limit {
-				t.Fatalf("more than %d reports", limit)
-			}
-		}
-		for take(2) > 0 {
-		}
-		for upstream, want := range reported {
-			if got := received[upstream]; got.Calls != want.Calls || got.Tokens != want.Tokens {
-				t.Fatalf("%s was sent as %+v, not as %+v", upstream, got, want)
-			}
-		}
-		if samplesReceived != samplesReported {
-			t.Fatalf("%d samples were sent, not %d", samplesReceived, samplesReported)
-		}
-		for _, r := range reported {
-			outbox = outbox.With([]Report{{Upstream: r.Upstream}}, now)
+			r.now = r.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pass")) * time.Millisecond)
+			r.put()
+			r.take(rapid.IntRange(0, 6).Draw(t, "limit"))
 		}
-		for take(2) > 0 {
+		r.expectAllReceived()
+		for upstream := range r.reported {
+			r.reported[upstream] = Report{Upstream: upstream}
+			r.outbox = r.outbox.With([]Report{r.reported[upstream]}, r.now)
 		}
-		if outbox.Len() != 0 {
-			t.Fatalf("%d upstreams without work stay", outbox.Len())
+		r.expectAllReceived()
+		if r.outbox.Len() != 0 {
+			t.Fatalf("%d upstreams without work stay", r.outbox.Len())
 		}
 	})
 }
--- a/internal/chutework/table_test.go
+++ b/internal/chutework/table_test.go
@@ -42,6 +42,11 @@
 	}
 }
 
+func (m tableModel) vanish(name string) {
+	delete(m.last, name)
+	delete(m.order, name)
+}
+
 // sum returns the calls and tokens of an upstream, and the token-weighted mean age.
 func (m tableModel) sum(upstream string, scope Scope, now time.Time) (calls int, tokens int64, age float64) {
 	weights := 0.0
@@ -88,6 +93,13 @@
 	numbers  map[string]uint64
 }
 
+// vanish drops what a reporter has on its way; its next message begins a new stream.
+func (n *network) vanish(name string) {
+	n.onTheWay = slices.DeleteFunc(n.onTheWay, func(u Update) bool { return u.Reporter.Name == name })
+	n.streams[name]++
+	n.numbers[name] = 0
+}
+
 // next draws the message that arrives next, or false if none does.
 func (n *network) next(t *rapid.T) (Update, bool) {
 	from := rapid.SampledFrom(testReporters).Draw(t, "reporter")
@@ -145,6 +157,18 @@
 	return len(reports)
 }
 
+// expectAll takes what is left, and checks that the subscriber knows the sums of the model.
+func (s *subscriber) expectAll(t *rapid.T, table Table, model tableModel, now time.Time) {
+	for s.take(t, table, now, 2) > 0 {
+	}
+	for _, upstream := range testUpstreams {
+		calls, tokens, _ := model.sum(upstream, s.scope, now)
+		if got := s.known[upstream]; got.Calls != calls || got.Tokens != tokens {
+			t.Fatalf("the subscriber of %s has %+v of %s, not %d calls and %d tokens", s.scope, got, upstream, calls, tokens)
+		}
+	}
+}
+
 // Guards against sums that are off after messages were lost, repeated, reordered or late, after reporters have vanished,
 // reports of other zones that are counted in the own one, and subscribers that miss a change.
 func TestTableAddsUp(t *testing.T) {
@@ -167,11 +191,8 @@
 			case "vanish":
 				name := rapid.SampledFrom(testReporters).Draw(t, "vanished").Name
 				table = table.WithoutStream(name, sent.streams[name], now)
-				delete(model.last, name)
-				delete(model.order, name)
-				sent.onTheWay = slices.DeleteFunc(sent.onTheWay, func(u Update) bool { return u.Reporter.Name == name })
-				sent.streams[name]++
-				sent.numbers[name] = 0
+				model.vanish(name)
+				sent.vanish(name)
 			case "take":
 				table = table.WithoutExpired(now)
 				s := rapid.SampledFrom(subscribers).Draw(t, "subscriber")
@@ -181,14 +202,7 @@
 			expectSums(t, table, model, now)
 		}
 		for _, s := range subscribers {
-			for s.take(t, table, now, 2) > 0 {
-			}
-			for _, upstream := range testUpstreams {
-				calls, tokens, _ := model.sum(upstream, s.scope, now)
-				if got := s.known[upstream]; got.Calls != calls || got.Tokens != tokens {
-					t.Fatalf("the subscriber of %s has %+v of %s, not %d calls and %d tokens", s.scope, got, upstream, calls, tokens)
-				}
-			}
+			s.expectAll(t, table, model, now)
 		}
 		table = table.WithoutExpired(now.Add(2 * ReportLifetime))
 		if table.Contributions() != 0 || table.expiring.Len() != 0 {
