Test the wire of the exchange of work, and time keepalives by timers alone

Cause: whether a keepalive was due depended on the node's own time, which a test that stops it would stop too.

--- a/internal/chuteshare/share_test.go
+++ b/internal/chuteshare/share_test.go
@@ -30,6 +30,8 @@
 	records []chutestream.Record
 	// forward serves forwarded requests.
 	forward func(ctx context.Context, request ForwardRequest, out ForwardOutput)
+	// work begins exchanges of work; nil stands for an older build.
+	work func(peer WorkPeer) WorkSession
 }
 
 // setTable replaces the server's table and notifies the followers of the previous one.
@@ -44,7 +46,15 @@
 
 func startServer(t testing.TB) *testServer {
 	t.Helper()
+
+	return startServerWithWork(t, nil)
+}
+
+// startServerWithWork starts a server that exchanges work.
+func startServerWithWork(t testing.TB, work func(peer WorkPeer) WorkSession) *testServer {
+	t.Helper()
 	c := &testServer{
+		work: work,
 		jobs: make(chan JobRequest, 8), updates: make(chan chan<- JobUpdate, 8), dropped: make(chan uint64, 8),
 	}
 	c.setTable(chutefeed.Table{}, false)
@@ -58,6 +68,7 @@
 		OnLeaseEnd:         func(token uint64) { c.dropped <- token },
 		OnTable:            func(string) TableState { return *c.table.Load() },
 		OnForward:          func(ctx context.Context, request ForwardRequest, out ForwardOutput) { c.forward(ctx, request, out) },
+		OnWork:             c.work,
 		OnStreamsAnnounced: func(records []chutestream.Record) { c.records = records },
 		OnFindStream: func(id chutestream.ID) (chutestream.Record, bool) {
 			for _, r := range c.records {
--- a/internal/chuteshare/work.go
+++ b/internal/chuteshare/work.go
@@ -172,9 +172,9 @@
 			return errNodeLeaving
 		}
 		reports, next := session.Take()
-		now := x.now()
+		now := time.Now()
 		if len(reports) > 0 || sentAt.IsZero() || now.Sub(sentAt) >= workKeepaliveInterval {
-			message.Reports, message.SentMs = encodeWork(reports), now.Sub(x.openedAt).Milliseconds()+1
+			message.Reports, message.SentMs = encodeWork(reports), x.now().Sub(x.openedAt).Milliseconds()+1
 			if err := x.messages.Send(message); err != nil {
 				return err
 			}
