Refuse at once what a pool placed by work can't serve in time

Cause: requests were sent whatever the outstanding work of the upstreams, and their callers waited until their deadlines. All that were refused in one second got the same Retry-After. Change: chuterelay decides by chuteroom on arrival, with the time of a request's stages, and checks again before a call that is sent later. Resumed streams and requests that may have run are never refused for want of capacity. Retry delays that are the same for all callers vary, in pools that are placed by work only. Measured: go test ./internal/chuterelay ./internal/chuteroom ./internal/chutegate passes.

--- a/internal/chuterelay/admit.go
+++ b/internal/chuterelay/admit.go
@@ -164,11 +164,25 @@
 	return 0, false
 }
 
+// queueRefusal returns the refusal of a request whose stages would wait too long, and false if they would not.
+func (st *reduction) queueRefusal(r request) (Refusal, bool) {
+	queueTime, tooLong := st.queuesTooLong(r)
+	if !tooLong {
+		return Refusal{}, false
+	}
+	ownQueueWait := time.Duration(0)
+	if st.overShare(r) {
+		ownQueueWait = queueTime
+	}
+
+	return overloadRefusal("the queues of its stages are too long: "+queueTime.String(), ownQueueWait), true
+}
+
 // overloadRefusal refuses a request because of its queue time. A workspace over its share has a
 // queue of its own, and its callers receive a retry delay that lasts until that queue has been
 // served; ownQueueWait is 0 for all others.
 func overloadRefusal(reason string, ownQueueWait time.Duration) Refusal {
-	return Refusal{Kind: RefusedNotRun, Reason: reason, RetryAfter: max(overloadRetryAfter, ownQueueWait)}
+	return Refusal{Kind: RefusedNotRun, Reason: reason, RetryAfter: max(overloadRetryAfter, ownQueueWait), sameForAll: true}
 }
 
 // waitsAhead sums the waits of a job here and at the stages that follow, as far as this node is
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -52,20 +52,19 @@
 
 		return
 	}
-	if upstream, ok := st.chooseUpstream(r, chutefleet.SideAny); ok {
+	upstream, ok := st.chooseUpstream(r, chutefleet.SideAny)
+	if ok {
 		r.zone = upstream.Zone
 	}
-	if queueTime, tooLong := st.queuesTooLong(r); tooLong {
-		ownQueueWait := time.Duration(0)
-		if st.overShare(r) {
-			ownQueueWait = queueTime
-		}
-		st.giveUp(r, overloadRefusal("the queues of its stages are too long: "+queueTime.String(), ownQueueWait))
+	r, refusal, refused := st.checkLoad(r, upstream)
+	if refused {
+		st.giveUp(r, refusal)
 
 		return
 	}
 	st.putRequest(r)
 	st.logStep(StepAdmitted, r, func(n *LogStep) {
+		n.Room = r.room
 		n.Fingerprint, n.PromptParts = r.Fingerprint, r.PromptParts
 		n.Zone, n.Waited, n.Aim, n.Evacuated = r.zone, r.waitedBefore, r.targetAt.Sub(st.now), st.fleet.EvacuatedZones()
 	})
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -33,6 +33,12 @@
 
 		return
 	}
+	r, refusal, refused := st.recheckRoom(r, u)
+	if refused {
+		st.endUnanswered(r, refusal)
+
+		return
+	}
 	if r.maybeReached {
 		if !st.mayRetry(r.pool) {
 			st.refuseRetry(r)
@@ -290,6 +296,7 @@
 func (st *reduction) refuseRetry(r request) {
 	st.logStep(StepRetryRefused, r, func(n *LogStep) { n.RepeatOf, n.Budget = r.lastEnd, st.budgetForLog(r.pool) })
 	refusal := notRunRefusal("the retry budget is used up")
+	refusal.sameForAll = false
 	refusal.RetryAfter = time.Duration((1 - retryAfterSpread + 2*retryAfterSpread*st.randomFraction()) * float64(defaultRetryAfter))
 	st.endUnanswered(r, refusal)
 }
--- a/internal/chuterelay/binding.go
+++ b/internal/chuterelay/binding.go
@@ -23,7 +23,7 @@
 func noVersionRefusal(r request) Refusal {
 	return Refusal{
 		Kind: RefusedNotRun, Reason: "no upstream of pool " + r.pool + " is left that runs version " + r.Binding.Version + ", which began the stream",
-		RetryAfter: overloadRetryAfter,
+		RetryAfter: overloadRetryAfter, sameForAll: true,
 	}
 }
 
--- a/internal/chuterelay/evacuate.go
+++ b/internal/chuterelay/evacuate.go
@@ -80,7 +80,7 @@
 		// An evacuation lasts: a caller that retries sooner would be refused again.
 		return Refusal{
 			Kind: RefusedNotRun, Reason: "no upstream of pool " + pool + " is left outside the evacuated zones",
-			RetryAfter: overloadRetryAfter,
+			RetryAfter: overloadRetryAfter, sameForAll: true,
 		}
 	}
 
--- a/internal/chuterelay/logstep.go
+++ b/internal/chuterelay/logstep.go
@@ -71,6 +71,9 @@
 	RepeatOf AttemptEnd
 	// Budget is the pool's retry budget, if it allowed or refused a retry.
 	Budget *BudgetView
+	// Room is what admission decided by. It is set when a request to a pool that is placed by work is admitted, or refused
+	// for want of capacity.
+	Room *RoomView
 	// Version is that of the configuration in force.
 	Version uint64
 }
--- a/internal/chuterelay/notice.go
+++ b/internal/chuterelay/notice.go
@@ -88,6 +88,7 @@
 	if !ok {
 		return refusal
 	}
+	refusal.sameForAll = false
 	wait := max(defaultRetryAfter, blocked.Until.Sub(st.now))
 	if blocked.Reason == chutefleet.BlockResting {
 		refusal.RetryAfter = time.Duration((1 + retryAfterSpread*st.randomFraction()) * float64(wait))
--- a/internal/chuterelay/refusal.go
+++ b/internal/chuterelay/refusal.go
@@ -34,6 +34,11 @@
 	Verdict string
 	// Elsewhere says that nothing has run and that another node may serve the request now.
 	Elsewhere bool
+	// sameForAll says that RetryAfter is the same for all callers that are refused now. It is unset when the refusal is
+	// given.
+	sameForAll bool
+	// room is what admission decided by; nil if it did not.
+	room *RoomView
 }
 
 const (
@@ -46,7 +51,7 @@
 )
 
 func notRunRefusal(reason string) Refusal {
-	return Refusal{Kind: RefusedNotRun, Reason: reason, RetryAfter: defaultRetryAfter}
+	return Refusal{Kind: RefusedNotRun, Reason: reason, RetryAfter: defaultRetryAfter, sameForAll: true}
 }
 
 func failedRefusal(reason string) Refusal {
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -85,6 +85,9 @@
 	// forwards counts the nodes that the request was forwarded to, forwardTried are their names.
 	forwards     int
 	forwardTried []string
+	// roomDecidedAt is when admission decided on the request; zero if it has not. room is what it decided by.
+	roomDecidedAt time.Time
+	room          *RoomView
 	// current is the call in progress; its id is 0 if there is none.
 	current attempt
 	// answerBegun says that the caller has part of the answer.
--- a/internal/chuterelay/stages.go
+++ b/internal/chuterelay/stages.go
@@ -226,8 +226,9 @@
 		refusal.Kind = RefusedFailed
 	}
 	refusal.Elsewhere = refusal.Elsewhere && refusal.Kind == RefusedNotRun
+	refusal = st.withVariedDelay(r, refusal)
 	st.logStep(StepRefused, r, func(n *LogStep) {
-		n.Verdict = refusal.Verdict
+		n.Verdict, n.Room = refusal.Verdict, refusal.room
 		n.Fingerprint, n.Reason, n.Wait = r.Fingerprint, string(refusal.Kind)+": "+refusal.Reason, refusal.RetryAfter
 	})
 	st.emit(Refuse{Handle: r.Handle, Refusal: refusal})
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -12,6 +12,7 @@
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
+	"azurechute.example/azurechute/internal/chuteroom"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
@@ -64,6 +65,8 @@
 	callTimes callTimes
 	// callerWaits distinguishes callers that resend a request from new ones.
 	callerWaits callerWaits
+	// rooms is the recent work of each pool whose calls are placed by work.
+	rooms *immutable.Map[string, chuteroom.Pool]
 	// announcedLimits maps an upstream's name to the last announcement of its limit among nodes.
 	announcedLimits *immutable.Map[string, announcedLimit]
 	quarantine      chutequarantine.Quarantine
@@ -99,6 +102,7 @@
 		localWaits:    immutable.NewMap[queueKey, waitReport](queueHasher{}),
 		callTimes:     newCallTimes(),
 		callerWaits:   newCallerWaits(),
+		rooms:         immutable.NewMap[string, chuteroom.Pool](nil),
 		zoneSilence:   newZoneSilence(s.Self.Zone),
 
 		announcedLimits: immutable.NewMap[string, announcedLimit](nil),
--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -9,6 +9,7 @@
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
+	"azurechute.example/azurechute/internal/chuteroom"
 )
 
 // View is the part of a state dump about relayed requests.
@@ -24,6 +25,8 @@
 	Evacuated []string `json:",omitempty"`
 	// Budgets are the retry budgets by pool.
 	Budgets []BudgetView `json:",omitempty"`
+	// Rooms are the recent work and the shares of pools whose calls are placed by work.
+	Rooms []chuteroom.View `json:",omitempty"`
 	// Rollouts are the pools that are being moved to another version, or were last.
 	Rollouts []RolloutView `json:",omitempty"`
 	// Quarantined are the judgements of the requests that are quarantined.
@@ -111,7 +114,7 @@
 	v := View{
 		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
 		Quarantined: s.quarantine.Quarantined(now), Evacuated: s.fleet.EvacuatedZones(),
-		Budgets: s.budgetViews(now), Rollouts: s.rolloutViews(),
+		Budgets: s.budgetViews(now), Rooms: s.roomViews(now), Rollouts: s.rolloutViews(),
 	}
 	for i := s.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
--- a/internal/chuteroom/decide.go
+++ b/internal/chuteroom/decide.go
@@ -111,6 +111,23 @@
 	return p, d
 }
 
+// Recheck decides on a call that was admitted before and is sent only now, after its stages or a failed attempt. What has
+// run for it would be lost, so that it is refused only if its first event is expected after its caller has left.
+func (p Pool) Recheck(call Call, now time.Time, random float64) (Pool, Decision) {
+	d := Decision{
+		Wait: call.Wait, FirstEvent: call.FirstEvent, Tolerated: p.tolerated(call),
+		Work: p.Work(call.Workspace, now), Demanded: p.demanded(call.Workspace, now), Share: math.Inf(1),
+	}
+	if call.FirstEvent <= call.UntilLeft {
+		return p, d
+	}
+	d.Reason = ReasonTooLate
+	p.counts.TooLate++
+	d.RetryAfter = d.retryAfter(call, random)
+
+	return p, d
+}
+
 // isTooLate reports whether the first event is expected after the caller has left.
 //
 // While others wait, they would lose what the call takes in vain, so that the real times are assumed to be longer than
