Show what admission decided by in the log, the metrics and the state dump

Cause: a refusal for want of capacity could not be explained from outside. The target time of a call no longer depends on the queues of its stages, since it counts for all callers of the pool; calls without a target go by their callers' time.

--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -42,6 +42,7 @@
 	n.meter.Gauge("refused_by_stale_config_total", func() float64 { return float64(n.staleRefusals.Load()) })
 	n.meter.Gauge("zones_evacuated", func() float64 { return float64(n.evacuatedZoneCount.Load()) })
 	n.addUpstreamGauges()
+	n.addRoomGauges()
 	n.storeCalls.addGauges(n.meter.Gauge)
 	n.addStreamGauges()
 	n.meter.Gauge("upstreams_ended_under_requests_total", func() float64 { return float64(n.upstreamCrashes.Load()) })
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -294,6 +294,9 @@
 	if e.Budget != nil {
 		line = line.Object("Budget", budgetFields(*e.Budget))
 	}
+	if e.Room != nil {
+		line = line.Object("Room", roomFields(*e.Room))
+	}
 	if len(e.PromptParts) > 0 {
 		line = line.Strs("PromptParts", partsForLog(e.PromptParts))
 	}
--- a/internal/chuterelay/room.go
+++ b/internal/chuterelay/room.go
@@ -10,6 +10,11 @@
 	"azurechute.example/azurechute/internal/chuteroom"
 )
 
+// minCallTargetDivisor is the part of a request's target time, a quarter, that is left for its call at least, whatever its
+// stages take. The target time of a call counts for all callers of the pool, so that it doesn't depend on the queues of
+// stages either.
+const minCallTargetDivisor = 4
+
 // RoomView describes what admission decided on a call by.
 type RoomView struct {
 	// Cause is why the call is refused; empty if it is admitted.
@@ -118,11 +123,12 @@
 	}
 	tokens := st.expectedTokens(r)
 	firstEvent, _ := st.fleet.ExpectedFirstEvent(u.ID, tokens, st.now)
-	sendAt := st.now.Add(st.stagesTime(r))
+	queues, work := st.stagesTime(r)
+	target := r.targetAt.Add(r.waitedBefore).Sub(st.now)
 
 	return chuteroom.Call{
 		Workspace: r.Workspace.Name, Tokens: tokens, Wait: wait, FirstEvent: firstEvent,
-		UntilLeft: r.answerBy().Sub(sendAt), UntilTarget: r.targetAt.Add(r.waitedBefore).Sub(sendAt), Rank: r.rank(),
+		UntilLeft: r.answerBy().Sub(st.now) - queues - work, UntilTarget: max(target-work, target/minCallTargetDivisor), Rank: r.rank(),
 	}, true
 }
 
@@ -131,18 +137,20 @@
 	return r.PromptTokens
 }
 
-// stagesTime returns the time until the stages of a request are expected to be done, in their queues and in calls.
-func (st *reduction) stagesTime(r request) time.Duration {
-	longest := time.Duration(0)
+// stagesTime returns the time until the stages of a request are expected to be done: what they wait in queues, and what
+// they take without that.
+func (st *reduction) stagesTime(r request) (queues, work time.Duration) {
 	for i := range r.stages {
 		if r.stages[i].done || len(r.Pipeline.Stages[i].After) > 0 {
 			continue
 		}
-		work := st.stageTime(r, i) + st.remainingTime(r, i) - st.callTimes.expected(r)
-		longest = max(longest, st.queueTime(r, i)+work)
+		queue, own := st.queueTime(r, i), st.stageTime(r, i)+st.remainingTime(r, i)-st.callTimes.expected(r)
+		if queue+own > queues+work {
+			queues, work = queue, own
+		}
 	}
 
-	return longest
+	return queues, work
 }
 
 func roomRefusal(r request, d chuteroom.Decision) Refusal {
--- a/internal/chuteroom/decide.go
+++ b/internal/chuteroom/decide.go
@@ -22,6 +22,9 @@
 	// minShortWait is the wait up to which the pool has capacity, whatever the target time: an idle upstream's time to a
 	// first event, 60 ms, and about one usual prompt.
 	minShortWait = 150 * time.Millisecond
+	// targetsUntilLeft is the usual ratio of the time that callers wait for a first event to its target time. It is used
+	// for calls without a target.
+	targetsUntilLeft = 4
 	// rankStep is the part by which each rank divides the tolerated wait: at rank 10, the next priority, a call tolerates
 	// two thirds of it. The difference between two priorities then exceeds the estimate's error.
 	rankStep = 0.05
@@ -42,7 +45,7 @@
 	// UntilLeft is the time until the caller leaves if it gets no event.
 	UntilLeft time.Duration
 	// UntilTarget is the time until a first sending should be answered. It is the same for a caller that comes back after a
-	// refusal, which would be refused again otherwise.
+	// refusal, which would be refused again otherwise; 0 or less if there is no target.
 	UntilTarget time.Duration
 	// Rank is the call's urgency; 0 is the most urgent.
 	Rank int
@@ -151,8 +154,11 @@
 // recent callers counts for all: calls with a long one would else fill the queue, and those with a short one miss it.
 func (p Pool) tolerated(call Call) time.Duration {
 	target := call.UntilTarget
-	if p.target > 0 {
-		target = min(target, p.target)
+	switch {
+	case p.target > 0 && (target <= 0 || p.target < target):
+		target = p.target
+	case target <= 0:
+		target = call.UntilLeft / targetsUntilLeft
 	}
 
 	return max(minShortWait, time.Duration(targetShare*float64(target)/(1+rankStep*float64(max(0, call.Rank)))))
--- a/internal/chuteroom/decide_test.go
+++ b/internal/chuteroom/decide_test.go
@@ -105,6 +105,18 @@
 		c.Assert(other.Reason, qt.Equals, ReasonOverShare)
 	})
 
+	t.Run("a call without a target time is short of capacity by the time for which its caller waits", func(t *testing.T) {
+		// Guards against pipelines without an aim that are refused at the least wait.
+		c := qt.New(t)
+		call := shortOf("large", 500)
+		call.UntilTarget, call.Wait = 0, 200*time.Millisecond
+		_, d := busyPool().Decide(call, start, 0.5)
+		c.Assert(d.Admitted(), qt.IsTrue)
+		call.Wait = 600 * time.Millisecond
+		_, d = busyPool().Decide(call, start, 0.5)
+		c.Assert(d.Reason, qt.Equals, ReasonOverShare)
+	})
+
 	t.Run("calls with a long target time leave room for those with a short one", func(t *testing.T) {
 		// Guards against a pool whose queue is as long as the most patient pipeline tolerates, so that others miss their
 		// target times.
