--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -44,6 +44,7 @@
 	n.meter.Gauge("zones_evacuated", func() float64 { return float64(n.evacuatedZoneCount.Load()) })
 	n.addUpstreamGauges()
 	n.addCostGauges()
+	n.addRoomGauges()
 	n.storeCalls.addGauges(n.meter.Gauge)
 	n.addStreamGauges()
 	n.addWorkGauges()
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -297,6 +297,9 @@
 	if e.Placement != nil {
 		line = line.Object("Placement", placementFields(*e.Placement))
 	}
+	if e.Room != nil {
+		line = line.Object("Room", roomFields(*e.Room))
+	}
 	if len(e.PromptParts) > 0 {
 		line = line.Strs("PromptParts", partsForLog(e.PromptParts))
 	}
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -13,6 +13,7 @@
 	"azurechute.example/azurechute/internal/chutecost"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
+	"azurechute.example/azurechute/internal/chuteroom"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
@@ -67,6 +68,8 @@
 	costs chutecost.Estimator
 	// callerWaits distinguishes callers that resend a request from new ones.
 	callerWaits callerWaits
+	// rooms is the recent work of each pool whose calls are placed by work.
+	rooms *immutable.Map[string, chuteroom.Pool]
 	// announcedLimits maps an upstream's name to the last announcement of its limit among nodes.
 	announcedLimits *immutable.Map[string, announcedLimit]
 	quarantine      chutequarantine.Quarantine
@@ -104,6 +107,7 @@
 		callTimes:     newCallTimes(),
 		costs:         chutecost.New(),
 		callerWaits:   newCallerWaits(),
+		rooms:         immutable.NewMap[string, chuteroom.Pool](nil),
 		zoneSilence:   newZoneSilence(s.Self.Zone),
 
 		announcedLimits: immutable.NewMap[string, announcedLimit](nil),
