Move calls that are overdue to another upstream

Cause: hundreds of streams reached an engine within 0.2 s of their arrival, began 0.8 to 1.8 s later and ran into their deadlines; others waited for their first event until the caller left. Change: in pools placed by work, each call is checked when it is overdue (CheckAttempt, AttemptChecked). If it may run again, others are as usual, and time and budget are left, the gate gives it up (AbandonSend) unless its first event has crossed the decision, and it goes on as after a failed call, with the end Overdue. The retry is counted with the decision. The upstream is a worse choice for 400 ms (FailureOverdue) and not suspended.

--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -58,6 +58,9 @@
 	FailureErrored FailureKind = "Errored"
 	// FailureFull: the upstream answered that it has no free capacity.
 	FailureFull FailureKind = "Full"
+	// FailureOverdue: a call takes several times its usual time, while other upstreams of the pool are as usual. It
+	// makes the upstream a worse choice for a while, the more of them the longer, and never suspends it.
+	FailureOverdue FailureKind = "Overdue"
 )
 
 const (
@@ -73,6 +76,8 @@
 	loadReportLifetime = time.Second
 	// fullDuration is how long an upstream that answered FailureFull counts as full.
 	fullDuration = 100 * time.Millisecond
+	// overdueDuration is how long an upstream with an overdue call counts as full.
+	overdueDuration = 400 * time.Millisecond
 )
 
 // member is a listed upstream with what this node has observed of it. It is immutable.
@@ -279,10 +284,13 @@
 // WithFailure records a failed call.
 func (f Fleet) WithFailure(id string, kind FailureKind, now time.Time) Fleet {
 	return f.withMember(id, func(m *member) {
-		if kind == FailureFull {
+		switch kind {
+		case FailureFull:
 			m.fullUntil, m.fullAt = now.Add(fullDuration), now
 
 			return
+		case FailureOverdue:
+			m.fullUntil = now.Add(overdueDuration)
 		}
 		m.failures = m.recentFailures(now) + 1
 		m.failuresAt = now
--- a/internal/chutegate/perform.go
+++ b/internal/chutegate/perform.go
@@ -37,7 +37,7 @@
 	case chuterelay.LogEvacuation:
 		n.log.Warn().Str("At", e.Zone).Bool("Evacuated", e.Evacuated).Msg("evacuation")
 	default:
-		n.performQuarantineEffect(effect)
+		n.performOverdueEffect(effect)
 	}
 }
 
@@ -97,12 +97,8 @@
 }
 
 func (n *Node) cancelSend(e chuterelay.CancelSend) {
-	req, ok := n.requests[e.Handle]
-	if !ok {
-		return
-	}
-	if cancel, ok := req.attempts[e.Attempt]; ok {
-		cancel()
+	if running, ok := n.runningAttempt(e.Handle, e.Attempt); ok {
+		running.stop(nil)
 	}
 }
 
@@ -145,8 +141,8 @@
 	if req.deadline != nil {
 		req.deadline.Stop()
 	}
-	for _, cancel := range req.attempts {
-		cancel()
+	for _, running := range req.attempts {
+		running.stop(nil)
 	}
 	delete(n.requests, handle)
 }
@@ -294,6 +290,9 @@
 	if e.Budget != nil {
 		line = line.Object("Budget", budgetFields(*e.Budget))
 	}
+	if e.Overdue != nil {
+		line = line.Object("Overdue", overdueFields(*e.Overdue))
+	}
 	if len(e.PromptParts) > 0 {
 		line = line.Strs("PromptParts", partsForLog(e.PromptParts))
 	}
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -26,21 +26,24 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithCancel(n.runContext)
-	req.attempts[s.Attempt] = cancel
+	ctx, cancel := context.WithCancelCause(n.runContext)
+	running := &runningAttempt{cancel: cancel, progress: &progress{}}
+	req.attempts[s.Attempt] = running
 	n.spawn(func(context.Context) {
-		defer cancel()
+		defer cancel(nil)
 		// A cancelled attempt may still emit an event while the next attempt reads lastEventID to
 		// ask the upstream to continue after that event. The lock lets the next one start only
 		// after the cancelled one has ended.
 		req.streamLock.Lock()
 		defer req.streamLock.Unlock()
-		a := &attempt{node: n, request: req, send: s}
-		ended := a.run(ctx)
-		if ctx.Err() != nil {
-			return
+		a := &attempt{node: n, request: req, send: s, progress: running.progress}
+		ended, report := afterCancel(ctx, a.run(ctx))
+		if report {
+			n.sendEventWith(ended, func() {
+				running.stop(nil)
+				a.keepAnswer()
+			})
 		}
-		n.sendEventWith(ended, func() { a.keepAnswer() })
 	})
 }
 
@@ -49,6 +52,7 @@
 	node     *Node
 	request  *request
 	send     chuterelay.Send
+	progress *progress
 	buffered *bufferedAnswer
 	// lastActivity is when the upstream last showed that it is alive.
 	lastActivity atomic.Pointer[time.Time]
@@ -98,6 +102,9 @@
 
 		return ended
 	}
+	// An answer that has begun is not given up any more.
+	a.progress.begin(a.node.Now())
+	a.progress.passedOn(a.node.Now())
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errAnswerTooLong
@@ -138,6 +145,12 @@
 // withFailure adds to ended what a failed exchange means, and whether the upstream has ended or goes on.
 func (a *attempt) withFailure(ctx context.Context, ended chuterelay.AttemptEnded, err error) chuterelay.AttemptEnded {
 	ended.Detail = err.Error()
+	if errors.Is(context.Cause(ctx), errOverdue) {
+		// The connection was closed by this node, which says nothing about the upstream.
+		ended.End = chuterelay.EndOverdue
+
+		return ended
+	}
 	if errors.Is(err, errOtherVersion) && a.send.Peer.Name == "" {
 		ended.End, ended.Binding = chuterelay.EndOtherVersion, a.request.binding
 
@@ -218,9 +231,15 @@
 		if count == 0 && !a.bind(answer) {
 			return count, errOtherVersion
 		}
+		if !a.progress.begin(a.node.Now()) {
+			<-ctx.Done()
+
+			return count, errOverdue
+		}
 		if !a.emitHead(ctx, answer) || !a.emit(ctx, streamPiece{event: event.bytes}) {
 			return count, ctx.Err()
 		}
+		a.progress.passedOn(a.node.Now())
 		a.request.lastEventID = event.id
 		if count == 0 {
 			a.node.sendEvent(chuterelay.AttemptBegan{
--- a/internal/chutegate/send_test.go
+++ b/internal/chutegate/send_test.go
@@ -27,7 +27,7 @@
 func newTestRequest() *request {
 	return &request{
 		incoming: &IncomingRequest{}, pieces: make(chan streamPiece, maxQueuedPieces), result: make(chan requestResult, 1),
-		attempts: map[uint64]context.CancelFunc{}, bufferedAnswers: map[uint64]bufferedAnswer{}, lastEventID: -1,
+		attempts: map[uint64]*runningAttempt{}, bufferedAnswers: map[uint64]bufferedAnswer{}, lastEventID: -1,
 	}
 }
 
@@ -42,7 +42,7 @@
 		cancel()
 		for range 100 {
 			req := newTestRequest()
-			a := &attempt{node: n, request: req}
+			a := &attempt{node: n, request: req, progress: &progress{}}
 			_, err := a.relayStream(ctx, eventsAnswer("id: 0\ndata: a\n\n"))
 			c.Assert(err, qt.IsNotNil)
 			c.Assert(req.pieces, qt.HasLen, 0)
@@ -96,7 +96,7 @@
 		defer n.Stop()
 		req := newTestRequest()
 		req.binding = bound
-		a := &attempt{node: n, request: req, send: chuterelay.Send{Upstream: chutefleet.Upstream{Pool: "p", Version: "v2"}}}
+		a := &attempt{node: n, request: req, progress: &progress{}, send: chuterelay.Send{Upstream: chutefleet.Upstream{Pool: "p", Version: "v2"}}}
 		ended := a.run(context.Background())
 		c.Assert(ended.End, qt.Equals, chuterelay.EndOtherVersion)
 		c.Assert(ended.Binding, qt.Equals, bound)
@@ -109,7 +109,7 @@
 		for _, other := range []chutestream.Binding{{}, {Pool: "p", Version: "v2"}, {Pool: "q", Version: "v1"}} {
 			req := newTestRequest()
 			req.binding = bound
-			a := &attempt{node: n, request: req, send: chuterelay.Send{Peer: chuterelay.Peer{Name: "n2"}}}
+			a := &attempt{node: n, request: req, progress: &progress{}, send: chuterelay.Send{Peer: chuterelay.Peer{Name: "n2"}}}
 			answer := eventsAnswer("id: 0\ndata: a\n\n")
 			answer.Binding = other
 			_, err := a.relayStream(context.Background(), answer)
@@ -125,7 +125,7 @@
 		req := newTestRequest()
 		id := chutestream.NewID("w", "p", "r")
 		req.stream = &id
-		a := &attempt{node: n, request: req, send: chuterelay.Send{
+		a := &attempt{node: n, request: req, progress: &progress{}, send: chuterelay.Send{
 			Upstream: chutefleet.Upstream{Name: "u1", Pool: "p", Version: "v1"}, Deadline: n.Now().Add(time.Second),
 		}}
 		_, err := a.relayStream(context.Background(), eventsAnswer("id: 0\ndata: a\n\n"))
@@ -165,7 +165,7 @@
 		Exchange: func(context.Context, Call) (Answer, error) { return answer, nil },
 	})
 	defer n.Stop()
-	a := &attempt{node: n, request: newTestRequest(), send: chuterelay.Send{Streams: true}}
+	a := &attempt{node: n, request: newTestRequest(), progress: &progress{}, send: chuterelay.Send{Streams: true}}
 	ended := a.run(context.Background())
 	c.Assert(ended.End, qt.Equals, chuterelay.EndSilent)
 	c.Assert(ended.Silent, qt.IsTrue)
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -30,9 +30,8 @@
 	pieces chan streamPiece
 	// result carries the result of the request; it has room for one.
 	result chan requestResult
-	// attempts holds the cancel functions of the calls in progress, bufferedAnswers the complete
-	// answers that may be passed on.
-	attempts        map[uint64]context.CancelFunc
+	// attempts holds the calls in progress, bufferedAnswers the complete answers that may be passed on.
+	attempts        map[uint64]*runningAttempt
 	bufferedAnswers map[uint64]bufferedAnswer
 	// streamLock is held by the attempt that emits events. lastEventID is the number of the last
 	// event emitted, and headSent is true once the head of the answer has been emitted.
@@ -92,7 +91,7 @@
 func (n *Node) relay(ctx context.Context, in *IncomingRequest, submission chuterelay.Submission, out Output) {
 	req := &request{
 		incoming: in, pieces: make(chan streamPiece, maxQueuedPieces), result: make(chan requestResult, 1),
-		attempts: map[uint64]context.CancelFunc{}, bufferedAnswers: map[uint64]bufferedAnswer{}, lastEventID: in.LastEventID,
+		attempts: map[uint64]*runningAttempt{}, bufferedAnswers: map[uint64]bufferedAnswer{}, lastEventID: in.LastEventID,
 		binding: submission.Binding, stream: streamOf(in, submission),
 	}
 	n.sendEventWith(chuterelay.Arrived{Submission: submission}, func() { n.requests[submission.Handle] = req })
--- a/internal/chutemeter/meter.go
+++ b/internal/chutemeter/meter.go
@@ -45,6 +45,7 @@
 	// workspaces counts the ends of each workspace's requests.
 	workspaces map[string]map[chuterelay.Step]int64
 	repeats    map[repeatSeries]int64
+	overdue    map[overdueSeries]int64
 	// gauges are read when the figures are written.
 	gauges []gauge
 }
@@ -59,6 +60,7 @@
 	return &Meter{
 		counts: map[series]int64{}, ages: map[series]*hdrhistogram.Histogram{},
 		workspaces: map[string]map[chuterelay.Step]int64{}, repeats: map[repeatSeries]int64{},
+		overdue: map[overdueSeries]int64{},
 	}
 }
 
@@ -78,6 +80,7 @@
 
 	m.noteWorkspace(n)
 	m.noteRepeat(n)
+	m.noteOverdue(n)
 	if _, known := m.counts[s]; !known && len(m.counts) >= maxSeries {
 		s.pipeline, s.pool = other, other
 	}
@@ -124,6 +127,9 @@
 	if err := m.writeRepeats(w); err != nil {
 		return err
 	}
+	if err := m.writeOverdue(w); err != nil {
+		return err
+	}
 	for _, g := range m.gauges {
 		if _, err := fmt.Fprintf(w, "azurechute_%s %g\n", g.name, g.read()); err != nil {
 			return err
--- a/internal/chutemeter/meter_test.go
+++ b/internal/chutemeter/meter_test.go
@@ -66,6 +66,23 @@
 	})
 }
 
+func TestOverdue(t *testing.T) {
+	// Guards against a figure that can't tell calls that were moved from those that were left, or that grows without bound.
+	c := qt.New(t)
+	m := New()
+	moved := chuterelay.OverdueView{Decision: chuterelay.OverdueMoved}
+	m.Note(chuterelay.LogStep{Step: chuterelay.StepOverdue, Pool: "p", Overdue: &moved})
+	m.Note(chuterelay.LogStep{Step: chuterelay.StepOverdue, Pool: "p", Overdue: &moved})
+	m.Note(chuterelay.LogStep{Step: chuterelay.StepOverdue, Pool: "p", Overdue: &chuterelay.OverdueView{Decision: chuterelay.OverduePoolSlow, Stream: true}})
+	got := text(c, m)
+	c.Assert(got, qt.Contains, `azurechute_overdue_total{pool="p",waits="first event",decision="moved"} 2`)
+	c.Assert(got, qt.Contains, `azurechute_overdue_total{pool="p",waits="next event",decision="left: others are no faster"} 1`)
+	for i := range 10 * maxSeries {
+		m.Note(chuterelay.LogStep{Step: chuterelay.StepOverdue, Pool: fmt.Sprint(i), Overdue: &moved})
+	}
+	c.Assert(len(m.overdue) <= maxSeries+1, qt.IsTrue)
+}
+
 func TestRepeats(t *testing.T) {
 	c := qt.New(t)
 	m := New()
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -250,6 +250,7 @@
 	if r.current.id == 0 {
 		return
 	}
+	st.watchCancelled(r)
 	st.uncountAttempt(r)
 	st.emit(CancelSend{Handle: r.Handle, Attempt: r.current.id})
 	if r.current.peer.Name != "" {
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -33,7 +33,7 @@
 
 		return
 	}
-	if r.maybeReached {
+	if r.maybeReached && !r.retryCounted {
 		if !st.mayRetry(r.pool) {
 			st.refuseRetry(r)
 
@@ -41,9 +41,10 @@
 		}
 		st.countRetries(budgetKey{pool: r.pool}, 1)
 	}
+	r.retryCounted = false
 	r.sends++
 	r.possibleRuns++
-	r.current = attempt{id: st.newID(), upstream: u, tokens: r.PromptTokens, sentAt: st.now, bound: !r.Binding.IsZero()}
+	r.current = attempt{id: st.newID(), upstream: u, tokens: r.PromptTokens, sentAt: st.now, bound: !r.Binding.IsZero(), watch: st.newWatch(r, u)}
 	st.fleet = st.fleet.WithCallSent(u.ID, r.PromptTokens, st.now)
 	st.countRolloutCall(u, r.Pipeline.Name, r.atMostOnce())
 	st.putRequest(r)
@@ -58,6 +59,7 @@
 		Deadline: r.Deadline, Inputs: r.resultRefs(r.Pipeline.Leaves()), Resume: r.answerBegun,
 		FreshConnection: r.atMostOnce() || st.zoneSilence.suspected(u.Zone, st.now), Replaceable: !r.atMostOnce(), Streams: r.Pipeline.Streams, Priority: r.priority(),
 	})
+	st.emitCheck(r)
 }
 
 // noneUsable hands a request to another node if this one can't reach any upstream of its pool, which may be
@@ -113,6 +115,7 @@
 	st.recordReply(r.current.upstream.Zone)
 	st.fleet = st.fleet.WithTokensRead(r.current.upstream.ID, r.current.tokens).WithSuccess(r.current.upstream.ID, st.now)
 	r.current.tokens = 0
+	r = st.watchBegan(r)
 	for _, i := range r.Pipeline.Leaves() {
 		if r.stages[i].jobRequestID != 0 {
 			r = st.releaseResults(r, i)
@@ -134,6 +137,7 @@
 	}
 	st.recordAttemptEnd(r, e)
 	st.countRolloutEnd(r, e)
+	st.watchEnded(r, e)
 	st.uncountAttempt(r)
 	if e.UpstreamEnded {
 		st.recordRequestCrash(r, e.describe())
@@ -204,7 +208,7 @@
 
 // recordAttemptEnd updates the state of an upstream and its zone from the end of a call.
 func (st *reduction) recordAttemptEnd(r request, e AttemptEnded) {
-	if e.End == EndOtherVersion {
+	if e.End == EndOtherVersion || e.End == EndOverdue {
 		return
 	}
 	id := r.current.upstream.ID
@@ -279,7 +283,7 @@
 		refusal := notRunRefusal("upstreams can't be reached: " + string(e.End))
 		refusal.Elsewhere = r.isForwarded
 		st.forwardOrRefuse(r, refusal)
-	case r.maybeReached && !st.mayRetry(r.pool):
+	case r.maybeReached && !r.retryCounted && !st.mayRetry(r.pool):
 		st.refuseRetry(r)
 	default:
 		st.retry(r, e)
--- a/internal/chuterelay/event.go
+++ b/internal/chuterelay/event.go
@@ -224,6 +224,8 @@
 	// EndOtherVersion: the caller has events of another version than the upstream's, so that the call was not
 	// sent or none of its events was passed on.
 	EndOtherVersion AttemptEnd = "OtherVersion"
+	// EndOverdue: this node gave the call up because it was overdue; it may have run.
+	EndOverdue AttemptEnd = "Overdue"
 )
 
 // AttemptEnded reports the end of a relayed call.
--- a/internal/chuterelay/logstep.go
+++ b/internal/chuterelay/logstep.go
@@ -23,6 +23,8 @@
 	StepForwarded Step = "forwarded"
 	// StepRetryRefused: the call is not sent again because the retry budget is used up.
 	StepRetryRefused Step = "repeat refused"
+	// StepOverdue: the call takes several times its usual time; Reason says what is done about it.
+	StepOverdue Step = "overdue"
 )
 
 // LogStep records one step of a request, and what decided it, in the log and the metrics.
@@ -71,6 +73,8 @@
 	RepeatOf AttemptEnd
 	// Budget is the pool's retry budget, if it allowed or refused a retry.
 	Budget *BudgetView
+	// Overdue is what the decision on an overdue call was based on.
+	Overdue *OverdueView
 	// Version is that of the configuration in force.
 	Version uint64
 }
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -49,6 +49,7 @@
 	beganAt time.Time
 	// bound says that the stream was bound to a version when it was sent.
 	bound bool
+	watch watch
 }
 
 // request is one relayed request in flight. Values are never modified in place.
@@ -82,6 +83,10 @@
 	// the retry budget.
 	isForwarded bool
 	counted     bool
+	// moved says that a call was given up for being overdue, retryCounted that the retry budget has counted the next
+	// call already.
+	moved        bool
+	retryCounted bool
 	// forwards counts the nodes that the request was forwarded to, forwardTried are their names.
 	forwards     int
 	forwardTried []string
--- a/internal/chuterelay/rollout.go
+++ b/internal/chuterelay/rollout.go
@@ -446,7 +446,8 @@
 	case r.current.began, r.current.bound:
 	case e.End == EndErrored:
 		st.countRolloutAnswer(u, r.Pipeline.Name, chutecanary.Counts.WithFailure)
-	case e.End == EndAnswered:
+	case e.End == EndAnswered, e.End == EndOverdue:
+		// An overdue call has taken at least that long. Left out, it would make its version seem faster.
 		st.countRolloutAnswer(u, r.Pipeline.Name, func(c chutecanary.Counts) chutecanary.Counts { return c.WithAnswer(took) })
 	}
 	p, ok := st.rollouts.progress[u.Pool]
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -11,6 +11,7 @@
 	"azurechute.example/azurechute/internal/chutebudget"
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuteoverdue"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
@@ -69,7 +70,9 @@
 	quarantine      chutequarantine.Quarantine
 	strays          strayCalls
 	survived        survivedCalls
-	rollouts        rollouts
+	// overdue is what is known of the durations of calls at pools whose calls are placed by work.
+	overdue  chuteoverdue.Table
+	rollouts rollouts
 	// judgeAt is when the next JudgeDue event is due; zero if none is.
 	judgeAt time.Time
 	// vouchAt is when this node vouches for parts of prompts; zero if it has to for none.
@@ -106,6 +109,7 @@
 		quarantine: chutequarantine.New(),
 		strays:     newStrayCalls(),
 		survived:   newSurvivedCalls(),
+		overdue:    chuteoverdue.New(),
 		random:     *rand.NewPCG(s.Seed, s.Seed),
 	}
 }
@@ -187,6 +191,8 @@
 		st.attemptBegan(e)
 	case AttemptEnded:
 		st.attemptEnded(e)
+	case AttemptChecked:
+		st.attemptChecked(e)
 	case ProbeEnded:
 		st.probeEnded(e)
 	case LinksProbed:
