--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -40,7 +40,7 @@
 
 		return
 	}
-	if r.maybeReached {
+	if r.maybeReached && !r.retryCounted {
 		if !st.mayRetry(r.pool) {
 			st.refuseRetry(r)
 
@@ -48,10 +48,11 @@
 		}
 		st.countRetries(budgetKey{pool: r.pool}, 1)
 	}
+	r.retryCounted = false
 	r.sends++
 	r.possibleRuns++
 	r.current = attempt{
-		id: st.newID(), upstream: u, tokens: choice.Tokens, tokensAhead: choice.Outstanding + choice.Tokens, sentAt: st.now, bound: !r.Binding.IsZero(),
+		id: st.newID(), upstream: u, tokens: choice.Tokens, tokensAhead: choice.Outstanding + choice.Tokens, sentAt: st.now, bound: !r.Binding.IsZero(), watch: st.newWatch(r, u),
 	}
 	st.fleet = st.fleet.WithCallSent(u.ID, choice.Tokens, st.now)
 	st.countRolloutCall(u, r.Pipeline.Name, r.atMostOnce())
@@ -68,6 +69,7 @@
 		Deadline: r.Deadline, Inputs: r.resultRefs(r.Pipeline.Leaves()), Resume: r.answerBegun,
 		FreshConnection: r.atMostOnce() || st.zoneSilence.suspected(u.Zone, st.now), Replaceable: !r.atMostOnce(), Streams: r.Pipeline.Streams, Priority: r.priority(),
 	})
+	st.emitCheck(r)
 }
 
 // placementOf returns what decided on an upstream; nil unless the call was placed by work.
@@ -133,6 +135,7 @@
 	st.fleet = st.fleet.WithFirstEvent(r.current.upstream.ID, r.current.tokensAhead, took)
 	st.fleet = st.fleet.WithTokensRead(r.current.upstream.ID, r.current.tokens).WithSuccess(r.current.upstream.ID, st.now)
 	r.current.tokens = 0
+	r = st.watchBegan(r)
 	for _, i := range r.Pipeline.Leaves() {
 		if r.stages[i].jobRequestID != 0 {
 			r = st.releaseResults(r, i)
@@ -155,6 +158,7 @@
 	st.recordAttemptEnd(r, e)
 	st.learnCost(r, e)
 	st.countRolloutEnd(r, e)
+	st.watchEnded(r, e)
 	st.uncountAttempt(r)
 	if e.UpstreamEnded {
 		st.recordRequestCrash(r, e.describe())
@@ -225,7 +229,7 @@
 
 // recordAttemptEnd updates the state of an upstream and its zone from the end of a call.
 func (st *reduction) recordAttemptEnd(r request, e AttemptEnded) {
-	if e.End == EndOtherVersion {
+	if e.End == EndOtherVersion || e.End == EndOverdue {
 		return
 	}
 	id := r.current.upstream.ID
@@ -300,7 +304,7 @@
 		refusal := notRunRefusal("upstreams can't be reached: " + string(e.End))
 		refusal.Elsewhere = r.isForwarded
 		st.forwardOrRefuse(r, refusal)
-	case r.maybeReached && !st.mayRetry(r.pool):
+	case r.maybeReached && !r.retryCounted && !st.mayRetry(r.pool):
 		st.refuseRetry(r)
 	default:
 		st.retry(r, e)
--- a/internal/chuterelay/logstep.go
+++ b/internal/chuterelay/logstep.go
@@ -23,6 +23,8 @@
 	StepForwarded Step = "forwarded"
 	// StepRetryRefused: the call is not sent again because the retry budget is used up.
 	StepRetryRefused Step = "repeat refused"
+	// StepOverdue: the call takes several times its usual time; Reason says what is done about it.
+	StepOverdue Step = "overdue"
 )
 
 // LogStep records one step of a request, and what decided it, in the log and the metrics.
@@ -76,6 +78,8 @@
 	// Room is what admission decided by. It is set when a request to a pool that is placed by work is admitted, or refused
 	// for want of capacity.
 	Room *RoomView
+	// Overdue is what the decision on an overdue call was based on.
+	Overdue *OverdueView
 	// Version is that of the configuration in force.
 	Version uint64
 }
--- a/internal/chuterelay/room_load_sim_test.go
+++ b/internal/chuterelay/room_load_sim_test.go
@@ -85,7 +85,7 @@
 	c.sentAt = s.now
 	s.callers[handle] = c
 	s.n.now = s.now
-	submission := s.n.engineRequest(handle, c.workspace, c.tokens)
+	submission := s.n.roomRequest(handle, c.workspace, c.tokens)
 	submission.Pipeline.Affinity = false
 	submission.Pipeline.Patience, submission.Deadline, submission.CallerWait = left, s.now.Add(left), left
 	s.after(left, func() {
