--- a/internal/chuteroom/decide.go
+++ b/internal/chuteroom/decide.go
@@ -14,19 +14,19 @@
 	// targetShare is the part of a call's target time that it may wait before the pool counts as short of capacity. The
 	// other half is left for its own prompt and the estimate's error.
 	targetShare = 0.5
-	// loudRatio is the ratio of a workspace's demand to its share from which on it is loud, and refused first: the usual
-	// demand of a workspace with one prompt in ten a heavy one varies by that much. The others above their shares are
-	// refused from loudAdvance times the tolerated wait on, which is the whole target time.
+	// loudRatio is the ratio of a workspace's demand to its share from which on it is loud, and refused first. With a lower
+	// one, usual workspaces that happen to send several heavy prompts are refused beside a loud one (TestLoudWorkspace). The
+	// others above their shares are refused from loudAdvance times the tolerated wait on, which is the whole target time.
 	loudRatio   = 2.0
 	loudAdvance = 2.0
-	// minShortWait is the wait up to which the pool has capacity, whatever the target time: an idle upstream's time to a
-	// first event, 60 ms, and about one usual prompt.
+	// minShortWait is the wait up to which the pool has capacity, whatever the target time: the time to a first event
+	// besides processing prompts, 60 ms, and a prompt of some 2,000 tokens.
 	minShortWait = 150 * time.Millisecond
 	// targetsUntilLeft is the usual ratio of the time that callers wait for a first event to its target time. It is used
 	// for calls without a target.
 	targetsUntilLeft = 4
 	// rankStep is the part by which each rank divides the tolerated wait: at rank 10, the next priority, a call tolerates
-	// two thirds of it. The difference between two priorities then exceeds the estimate's error.
+	// two thirds of it. If refusing the less urgent ones keeps the wait below that, the more urgent ones are not refused.
 	rankStep = 0.05
 	// freeShare is the part of its share up to which a workspace may send any request. Without it, a request that exceeds
 	// the share by itself would never be admitted.
--- a/internal/chuteroom/load_test.go
+++ b/internal/chuteroom/load_test.go
@@ -71,13 +71,14 @@
 	return last
 }
 
-// simulation runs callers against engines that are queues. An engine processes each prompt that it was sent, also if the
-// caller has left by then.
+// simulation runs callers against engines that are queues.
 type simulation struct {
 	pool   Pool
 	random *rand.Rand
 	// admits is false for a simulation in which all calls are sent.
 	admits bool
+	// drops says that an engine leaves out prompts whose callers have left when it would begin with them.
+	drops bool
 	// estimateFactor is the ratio of the expected times to the real ones.
 	estimateFactor float64
 	// engines are the times at which the engines have done their work.
@@ -147,6 +148,9 @@
 	}
 	c.admitted = true
 	c.served = c.at+wait+own <= c.leavesAt
+	if s.drops && c.at+wait > c.leavesAt {
+		return false
+	}
 	s.engines[best] = max(s.engines[best], c.at) + own
 
 	return false
@@ -243,9 +247,15 @@
 			s.run()
 			s.log(t, "with admission")
 			without.log(t, "without")
+			dropping := overload(seed)
+			dropping.admits, dropping.drops = false, true
+			dropping.run()
+			dropping.log(t, "without, engines drop prompts whose callers have left")
 			served, _ := s.tally(light)
 			servedWithout, _ := without.tally(light)
+			servedDropping, _ := dropping.tally(light)
 			c.Assert(served >= 2*servedWithout, qt.IsTrue)
+			c.Assert(float64(served) >= 1.9*float64(servedDropping), qt.IsTrue)
 			c.Assert(s.part(light) > 0.9, qt.IsTrue)
 			// Two thirds of the load is what the engines can do.
 			c.Assert(s.part(heavy) > 0.5, qt.IsTrue, qt.Commentf("heavy requests get their share"))
