Leave a node's own work out of the sums that it is sent

Cause: WithWork takes a node's own work of now off the sums, in which it is as old as its last report. A call that had ended since counted as another node's for up to a second, and one that had begun hid others' work. Change: the aggregator leaves out what the subscriber has reported, and the reducer adds the node's own work of now before WithWork takes it off again. chutefleet is unchanged.

--- a/internal/chutegate/work.go
+++ b/internal/chutegate/work.go
@@ -163,7 +163,7 @@
 	}
 	w.isAggregator = isAggregator
 	w.outbox = w.outbox.WithoutSent()
-	w.own = chutework.NewSubscription(chutework.ScopeAll)
+	w.own = chutework.NewSubscription(chutework.ScopeAll).Without(chutework.Reporter{Name: self.Name, Zone: self.Zone})
 	if !isAggregator {
 		w.table = w.table.WithoutStream(chutework.Reporter{Name: self.Name, Zone: self.Zone}, 0, now)
 	}
@@ -289,15 +289,14 @@
 }
 
 // workSession returns what this node does as an aggregator: it adds up the peer's reports, and sends a node of its own zone
-// all sums, and an aggregator of another zone those of its own zone.
+// the sums over all others, and an aggregator of another zone those of its own zone.
 func (n *Node) workSession(peer chuteshare.WorkPeer, stream uint64) chuteshare.WorkSession {
 	w := n.work
-	scope := chutework.ScopeAll
+	update := chutework.Update{Reporter: chutework.Reporter{Name: peer.Node, Zone: peer.Zone}, Stream: stream}
+	subscription, budget := chutework.NewSubscription(chutework.ScopeAll).Without(update.Reporter), chutework.Budget{}
 	if peer.Zone != n.settings.Self.Zone {
-		scope = chutework.ScopeZone
+		subscription = chutework.NewSubscription(chutework.ScopeZone)
 	}
-	subscription, budget := chutework.NewSubscription(scope), chutework.Budget{}
-	update := chutework.Update{Reporter: chutework.Reporter{Name: peer.Node, Zone: peer.Zone}, Stream: stream}
 
 	return chuteshare.WorkSession{
 		Take: func() (reports []chutework.Report, next time.Duration) {
--- a/internal/chuterelay/work.go
+++ b/internal/chuterelay/work.go
@@ -57,7 +57,7 @@
 // WorkTicked reports that it is time to report this node's work.
 type WorkTicked struct{}
 
-// WorkReceived reports sums over all nodes.
+// WorkReceived reports sums over all other nodes.
 type WorkReceived struct {
 	Reports []chutework.Report
 }
@@ -107,7 +107,7 @@
 		st.work.ticking = false
 		st.exchangeWork()
 	case WorkReceived:
-		st.fleet = st.fleet.WithWork(e.Reports, st.now)
+		st.fleet = st.fleet.WithWork(st.withOwnWork(e.Reports), st.now)
 	case WorkPeerHeard:
 		if _, lost := st.work.lost[e.Peer.Name]; lost {
 			st.work.lost = maps.Clone(st.work.lost)
@@ -121,6 +121,25 @@
 	}
 }
 
+// withOwnWork returns sums over all other nodes with this node's own work as of now, which WithWork takes off again. What the
+// aggregator knows of this node's work is older: taken off the sums here, a call that has begun or ended since would count
+// less or more than the others' work.
+func (st *reduction) withOwnWork(others []chutework.Report) []chutework.Report {
+	// The fleet without the reports is left out, so that they are sent with the next message as if this had not been.
+	_, reports := st.fleet.TakeWork(st.now)
+	own := make(map[string]chutework.Report, len(reports))
+	for _, r := range reports {
+		own[r.Upstream] = r
+	}
+	sums := slices.Clone(others)
+	for i, r := range sums {
+		sums[i].Calls += own[r.Upstream].Calls
+		sums[i].Tokens += own[r.Upstream].Tokens
+	}
+
+	return sums
+}
+
 // withLost skips a node for a pause that doubles if it is lost again without having been heard.
 func (w workExchange) withLost(e WorkPeerLost, now time.Time) workExchange {
 	next := map[string]lostWorkPeer{}
--- a/internal/chuterelay/work_test.go
+++ b/internal/chuterelay/work_test.go
@@ -170,6 +170,22 @@
 	})
 }
 
+// Guards against a node's own calls that count as those of others because they have ended since they were reported, and others'
+// calls that don't count because this node has begun one.
+func TestWorkOfOthersAlone(t *testing.T) {
+	n := newWorkNode(t)
+	upstream := enginePool + "0"
+	others := WorkReceived{Reports: []chutework.Report{{Upstream: upstream, Calls: 1, Tokens: 500}}}
+	n.on(others)
+	n.Assert(n.state.Fleet().OutstandingTokens(upstream, n.now), qt.Equals, int64(500))
+	n.state.fleet = n.state.fleet.WithCallSent(upstream, 2000, n.now)
+	n.on(others)
+	n.Assert(n.state.Fleet().OutstandingTokens(upstream, n.now), qt.Equals, int64(2500))
+	n.state.fleet = n.state.fleet.WithTokensRead(upstream, 2000).WithCallDone(upstream)
+	n.on(others)
+	n.Assert(n.state.Fleet().OutstandingTokens(upstream, n.now), qt.Equals, int64(500))
+}
+
 // Guards against a change for deployments whose upstreams report no pace: no event about calls and nodes has an effect of the
 // exchange there.
 func TestNoWorkIsExchangedWithoutPace(t *testing.T) {
--- a/internal/chutework/subscription.go
+++ b/internal/chutework/subscription.go
@@ -19,6 +19,8 @@
 // Subscription is what a subscriber of a table has been sent. It is immutable.
 type Subscription struct {
 	scope Scope
+	// without is a reporter whose own reports are left out of the sums; nil for none.
+	without *Reporter
 	// seen is the number of the last change that was looked at, waiting are upstreams whose earlier changes were not sent.
 	seen    uint64
 	waiting []string
@@ -29,6 +31,14 @@
 	return Subscription{scope: scope}
 }
 
+// Without returns the subscription to sums without the reports of a reporter, the subscriber itself: it knows its own work
+// better, as of now.
+func (s Subscription) Without(r Reporter) Subscription {
+	s.without = &r
+
+	return s
+}
+
 // ranked is an upstream with what decides when its change is sent.
 type ranked struct {
 	upstream string
@@ -54,12 +64,26 @@
 	}
 	reports := make([]Report, 0, len(candidates))
 	for _, c := range candidates {
-		reports = append(reports, c.row.report(c.upstream, s.scope, milliseconds(now)))
+		reports = append(reports, c.row.report(c.upstream, s.scope, t.ownContribution(s, c.upstream), milliseconds(now)))
 	}
 
 	return reports, s
 }
 
+// ownContribution returns what the sums of a subscription leave out.
+func (t Table) ownContribution(s Subscription, upstream string) contribution {
+	if s.without == nil {
+		return contribution{}
+	}
+	from, known := t.reporterOf(t.keyed(*s.without).Name)
+	if !known {
+		return contribution{}
+	}
+	own, _ := from.contributions.Get(upstream)
+
+	return own
+}
+
 // candidates returns the upstreams that have changed and were not sent, each once.
 func (t Table) candidates(s Subscription) []ranked {
 	var found []ranked
--- a/internal/chutework/table.go
+++ b/internal/chutework/table.go
@@ -477,14 +477,15 @@
 // Rejected returns the number of reports that were left out because the table was full.
 func (t Table) Rejected() int { return t.rejected }
 
-// report returns the sums of an upstream.
-func (r row) report(upstream string, scope Scope, nowMs int64) Report {
+// report returns the sums of an upstream without a contribution.
+func (r row) report(upstream string, scope Scope, own contribution, nowMs int64) Report {
 	s, p, interval := r.sumZone, r.paceZone, r.intervalZone
 	if scope == ScopeAll {
 		p = r.paceAll
 		s = sum{calls: s.calls + r.sumForeign.calls, tokens: s.tokens + r.sumForeign.tokens, weightedMs: s.weightedMs + r.sumForeign.weightedMs}
 		interval = interval.joined(r.intervalsForeign)
 	}
+	s = s.without(own)
 	report := Report{
 		Upstream: upstream, Calls: s.calls, Tokens: s.tokens, Age: age(s.atMs(nowMs), nowMs),
 		EventInterval: interval.Duration(), Samples: interval.samples,
--- a/internal/chutework/table_test.go
+++ b/internal/chutework/table_test.go
@@ -141,7 +141,7 @@
 	for _, upstream := range testUpstreams {
 		for _, scope := range []Scope{ScopeZone, ScopeAll} {
 			r, _ := table.rowOf(upstream)
-			got := r.report(upstream, scope, milliseconds(now))
+			got := r.report(upstream, scope, contribution{}, milliseconds(now))
 			calls, tokens, age := model.sum(upstream, scope, now)
 			if got.Calls != calls || got.Tokens != tokens || math.Abs(float64(got.Age.Milliseconds())-age) > 1 {
 				t.Fatalf("%s in %s: %d calls and %d tokens of age %v, not %d, %d and %.0f ms", upstream, scope, got.Calls, got.Tokens, got.Age, calls, tokens, age)
@@ -275,6 +275,21 @@
 		c.Assert(reports, qt.DeepEquals, []Report{{Upstream: "u", Calls: 3, Tokens: 15, EventInterval: time.Millisecond, Samples: 2, Pace: 120}})
 	})
 
+	t.Run("a node's own reports are left out of its sums", func(t *testing.T) {
+		// Guards against a node that takes its own call, which has ended meanwhile, for one of another node.
+		c := qt.New(t)
+		other := Reporter{Name: "b", Zone: "z"}
+		table := NewTable("z").With(Update{Reporter: node, Number: 1, Reports: []Report{report("u", 1, 10)}}, start)
+		table = table.With(Update{Reporter: other, Number: 1, Reports: []Report{{Upstream: "u", Calls: 2, Tokens: 5, Age: 50 * time.Millisecond}}}, start)
+		for subscriber, want := range map[Reporter]Report{
+			node: {Upstream: "u", Calls: 2, Tokens: 5, Age: 50 * time.Millisecond}, other: report("u", 1, 10),
+			{Name: "c", Zone: "z"}: {Upstream: "u", Calls: 3, Tokens: 15, Age: 20 * time.Millisecond},
+		} {
+			reports, _ := table.Changes(NewSubscription(ScopeAll).Without(subscriber), start, 1)
+			c.Assert(reports, qt.DeepEquals, []Report{want})
+		}
+	})
+
 	t.Run("a waiting list that is full keeps those with the most tokens", func(t *testing.T) {
 		// Guards against memory that grows with a subscriber that can't be sent everything.
 		c := qt.New(t)
