--- a/internal/chutegate/work.go
+++ b/internal/chutegate/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,7 @@
 
 // workLink is a stream that this node has opened.
 type workLink struct {
+	peer chuterelay.Peer
 	end  context.CancelFunc
 	wake chan struct{}
 }
@@ -171,26 +173,24 @@
 
 // setWorkLinks opens and ends streams so that there is one to each of the peers. The caller holds the lock.
 func (n *Node) setWorkLinks(peers []chuterelay.Peer) {
-	wanted := map[chuterelay.Peer]bool{}
-	for _, peer := range peers {
-		wanted[peer] = true
-		if n.work.links[peer] == nil {
-			n.openWorkLink(peer)
-		}
-	}
 	for peer, link := range n.work.links {
-		if !wanted[peer] {
+		if !slices.Contains(peers, peer) {
 			link.end()
 			delete(n.work.links, peer)
 		}
 	}
+	for _, peer := range peers {
+		if n.work.links[peer] == nil {
+			n.openWorkLink(peer)
+		}
+	}
 }
 
 // openWorkLink opens a stream to a peer: to the aggregator of this node's zone, or as such to that of another zone. The
 // caller holds the lock.
 func (n *Node) openWorkLink(peer chuterelay.Peer) {
 	ctx, end := context.WithCancel(n.runContext)
-	link := &workLink{end: end, wake: make(chan struct{}, 1)}
+	link := &workLink{peer: peer, end: end, wake: make(chan struct{}, 1)}
 	n.work.links[peer] = link
 	n.work.outbox = n.work.outbox.WithoutSent()
 	n.work.lastStream++
@@ -254,6 +254,10 @@
 			n.work.mu.Lock()
 			defer n.work.mu.Unlock()
 
+			if n.work.links[link.peer] != link {
+				// The stream is being ended; what is taken from the outbox would not reach the next aggregator.
+				return nil, time.Second
+			}
 			var reports []chutework.Report
 			now := n.Now()
 			reports, n.work.outbox = n.work.outbox.Take(now, budget.Limit(now))
