--- a/internal/chutegate/work.go
+++ b/internal/chutegate/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,7 @@
 
 // workLink is a stream that this node has opened.
 type workLink struct {
+	peer chuterelay.Peer
 	end  context.CancelFunc
 	wake chan struct{}
 }
@@ -163,34 +165,32 @@
 	}
 	w.isAggregator = isAggregator
 	w.outbox = w.outbox.WithoutSent()
-	w.own = chutework.NewSubscription(chutework.ScopeAll)
+	w.own = chutework.NewSubscription(chutework.ScopeAll).Without(chutework.Reporter{Name: self.Name, Zone: self.Zone})
 	if !isAggregator {
-		w.table = w.table.WithoutReporter(self.Name, now)
+		w.table = w.table.WithoutStream(chutework.Reporter{Name: self.Name, Zone: self.Zone}, 0, now)
 	}
 }
 
 // setWorkLinks opens and ends streams so that there is one to each of the peers. The caller holds the lock.
 func (n *Node) setWorkLinks(peers []chuterelay.Peer) {
-	wanted := map[chuterelay.Peer]bool{}
-	for _, peer := range peers {
-		wanted[peer] = true
-		if n.work.links[peer] == nil {
-			n.openWorkLink(peer)
-		}
-	}
 	for peer, link := range n.work.links {
-		if !wanted[peer] {
+		if !slices.Contains(peers, peer) {
 			link.end()
 			delete(n.work.links, peer)
 		}
 	}
+	for _, peer := range peers {
+		if n.work.links[peer] == nil {
+			n.openWorkLink(peer)
+		}
+	}
 }
 
 // openWorkLink opens a stream to a peer: to the aggregator of this node's zone, or as such to that of another zone. The
 // caller holds the lock.
 func (n *Node) openWorkLink(peer chuterelay.Peer) {
 	ctx, end := context.WithCancel(n.runContext)
-	link := &workLink{end: end, wake: make(chan struct{}, 1)}
+	link := &workLink{peer: peer, end: end, wake: make(chan struct{}, 1)}
 	n.work.links[peer] = link
 	n.work.outbox = n.work.outbox.WithoutSent()
 	n.work.lastStream++
@@ -246,14 +246,22 @@
 // toAggregator returns what this node does on its stream to the aggregator of its zone: it sends its own reports and takes
 // the sums of all nodes.
 func (n *Node) toAggregator(link *workLink) chuteshare.WorkSession {
+	var budget chutework.Budget
+
 	return chuteshare.WorkSession{
 		Wake: link.wake,
 		Take: func() ([]chutework.Report, time.Duration) {
 			n.work.mu.Lock()
 			defer n.work.mu.Unlock()
 
+			if n.work.links[link.peer] != link {
+				// The stream is being ended; what is taken from the outbox would not reach the next aggregator.
+				return nil, time.Second
+			}
 			var reports []chutework.Report
-			reports, n.work.outbox = n.work.outbox.Take(n.Now(), chutework.MaxReports)
+			now := n.Now()
+			reports, n.work.outbox = n.work.outbox.Take(now, budget.Limit(now))
+			budget = budget.WithSent(len(reports), now)
 			n.work.reportsSent.Add(int64(len(reports)))
 
 			return reports, time.Second
@@ -285,15 +293,14 @@
 }
 
 // workSession returns what this node does as an aggregator: it adds up the peer's reports, and sends a node of its own zone
-// all sums, and an aggregator of another zone those of its own zone.
+// the sums over all others, and an aggregator of another zone those of its own zone.
 func (n *Node) workSession(peer chuteshare.WorkPeer, stream uint64) chuteshare.WorkSession {
 	w := n.work
-	scope := chutework.ScopeAll
+	update := chutework.Update{Reporter: chutework.Reporter{Name: peer.Node, Zone: peer.Zone}, Stream: stream}
+	subscription, budget := chutework.NewSubscription(chutework.ScopeAll).Without(update.Reporter), chutework.Budget{}
 	if peer.Zone != n.settings.Self.Zone {
-		scope = chutework.ScopeZone
+		subscription = chutework.NewSubscription(chutework.ScopeZone)
 	}
-	subscription := chutework.NewSubscription(scope)
-	update := chutework.Update{Reporter: chutework.Reporter{Name: peer.Node, Zone: peer.Zone}, Stream: stream}
 
 	return chuteshare.WorkSession{
 		Take: func() (reports []chutework.Report, next time.Duration) {
@@ -302,7 +309,8 @@
 
 			now := n.Now()
 			w.table = w.table.WithoutExpired(now)
-			reports, subscription = w.table.Changes(subscription, now, chutework.MaxReports)
+			reports, subscription = w.table.Changes(subscription, now, budget.Limit(now))
+			budget = budget.WithSent(len(reports), now)
 			w.reportsSent.Add(int64(len(reports)))
 
 			return reports, w.interval
@@ -320,7 +328,7 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 
-			w.table = w.table.WithoutStream(peer.Node, stream, n.Now())
+			w.table = w.table.WithoutStream(update.Reporter, stream, n.Now())
 		},
 	}
 }
