Bound the bytes that a node holds for callers

Cause: bodies (4 MB), buffered answers (16 MB each) and queued events (16 a stream, 1 MB each) had no common bound. Callers that read slowly make a small VM exceed its memory, which kills the process.

Change: with limits.memory_mb a node books them in a chutememory.Budget of a quarter of it. A body that does not fit is refused as not run with a Retry-After of 0.75 to 1.25 s; a forwarded one can be served elsewhere. An answer is read once its length is booked, an event is passed on once it is, so upstreams wait. Whole answers are written in pieces of 16 KB to see whether the caller reads. Each second while memory is short callers that have read nothing for 4 s are disconnected; the request ends as after CallerLeft, so no upstream is blamed. Metrics, one log line a second at most and CallerMemory in the state dump. Without limits.memory_mb nothing is booked and answers are read and written as before.

Evidence: TestSlowReader, TestSlowReaderIsDisconnected (over loopback: 12 MB unread, the next 12 MB of the same workspace wait until it is dropped, another workspace is served at once), TestAnswersWait, TestBodiesOverMemory, TestForwardedOverMemory, TestNothingStaysBooked (property).

--- a/internal/chutegate/forward.go
+++ b/internal/chutegate/forward.go
@@ -68,6 +68,18 @@
 		ID: f.ID, Host: f.Host, Method: f.Method, URI: f.URI, Path: f.Path, Header: f.Header, Body: f.Body, Key: f.Key, Wait: f.Wait,
 		LastEventID: f.LastEventID, Affinity: f.Affinity, PromptTokens: f.PromptTokens, PromptParts: f.PromptParts, Parts: f.Parts, PartKey: f.PartKey,
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out = out.WithContext(ctx)
+	in.Memory = n.OpenMemory(f.Key, cancel)
+	defer in.Memory.Close()
+	if !in.Memory.TryAcquire(int64(len(f.Body))) {
+		refusal := memoryRefusal()
+		refusal.Elsewhere = true
+		refuse(refusal)
+
+		return
+	}
 	submission, refusal := n.submit(in)
 	if refusal != nil {
 		refuse(*refusal)
@@ -80,7 +92,7 @@
 	n.log.Info().Str("Request", f.ID).Str("Peer", f.Node).Int64("LeftMs", f.Left.Milliseconds()).Msg("received from a node without upstreams")
 	n.relay(ctx, in, submission, Output{
 		WriteAnswer: func(status int, h http.Header, body []byte) {
-			_ = errors.Join(out.Begin(status, h), out.Write(body), out.End()) // fails if nobody waits
+			_ = errors.Join(out.Begin(status, h), n.writeForwarded(in, out, body), out.End()) // fails if nobody waits
 		},
 		BeginStream: func(status int, h http.Header, b chutestream.Binding) {
 			_ = out.BeginStream(status, h, b) // the next event fails as well
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -14,6 +14,7 @@
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutecore"
 	"azurechute.example/azurechute/internal/chutefeed"
+	"azurechute.example/azurechute/internal/chutememory"
 	"azurechute.example/azurechute/internal/chutemeter"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
@@ -49,6 +50,9 @@
 	// ZoneRegions maps each zone to its region.
 	ZoneRegions map[string]string
 	Tables      Tables
+	// CallerBytes bounds what the node holds for callers, in bytes: bodies, buffered answers and queued events; 0
+	// sets no bound.
+	CallerBytes int64
 	Seed        uint64
 }
 
@@ -63,6 +67,8 @@
 	upstreams Upstreams
 	peers     *chuteshare.Client
 	meter     *chutemeter.Meter
+	// memory bounds what is held for callers; nil if nothing does.
+	memory *chutememory.Budget
 
 	messages chan message
 	queries  chan func(chutecore.State)
@@ -153,7 +159,7 @@
 	n := &Node{
 		settings: settings, clock: clock, started: clock.Now(),
 		log:   log.With().Str("Node", settings.Self.Name).Str("Zone", settings.Self.Zone).Logger(),
-		store: store, decode: decode, upstreams: upstreams, peers: chuteshare.NewClient(), meter: chutemeter.New(),
+		store: store, decode: decode, upstreams: upstreams, peers: chuteshare.NewClient(), meter: chutemeter.New(), memory: chutememory.New(settings.CallerBytes),
 		messages: make(chan message, maxQueuedMessages), queries: make(chan func(chutecore.State)),
 		runContext: runContext, cancelRun: cancelRun,
 		requests: map[uint64]*request{}, partsRequestCancels: map[uint64]context.CancelFunc{},
@@ -235,6 +241,9 @@
 	n.spawn(n.trimConnections)
 	n.spawn(n.flushLedger)
 	n.spawn(n.performStreamEffects)
+	if n.memory != nil {
+		n.spawn(n.watchMemory)
+	}
 }
 
 // Stop ends all background tasks and cuts off requests in flight.
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -10,6 +10,7 @@
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutecore"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutememory"
 	"azurechute.example/azurechute/internal/chuterelay"
 )
 
@@ -44,6 +45,7 @@
 	n.addUpstreamGauges()
 	n.storeCalls.addGauges(n.meter.Gauge)
 	n.addStreamGauges()
+	n.addMemoryGauges()
 	n.meter.Gauge("upstreams_ended_under_requests_total", func() float64 { return float64(n.upstreamCrashes.Load()) })
 	n.meter.Gauge("requests_quarantined", func() float64 {
 		held := 0
@@ -111,7 +113,7 @@
 // WriteState writes the state that the node bases its decisions on, as JSON. It returns the error
 // of the writer.
 func (n *Node) WriteState(w io.Writer) error {
-	dump := stateDump{Tables: map[string]tableView{}}
+	dump := stateDump{Tables: map[string]tableView{}, CallerMemory: n.memory.View()}
 	n.Query(func(s chutecore.State) { dump.View = s.Relay().View(n.Now()) })
 	for name, local := range n.localTables {
 		dump.Tables[name] = local.view()
@@ -127,6 +129,8 @@
 	chuterelay.View
 
 	Tables map[string]tableView
+	// CallerMemory is what the node holds for callers; nil if nothing bounds that.
+	CallerMemory *chutememory.View `json:",omitempty"`
 }
 
 // tableView describes a node's copy of a table in a state dump.
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -11,6 +11,7 @@
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutefeed"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chutememory"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
 	"azurechute.example/azurechute/internal/chutestream"
@@ -48,6 +49,8 @@
 	// Parts is the number of parts of each stage. PartKey is the input of the first stage.
 	Parts   []int
 	PartKey string
+	// Memory is what the node holds for the request; nil if nothing bounds that.
+	Memory *chutememory.Hold
 }
 
 // Output writes the answer to a caller. Its functions are called by one goroutine at a time; all
@@ -94,6 +97,8 @@
 	// Altered is true if the body is not in the bytes that the upstream produced.
 	Altered       bool
 	IsEventStream bool
+	// Length is the length of Body in bytes, 0 if it is not known.
+	Length int64
 	// Binding is what a peer says that the stream is bound to; zero for upstreams.
 	Binding chutestream.Binding
 	Load    *chuterelay.Load
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -98,10 +98,7 @@
 
 		return ended
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLong
-	}
+	body, err := a.readAnswer(ctx, answer)
 	if err != nil {
 		return a.withFailure(ctx, ended, err)
 	}
@@ -218,7 +215,12 @@
 		if count == 0 && !a.bind(answer) {
 			return count, errOtherVersion
 		}
+		if err := a.acquire(ctx, int64(len(event.bytes))); err != nil {
+			return count, err
+		}
 		if !a.emitHead(ctx, answer) || !a.emit(ctx, streamPiece{event: event.bytes}) {
+			a.request.incoming.Memory.Release(int64(len(event.bytes)))
+
 			return count, ctx.Err()
 		}
 		a.request.lastEventID = event.id
@@ -248,10 +250,14 @@
 		// still pass on the event after it.
 		return false
 	}
+	memory, bytes := a.request.incoming.Memory, int64(len(piece.event))
+	memory.Offer(bytes, a.node.Now())
 	select {
 	case a.request.pieces <- piece:
 		return true
 	case <-ctx.Done():
+		memory.Read(bytes, a.node.Now())
+
 		return false
 	}
 }
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -186,6 +186,7 @@
 		n.sendEvent(chuterelay.CallerLeft{Handle: handle})
 	}
 	write := func(piece streamPiece) {
+		defer n.pieceWritten(req, piece)
 		if callerGone == nil {
 			return
 		}
@@ -208,6 +209,9 @@
 			for len(req.pieces) > 0 {
 				write(<-req.pieces)
 			}
+			if result.answer != nil {
+				req.incoming.Memory.Offer(int64(len(result.answer.body)), n.Now())
+			}
 			writeResult(result, headWritten, out)
 			n.streamEnded(req, result)
 
--- a/internal/chutememory/hold.go
+++ b/internal/chutememory/hold.go
@@ -96,7 +96,8 @@
 		return nil, ErrClosed
 	case h.dropped:
 		return nil, ErrDropped
-	case h.bytes+bytes > b.largest():
+	case h.bytes-h.unread+bytes > b.largest():
+		// What the caller has to read yet is freed while this waits; the rest is not.
 		b.refused++
 
 		return nil, ErrTooLarge
--- a/internal/chuteshare/forward.go
+++ b/internal/chuteshare/forward.go
@@ -160,6 +160,14 @@
 	return nil
 }
 
+// WithContext returns the output with the context whose end makes its methods fail; ctx must be derived from that
+// of the call.
+func (o ForwardOutput) WithContext(ctx context.Context) ForwardOutput {
+	o.ctx = ctx
+
+	return o
+}
+
 // send queues an update; its error is that of a call that has ended.
 func (o ForwardOutput) send(update *chutesharepb.ForwardUpdate) error {
 	select {
