Free the memory of answers that are not kept

Cause: what was read of a refusal, or of an answer to a cancelled attempt, stayed booked until the end of the request, while the next attempt may wait for the same memory.

Change: an answer that is not passed on is released when its attempt ends.

Measured: the tests of memory in chutegate pass with -race, TestBodiesOverMemory and TestRelay in platform.

--- a/internal/chutegate/memory_test.go
+++ b/internal/chutegate/memory_test.go
@@ -190,6 +190,19 @@
 		}
 	})
 
+	t.Run("the memory of an answer that is not kept is free at once", func(t *testing.T) {
+		// An upstream refuses a call; the next attempt may wait for the same memory.
+		c := qt.New(t)
+		n, _ := newMemoryNode()
+		defer n.Stop()
+		answer, _ := answerOfLength(1000, true)
+		answer.NotRun = true
+		n.upstreams.Exchange = func(context.Context, Call) (Answer, error) { return answer, nil }
+		ended := (&attempt{node: n, request: newMemoryRequest(n, "loud", func() {})}).run(context.Background())
+		c.Assert(ended.End, qt.Equals, chuterelay.EndRefused)
+		c.Assert(n.memory.View().Used, qt.Equals, int64(0))
+	})
+
 	t.Run("a dropped request ends with its context, which no upstream is blamed for", func(t *testing.T) {
 		c := qt.New(t)
 		n, clock := newMemoryNode()
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -38,6 +38,8 @@
 		a := &attempt{node: n, request: req, send: s}
 		ended := a.run(ctx)
 		if ctx.Err() != nil {
+			a.dropAnswer()
+
 			return
 		}
 		n.sendEventWith(ended, func() { a.keepAnswer() })
@@ -61,6 +63,14 @@
 	}
 }
 
+// dropAnswer frees the memory of a buffered answer that is not kept.
+func (a *attempt) dropAnswer() {
+	if a.buffered != nil {
+		a.request.incoming.Memory.Release(int64(cap(a.buffered.body)))
+		a.buffered = nil
+	}
+}
+
 func (a *attempt) run(ctx context.Context) chuterelay.AttemptEnded {
 	s := a.send
 	ctx, release := a.withLivenessCheck(ctx)
@@ -102,9 +112,9 @@
 	if err != nil {
 		return a.withFailure(ctx, ended, err)
 	}
-	ended.End, ended.HasAnswer = classifyAnswer(answer, a.request.headSent)
-	if ended.HasAnswer {
-		a.buffered = &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
+	a.buffered = &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
+	if ended.End, ended.HasAnswer = classifyAnswer(answer, a.request.headSent); !ended.HasAnswer {
+		a.dropAnswer()
 	}
 	if ended.End != chuterelay.EndAnswered {
 		ended.Detail = "status " + strconv.Itoa(answer.Status)
