--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -38,12 +38,15 @@
 		defer req.streamLock.Unlock()
 		a := &attempt{node: n, request: req, send: s, progress: running.progress}
 		ended, report := afterCancel(ctx, a.run(ctx))
-		if report {
-			n.sendEventWith(ended, func() {
-				running.stop(nil)
-				a.keepAnswer()
-			})
+		if !report {
+			a.dropAnswer()
+
+			return
 		}
+		n.sendEventWith(ended, func() {
+			running.stop(nil)
+			a.keepAnswer()
+		})
 	})
 }
 
@@ -56,6 +59,7 @@
 	buffered *bufferedAnswer
 	// lastActivity is when the upstream last showed that it is alive.
 	lastActivity atomic.Pointer[time.Time]
+	intervals    eventIntervals
 }
 
 // keepAnswer stores a buffered answer for deliverAnswer; the event loop calls it.
@@ -65,6 +69,14 @@
 	}
 }
 
+// dropAnswer frees the memory of a buffered answer that is not kept.
+func (a *attempt) dropAnswer() {
+	if a.buffered != nil {
+		a.request.incoming.Memory.Release(int64(cap(a.buffered.body)))
+		a.buffered = nil
+	}
+}
+
 func (a *attempt) run(ctx context.Context) chuterelay.AttemptEnded {
 	s := a.send
 	ctx, release := a.withLivenessCheck(ctx)
@@ -94,9 +106,8 @@
 		// Load and limit were reported with the first event; by the end of the stream they are out
 		// of date.
 		ended.Load, ended.Limit, ended.Brittle = nil, nil, nil
-		var intervals eventIntervals
-		ended.Events, err = a.relayStream(ctx, answer, &intervals)
-		ended.End, ended.EventInterval = chuterelay.EndAnswered, intervals.lowerQuartile()
+		ended.Events, err = a.relayStream(ctx, answer)
+		ended.End, ended.EventInterval = chuterelay.EndAnswered, a.intervals.lowerQuartile()
 		if err != nil {
 			return a.withFailure(ctx, ended, err)
 		}
@@ -106,16 +117,13 @@
 	// An answer that has begun is not given up any more.
 	a.progress.begin(a.node.Now())
 	a.progress.passedOn(a.node.Now())
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLong
-	}
+	body, err := a.readAnswer(ctx, answer)
 	if err != nil {
 		return a.withFailure(ctx, ended, err)
 	}
-	ended.End, ended.HasAnswer = classifyAnswer(answer, a.request.headSent)
-	if ended.HasAnswer {
-		a.buffered = &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
+	a.buffered = &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
+	if ended.End, ended.HasAnswer = classifyAnswer(answer, a.request.headSent); !ended.HasAnswer {
+		a.dropAnswer()
 	}
 	if ended.End != chuterelay.EndAnswered {
 		ended.Detail = "status " + strconv.Itoa(answer.Status)
@@ -215,7 +223,7 @@
 
 // relayStream passes a stream's events to the caller as they arrive, measures the times between them, and returns their
 // number.
-func (a *attempt) relayStream(ctx context.Context, answer Answer, intervals *eventIntervals) (int, error) {
+func (a *attempt) relayStream(ctx context.Context, answer Answer) (int, error) {
 	reader := newEventReader(bufio.NewReader(answer.Body), maxEventBytes)
 	count := 0
 	for {
@@ -227,7 +235,7 @@
 			return count, err
 		}
 		a.recordActivity()
-		intervals.add(a.node.Now())
+		a.intervals.add(a.node.Now())
 		if a.request.lastEventID >= 0 && event.id != a.request.lastEventID+1 {
 			return count, errEventOrder
 		}
@@ -239,7 +247,12 @@
 
 			return count, errOverdue
 		}
+		if err := a.acquire(ctx, int64(len(event.bytes))); err != nil {
+			return count, err
+		}
 		if !a.emitHead(ctx, answer) || !a.emit(ctx, streamPiece{event: event.bytes}) {
+			a.request.incoming.Memory.Release(int64(len(event.bytes)))
+
 			return count, ctx.Err()
 		}
 		a.progress.passedOn(a.node.Now())
@@ -270,10 +283,14 @@
 		// still pass on the event after it.
 		return false
 	}
+	memory, bytes := a.request.incoming.Memory, int64(len(piece.event))
+	memory.Offer(bytes, a.node.Now())
 	select {
 	case a.request.pieces <- piece:
 		return true
 	case <-ctx.Done():
+		memory.Read(bytes, a.node.Now())
+
 		return false
 	}
 }
