--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -16,6 +16,8 @@
 	// drawnCandidates is the number of further upstreams that are drawn at random. Comparing a few keeps nodes with
 	// equally old reports from sending to the same least loaded upstream.
 	drawnCandidates = 3
+	// drawStride makes draws from one random number independent of each other; it is a prime.
+	drawStride = 7919
 	// callTokens is the work, in prompt tokens, that a penalty of one call counts as, and waitingTokens that of a call for which
 	// an upstream has no free slot.
 	callTokens    = 500
@@ -23,7 +25,7 @@
 	// remoteTokens is the work that being in another zone counts as, remoteResultTokens the same if the results of the
 	// call's stages are in the zone: they are several megabytes.
 	remoteTokens       = 100
-	remoteResultTokens = 2000
+	remoteResultTokens = 4000
 	// rereadFactor is how many times the shared part of a prompt counts at an upstream that does not cache it: it takes the
 	// time of the others there too, and evicts what they share.
 	rereadFactor = 2
@@ -78,17 +80,7 @@
 		f.sortByAffinity(candidates, q.Affinity)
 		home = min(homeCandidates, len(candidates))
 	}
-	compared := candidates[:home:home]
-	for n := range min(drawnCandidates, len(candidates)-home) {
-		// Each draw is from a part of its own, so that none is drawn twice.
-		rest := candidates[home:]
-		first, end := n*len(rest)/drawnCandidates, (n+1)*len(rest)/drawnCandidates
-		if len(rest) <= drawnCandidates {
-			first, end = n, n+1
-		}
-		draw := math.Mod(tieBreak*float64(n*7919+1), 1)
-		compared = append(compared, rest[first+int(draw*float64(end-first))])
-	}
+	compared := append(candidates[:home:home], f.draw(candidates[home:], q, tieBreak)...)
 	var best Choice
 	bestCost := math.Inf(1)
 	for i := range compared {
@@ -104,6 +96,31 @@
 	return best, true
 }
 
+// draw returns some of the candidates at random, of the zone with the results of the call's stages if there are any there.
+func (f Fleet) draw(candidates []candidate, q Query, tieBreak float64) []candidate {
+	if q.Zone != "" {
+		inZone := make([]candidate, 0, len(candidates))
+		for i := range candidates {
+			if candidates[i].Zone == q.Zone {
+				inZone = append(inZone, candidates[i])
+			}
+		}
+		if len(inZone) > 0 {
+			candidates = inZone
+		}
+	}
+	count := min(drawnCandidates, len(candidates))
+	drawn := make([]candidate, 0, drawnCandidates)
+	for n := range count {
+		// Each draw is from a part of its own, so that none is drawn twice.
+		first, end := n*len(candidates)/count, (n+1)*len(candidates)/count
+		_, fraction := math.Modf(tieBreak * float64(n*drawStride+1))
+		drawn = append(drawn, candidates[first+int(fraction*float64(end-first))])
+	}
+
+	return drawn
+}
+
 func (f Fleet) choiceOf(c *candidate, q Query, rank int, now time.Time) Choice {
 	w, _ := f.work.Get(c.ID)
 	tokens := q.Tokens
