--- a/internal/chutegate/send_test.go
+++ b/internal/chutegate/send_test.go
@@ -43,7 +43,7 @@
 		for range 100 {
 			req := newTestRequest()
 			a := &attempt{node: n, request: req}
-			_, err := a.relayStream(ctx, eventsAnswer("id: 0\ndata: a\n\n"))
+			_, err := a.relayStream(ctx, eventsAnswer("id: 0\ndata: a\n\n"), &eventIntervals{})
 			c.Assert(err, qt.IsNotNil)
 			c.Assert(req.pieces, qt.HasLen, 0)
 			c.Assert(req.headSent, qt.IsFalse)
@@ -112,7 +112,7 @@
 			a := &attempt{node: n, request: req, send: chuterelay.Send{Peer: chuterelay.Peer{Name: "n2"}}}
 			answer := eventsAnswer("id: 0\ndata: a\n\n")
 			answer.Binding = other
-			_, err := a.relayStream(context.Background(), answer)
+			_, err := a.relayStream(context.Background(), answer, &eventIntervals{})
 			c.Assert(err, qt.Equals, errOtherVersion)
 			c.Assert(req.pieces, qt.HasLen, 0)
 		}
@@ -128,7 +128,7 @@
 		a := &attempt{node: n, request: req, send: chuterelay.Send{
 			Upstream: chutefleet.Upstream{Name: "u1", Pool: "p", Version: "v1"}, Deadline: n.Now().Add(time.Second),
 		}}
-		_, err := a.relayStream(context.Background(), eventsAnswer("id: 0\ndata: a\n\n"))
+		_, err := a.relayStream(context.Background(), eventsAnswer("id: 0\ndata: a\n\n"), &eventIntervals{})
 		c.Assert(err, qt.IsNil)
 		c.Assert(req.binding, qt.Equals, bound)
 		record, known := n.streams.find(id, n.Now())
