Draw the candidates of calls without an affinity at random

A call without an affinity was compared at all upstreams of a pool of up to 256, and the first in the order of the ring won ties. Now drawnCandidates are compared, beginning at a random one.

--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -73,22 +73,12 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	home := len(candidates)
+	home := 0
 	if q.Affinity != "" {
 		f.sortByAffinity(candidates, q.Affinity)
 		home = min(homeCandidates, len(candidates))
 	}
-	compared := candidates[:home:home]
-	for n := range min(drawnCandidates, len(candidates)-home) {
-		// Each draw is from a part of its own, so that none is drawn twice.
-		rest := candidates[home:]
-		first, end := n*len(rest)/drawnCandidates, (n+1)*len(rest)/drawnCandidates
-		if len(rest) <= drawnCandidates {
-			first, end = n, n+1
-		}
-		draw := math.Mod(tieBreak*float64(n*7919+1), 1)
-		compared = append(compared, rest[first+int(draw*float64(end-first))])
-	}
+	compared := appendDrawn(candidates[:home:home], candidates[home:], tieBreak)
 	var best Choice
 	bestCost := math.Inf(1)
 	for i := range compared {
@@ -104,6 +94,20 @@
 	return best, true
 }
 
+// appendDrawn appends drawnCandidates of the rest, or all if it has no more. It begins at a random one, since the first of
+// several equal ones is chosen.
+func appendDrawn(compared, rest []candidate, tieBreak float64) []candidate {
+	draw := func(n int) float64 { return math.Mod(tieBreak*float64(n*7919+1), 1) }
+	offset, count := int(draw(drawnCandidates)*float64(len(rest))), min(drawnCandidates, len(rest))
+	for n := range count {
+		// Each draw is from a part of its own, so that none is drawn twice.
+		first, end := n*len(rest)/count, (n+1)*len(rest)/count
+		compared = append(compared, rest[(offset+first+int(draw(n)*float64(end-first)))%len(rest)])
+	}
+
+	return compared
+}
+
 func (f Fleet) choiceOf(c *candidate, q Query, rank int, now time.Time) Choice {
 	w, _ := f.work.Get(c.ID)
 	tokens := q.Tokens
