Bound negative figures in reports of work

A report with math.MinInt64 tokens overflowed to the largest outstanding work when this node's own were subtracted. Messages with negative figures are refused (chuteshare.decodeWork), so this was not reachable from the network. TestWorkReports/least_figures failed before: 9.2e18 tokens instead of 100.

--- a/internal/chutefleet/work.go
+++ b/internal/chutefleet/work.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		f = f.withWorkPool(m.Pool).withWork(m, func(w *work) {
-			w.others, w.calls, w.othersAt = max(0, r.Tokens-m.unreadTokens), max(0, r.Calls-m.inFlight), now.Add(-r.Age)
+			w.others, w.calls, w.othersAt = max(0, max(0, r.Tokens)-m.unreadTokens), max(0, max(0, r.Calls)-m.inFlight), now.Add(-r.Age)
 			if at := now.Add(-r.PaceAge); r.Pace > 0 && at.After(w.paceAt) {
 				w.pace, w.paceAt = min(max(minPace, r.Pace), maxPace), at
 			}
