Drop what is known of an upstream's work when its pool changes

An entry of the list without a start time may move a process to another pool. Its event interval stayed in the sum of the old pool and was later subtracted from that of the new one, which then counted fewer than no upstreams and was placed by work although its upstreams report no pace. TestPoolSums (rapid) failed after 6 tests, TestUpstreamChangesPool with 2 known upstreams instead of 1; 100 tests pass now.

--- a/internal/chutefleet/list.go
+++ b/internal/chutefleet/list.go
@@ -117,6 +117,10 @@
 		if next.Pool != u.Pool || next.Zone != u.Zone || next.Version != u.Version {
 			f = f.withoutIndexed(&known.Upstream)
 		}
+		if next.Pool != u.Pool {
+			// The mean speed of a pool counts only its own upstreams.
+			f = f.withoutWork(known)
+		}
 	}
 	leaving := next.State == StateLeaving || f.SaysLeaving(u.ID)
 	previousCold := next.Cold
--- a/internal/chutefleet/work_test.go
+++ b/internal/chutefleet/work_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"azurechute.example/azurechute/internal/chutework"
 )
@@ -36,6 +37,59 @@
 	return f
 }
 
+// expectPoolSums fails unless the sums of a pool's event intervals are as computed from its upstreams.
+func expectPoolSums(t *rapid.T, f Fleet, pool string) {
+	logSum, known := 0.0, 0
+	for i := f.members.Iterator(); !i.Done(); {
+		id, m, _ := i.Next()
+		if w, _ := f.work.Get(id); m.Pool == pool && w.interval().samples >= minSpeedSamples {
+			logSum += math.Log(w.interval().ms)
+			known++
+		}
+	}
+	if got := f.workPools[pool]; got.known != known || math.Abs(got.logSum-logSum) > 1e-6 {
+		t.Fatalf("pool %s has %d intervals, the sum of their logarithms is %g; kept are %d and %g", pool, known, logSum, got.known, got.logSum)
+	}
+}
+
+// Guards against a mean speed that is wrong after upstreams have come, gone, restarted or changed their pool.
+func TestPoolSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, list := New("z1"), map[string]Upstream{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := fmt.Sprint("u", rapid.IntRange(0, 11).Draw(t, "id"))
+			interval := time.Duration(rapid.IntRange(1, 200_000).Draw(t, "interval")) * time.Microsecond
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				f, _ = f.WithListChange(drawListChange(t, list), rapid.Bool().Draw(t, "hold"), start)
+			case 1:
+				f = f.WithPace(id, rapid.IntRange(1, 1000).Draw(t, "pace"), start)
+			case 2:
+				f = f.WithEventInterval(id, interval)
+			case 3:
+				f = f.WithWork([]chutework.Report{{Upstream: id, EventInterval: interval, Samples: rapid.IntRange(0, 9).Draw(t, "samples")}}, start)
+			default:
+				f, _ = f.TakeWork(start)
+			}
+			expectPoolSums(t, f, "p1")
+			expectPoolSums(t, f, "p2")
+		}
+	})
+}
+
+func TestUpstreamChangesPool(t *testing.T) {
+	t.Run("what was learned in one pool does not count in another", func(t *testing.T) {
+		// Guards against a pool that counts fewer than no upstreams: an entry without a start time moves the process.
+		c := qt.New(t)
+		f := withSpeeds(workFleet(2), func(string) time.Duration { return 20 * time.Millisecond })
+		moved := upstream("u1", "z1")
+		moved.Pool = "other"
+		f, _ = f.WithListChange(ListChange{Entries: []Upstream{moved}}, false, start)
+		c.Assert(f.PlacesByWork("other"), qt.IsFalse)
+		c.Assert(f.workPools["p"].known, qt.Equals, 1)
+	})
+}
+
 func TestWorkReports(t *testing.T) {
 	const tokens = 1000
 	expect := func(c *qt.C, f Fleet, now time.Time, want int64) {
