Keep unreachable zones out of the choice by work in large pools

With fewer than eight available upstreams in the reachable zones of a pool of more than 256, those of unreachable zones were compared too. TestUnreachableZone failed before: 20 of 20 calls went to the unreachable zone while two upstreams of the own zone were available (with 90,000 tokens each).

--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -215,7 +215,7 @@
 		}
 	}
 
-	return candidates
+	return withoutUnreachable(candidates, q.Unreachable)
 }
 
 // sortByAffinity sorts candidates by rendezvous hashing weighted by their speeds, so that faster upstreams cache more prompts.
--- a/internal/chutefleet/choosework_test.go
+++ b/internal/chutefleet/choosework_test.go
@@ -121,6 +121,22 @@
 	}
 }
 
+// Guards against upstreams of an unreachable zone that are chosen although there are others, in a large pool of which few
+// upstreams are available.
+func TestUnreachableZone(t *testing.T) {
+	c := qt.New(t)
+	var listed []Upstream
+	for i := range 2 * maxScanned {
+		u := upstream(fmt.Sprint("u", i), "z2")
+		if i < 2 {
+			u.Zone = "z1"
+		}
+		listed = append(listed, u)
+	}
+	f := fleetOf(listed...).WithPace("u0", usualPace, start).WithCallSent("u0", 90_000, start).WithCallSent("u1", 90_000, start)
+	expectChosen(c, f, Query{Pool: "p", Tokens: 500, Unreachable: []string{"z2"}}, start, "u0", "u1")
+}
+
 // benchmarkFleet returns a fleet with n upstreams in three zones that report a pace.
 func benchmarkFleet(n int) Fleet {
 	var listed []Upstream
