--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -13,8 +13,8 @@
 	// homeCandidates is the number of upstreams in an affinity's order that are compared for a prompt. When the first is
 	// busy, the same few others take its prompts and cache them.
 	homeCandidates = 3
-	// drawnCandidates is the number of further upstreams that are drawn at random. Comparing a few keeps nodes with
-	// equally old reports from sending to the same least loaded upstream.
+	// drawnCandidates is the number of further upstreams that are drawn at random. Comparing a few keeps nodes with equally old
+	// reports from sending to the same least loaded upstream.
 	drawnCandidates = 3
 	// drawStride makes draws from one random number independent of each other; it is a prime.
 	drawStride = 7919
@@ -75,12 +75,12 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	home := len(candidates)
+	home := 0
 	if q.Affinity != "" {
 		f.sortByAffinity(candidates, q.Affinity)
 		home = min(homeCandidates, len(candidates))
 	}
-	compared := append(candidates[:home:home], f.draw(candidates[home:], q, tieBreak)...)
+	compared := appendDrawn(candidates[:home:home], inResultZone(candidates[home:], q), drawnCandidates, tieBreak)
 	var best Choice
 	bestCost := math.Inf(1)
 	for i := range compared {
@@ -96,29 +96,37 @@
 	return best, true
 }
 
-// draw returns some of the candidates at random, of the zone with the results of the call's stages if there are any there.
-func (f Fleet) draw(candidates []candidate, q Query, tieBreak float64) []candidate {
-	if q.Zone != "" {
-		inZone := make([]candidate, 0, len(candidates))
-		for i := range candidates {
-			if candidates[i].Zone == q.Zone {
-				inZone = append(inZone, candidates[i])
-			}
-		}
-		if len(inZone) > 0 {
-			candidates = inZone
+// inResultZone returns the candidates in the zone with the results of the call's stages, or all if there are none.
+func inResultZone(candidates []candidate, q Query) []candidate {
+	if q.Zone == "" {
+		return candidates
+	}
+	inZone := make([]candidate, 0, len(candidates))
+	for i := range candidates {
+		if candidates[i].Zone == q.Zone {
+			inZone = append(inZone, candidates[i])
 		}
 	}
-	count := min(drawnCandidates, len(candidates))
-	drawn := make([]candidate, 0, drawnCandidates)
+	if len(inZone) == 0 {
+		return candidates
+	}
+
+	return inZone
+}
+
+// appendDrawn appends a number of the rest, or all if there are no more. It begins at a random one, since the first of
+// several equal ones is chosen.
+func appendDrawn(compared, rest []candidate, count int, tieBreak float64) []candidate {
+	draw := func(n int) float64 { return math.Mod(tieBreak*float64(n*drawStride+1), 1) }
+	count = min(count, len(rest))
+	offset := int(draw(count) * float64(len(rest)))
 	for n := range count {
 		// Each draw is from a part of its own, so that none is drawn twice.
-		first, end := n*len(candidates)/count, (n+1)*len(candidates)/count
-		_, fraction := math.Modf(tieBreak * float64(n*drawStride+1))
-		drawn = append(drawn, candidates[first+int(fraction*float64(end-first))])
+		first, end := n*len(rest)/count, (n+1)*len(rest)/count
+		compared = append(compared, rest[(offset+first+int(draw(n)*float64(end-first)))%len(rest)])
 	}
 
-	return drawn
+	return compared
 }
 
 func (f Fleet) choiceOf(c *candidate, q Query, rank int, now time.Time) Choice {
@@ -228,7 +236,7 @@
 		}
 	}
 
-	return candidates
+	return withoutUnreachable(candidates, q.Unreachable)
 }
 
 // sortByAffinity sorts candidates by rendezvous hashing weighted by their speeds, so that faster upstreams cache more prompts.
