Keep away from an aggregator that shuts down for as long as it is listed

Cause: without the store, the list of nodes does not say that the aggregator shuts down. The nodes of its zone went back to it after each pause and were turned away; a call of another zone was then not known within 600 ms. The test of an aggregator that shuts down did not show it, since the list told the nodes. Change: the end of such a stream has a code of its own, and its node is skipped until it starts anew. The test cuts all nodes off from the store first.

--- a/internal/chutegate/work.go
+++ b/internal/chutegate/work.go
@@ -233,14 +233,14 @@
 	}
 	n.work.mu.Unlock()
 	n.work.peersLost.Add(1)
-	outdated := status.Code(err) == codes.Unimplemented
+	outdated, leaving := status.Code(err) == codes.Unimplemented, chuteshare.IsLeaving(err)
 	line := n.log.Info()
 	if outdated {
 		line = n.log.Warn()
 	}
-	line.Err(err).Str("Peer", peer.Name).Str("At", peer.Zone).Bool("Silent", chuteshare.IsSilent(err)).Bool("Outdated", outdated).
+	line.Err(err).Str("Peer", peer.Name).Str("At", peer.Zone).Bool("Silent", chuteshare.IsSilent(err)).Bool("Outdated", outdated).Bool("Leaving", leaving).
 		Msg("exchange of work ended")
-	n.sendEvent(chuterelay.WorkPeerLost{Peer: peer, Outdated: outdated})
+	n.sendEvent(chuterelay.WorkPeerLost{Peer: peer, Outdated: outdated, Leaving: leaving})
 }
 
 // toAggregator returns what this node does on its stream to the aggregator of its zone: it sends its own reports and takes
--- a/internal/chutegate/work_sim_test.go
+++ b/internal/chutegate/work_sim_test.go
@@ -185,6 +185,10 @@
 			return func() {}
 		}},
 		{name: "shutting down", within: time.Second, inject: func(cluster *simCluster, aggregator string) func() {
+			// Without the store the list of nodes does not say that it leaves.
+			for _, p := range cluster.peers {
+				cluster.store.setCutOff(p.Name, true)
+			}
 			cluster.nodes[aggregator].Drain()
 
 			return func() {}
--- a/internal/chuterelay/work.go
+++ b/internal/chuterelay/work.go
@@ -20,8 +20,8 @@
 	// maxWorkPeerPause bounds how long a lost node is skipped. It is shorter than that of collectors: an attempt costs no
 	// request, but leaves a zone without the sums of others for up to half a second.
 	maxWorkPeerPause = 8 * time.Second
-	// outdatedPeerPause is how long a node of an older build is not asked again. An upgrade starts a new incarnation,
-	// which is asked at once.
+	// outdatedPeerPause is how long a node of an older build, or one that shuts down, is not asked again. Its next
+	// incarnation is asked at once.
 	outdatedPeerPause = 5 * time.Minute
 )
 
@@ -68,10 +68,11 @@
 }
 
 // WorkPeerLost reports that a node that this one exchanged work with is gone or silent, or, if it is outdated, that it does
-// not know how.
+// not know how. Leaving says that it shuts down.
 type WorkPeerLost struct {
 	Peer     Peer
 	Outdated bool
+	Leaving  bool
 }
 
 func (ExchangeWork) relayEffect()      {}
@@ -150,7 +151,7 @@
 		}
 	}
 	pause := max(minPeerPause, min(maxWorkPeerPause, 2*next[e.Peer.Name].pause))
-	if e.Outdated {
+	if e.Outdated || e.Leaving {
 		pause = outdatedPeerPause
 	}
 	next[e.Peer.Name] = lostWorkPeer{
--- a/internal/chuterelay/work_test.go
+++ b/internal/chuterelay/work_test.go
@@ -135,6 +135,16 @@
 		n.Assert(effect.Aggregator.Name, qt.Equals, first.Aggregator.Name)
 	})
 
+	t.Run("a node that says that it shuts down is not asked again while it is listed", func(t *testing.T) {
+		// Guards against a zone that goes back every few seconds to an aggregator that turns it away.
+		n := newWorkNode(t, workPeers("z1", 5)...)
+		first, _ := n.tickWork()
+		n.on(WorkPeerLost{Peer: first.Aggregator, Leaving: true})
+		n.pass(maxWorkPeerPause)
+		effect, _ := n.tickWork()
+		n.Assert(effect.Aggregator.Name, qt.Not(qt.Equals), first.Aggregator.Name)
+	})
+
 	t.Run("a node that shuts down adds up for nobody", func(t *testing.T) {
 		// Guards against reports that end with the aggregator.
 		n := newWorkNode(t, workPeers("z1", 1)...)
--- a/internal/chuteshare/work.go
+++ b/internal/chuteshare/work.go
@@ -55,7 +55,8 @@
 	End func()
 }
 
-var errNodeLeaving = status.Error(codes.Unavailable, "this VM is shutting down")
+// errNodeLeaving has a code of its own: Unavailable is that of a broken connection too.
+var errNodeLeaving = status.Error(codes.FailedPrecondition, "this VM is shutting down")
 
 // ExchangeWork serves the exchange that another node begins, until that node ends it, is silent for too long or sends an
 // invalid message, or this node shuts down.
@@ -157,6 +158,11 @@
 	return errors.Is(err, errPeerSilent) || errors.Is(err, errNotConnected)
 }
 
+// IsLeaving reports whether an exchange ended because the peer shuts down.
+func IsLeaving(err error) bool {
+	return status.Code(err) == codes.FailedPrecondition
+}
+
 // workStream is one exchange as seen from one side.
 type workStream struct {
 	now      func() time.Time
--- a/internal/chuteshare/work_test.go
+++ b/internal/chuteshare/work_test.go
@@ -119,7 +119,7 @@
 		s := startServerWithWork(t, func(WorkPeer) WorkSession { return callee.session() })
 		time.AfterFunc(50*time.Millisecond, func() { callee.leaving.Store(true) })
 		err := newClient(t).ExchangeWork(context.Background(), s.address, workSelf, newWorkSide().session())
-		c.Assert(status.Code(err), qt.Equals, codes.Unavailable)
+		c.Assert(IsLeaving(err), qt.IsTrue)
 		c.Assert(IsSilent(err), qt.IsFalse)
 		<-callee.ended
 	})
