--- a/internal/chuteoverdue/table_test.go
+++ b/internal/chuteoverdue/table_test.go
@@ -151,6 +151,20 @@
 	c.Assert(table.WithStream(key, 1, 0, start).keys.Len(), qt.Equals, 1)
 }
 
+func TestViews(t *testing.T) {
+	// Guards against a state dump from which nobody can tell why nothing is overdue.
+	c := qt.New(t)
+	table := withCalls(New(), 20, 1, start).WithOverdue(wait("u1", start, 4), start).WithStream(key, 41, 2*time.Second, start)
+	views := table.Views(start)
+	c.Assert(views, qt.HasLen, 1)
+	view := views[0]
+	c.Assert(view.Calls, qt.Equals, 20.0)
+	c.Assert(view.Streams, qt.Equals, 1.0)
+	c.Assert(view.Ratio > 1 && view.Ratio < 1.2 && view.IntervalMs > 45 && view.IntervalMs < 60, qt.IsTrue, qt.Commentf("%v", view))
+	// The first 16 calls were compared with nothing.
+	c.Assert([]int{view.Recent, view.Slow}, qt.DeepEquals, []int{5, 1})
+}
+
 func TestBounds(t *testing.T) {
 	// Guards against memory that grows with the pipelines and pools that come and go with the configuration.
 	c := qt.New(t)
--- a/internal/chuterelay/overdue_sim_test.go
+++ b/internal/chuterelay/overdue_sim_test.go
@@ -247,6 +247,22 @@
 	return moved, heavy
 }
 
+// countLost counts the requests of the 5 s after a stall that have no first event within 4 s, and the streams that were
+// open at the stall and are not completed.
+func (s *overdueSim) countLost(stall time.Time) (notBegun, notContinued int) {
+	for handle, at := range s.arrived {
+		wait, begun := s.waits[handle]
+		if at.After(stall) && at.Before(stall.Add(5*time.Second)) && (!begun || wait > 4*time.Second) {
+			notBegun++
+		}
+		if begun && at.Add(wait).Before(stall) && at.After(stall.Add(-2*time.Second)) && !s.ended[handle] {
+			notContinued++
+		}
+	}
+
+	return notBegun, notContinued
+}
+
 func TestOverdueHeavyAmongLight(t *testing.T) {
 	// Guards against prompts of 20,000 tokens that are given up among those of 500, and light ones behind them.
 	for name, interleaves := range map[string]bool{"one prompt after the other": false, "by turns": true} {
@@ -264,6 +280,30 @@
 	}
 }
 
+func TestOverdueAboveCapacity(t *testing.T) {
+	// Guards against moves that add prompts to engines which are full: more requests arrive than the engines can serve,
+	// and engines are 2.5 times slower for 600 ms at a time.
+	for seed := range uint64(3) {
+		s := newOverdueSim(t, seed, true)
+		s.interleaves = true
+		slowUntil := map[string]time.Time{}
+		s.factor = func(engine string) float64 {
+			if s.random.IntN(150) == 0 {
+				slowUntil[engine] = s.simClock.now.Add(600 * time.Millisecond)
+			}
+			if s.simClock.now.Before(slowUntil[engine]) {
+				return 2.5
+			}
+
+			return 1
+		}
+		s.run(time.Minute, 70)
+		moved, heavy := s.count(start)
+		t.Logf("%d requests, %d moved, %d of them heavy, %d answered, %d refused", s.lastID, moved, heavy, s.answered, s.refused)
+		s.Assert(float64(moved) <= 0.01*float64(s.lastID), qt.IsTrue)
+	}
+}
+
 func TestOverdueOneStalls(t *testing.T) {
 	// Guards against callers who wait at an engine that has stalled while seven others are free.
 	lost, broken := map[bool]int{}, map[bool]int{}
@@ -280,15 +320,9 @@
 			}
 			s.run(simLearning+10*time.Second, 20)
 			moved, heavy := s.count(stall)
-			for handle, at := range s.arrived {
-				wait, begun := s.waits[handle]
-				if at.After(stall) && at.Before(stall.Add(5*time.Second)) && (!begun || wait > 4*time.Second) {
-					lost[paced]++
-				}
-				if begun && at.Add(wait).Before(stall) && at.After(stall.Add(-2*time.Second)) && !s.ended[handle] {
-					broken[paced]++
-				}
-			}
+			notBegun, notContinued := s.countLost(stall)
+			lost[paced] += notBegun
+			broken[paced] += notContinued
 			t.Logf("paced %v: %d requests, %d moved, %d of them heavy, %d of 5 s without a first event in 4 s, %d streams not continued, %d refused",
 				paced, s.lastID, moved, heavy, lost[paced], broken[paced], s.refused)
 		}
--- a/internal/chuterelay/overduestream_test.go
+++ b/internal/chuterelay/overduestream_test.go
@@ -160,7 +160,9 @@
 		}
 		expectNo[AbandonSend](n)
 	})
+}
 
+func TestOverdueStreamLeft(t *testing.T) {
 	t.Run("the events that are left arrive in time", func(t *testing.T) {
 		// Guards against streams that would have been complete soon: a quarter of the usual 41 at most is left, at
 		// 250 ms each.
@@ -213,7 +215,9 @@
 		}
 		n.expectLeft(OverdueUnrepeatable)
 	})
+}
 
+func TestOverdueStreamUnknown(t *testing.T) {
 	t.Run("the node stood still", func(t *testing.T) {
 		// Guards against streams that are moved by a node which has not read their events.
 		n, slow, others := slowNode(t, nil)
--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -8,6 +8,7 @@
 	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuteoverdue"
 	"azurechute.example/azurechute/internal/chutequarantine"
 )
 
@@ -26,6 +27,8 @@
 	Budgets []BudgetView `json:",omitempty"`
 	// Rollouts are the pools that are being moved to another version, or were last.
 	Rollouts []RolloutView `json:",omitempty"`
+	// Overdue is what is known of the durations of calls by pool and pipeline, where calls can be overdue.
+	Overdue []chuteoverdue.View `json:",omitempty"`
 	// Quarantined are the judgements of the requests that are quarantined.
 	Quarantined []chutequarantine.Judgement `json:",omitempty"`
 }
@@ -111,7 +114,7 @@
 	v := View{
 		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
 		Quarantined: s.quarantine.Quarantined(now), Evacuated: s.fleet.EvacuatedZones(),
-		Budgets: s.budgetViews(now), Rollouts: s.rolloutViews(),
+		Budgets: s.budgetViews(now), Rollouts: s.rolloutViews(), Overdue: s.overdue.Views(now),
 	}
 	for i := s.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
