--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -9,6 +9,7 @@
 	"azurechute.example/azurechute/internal/chutecanary"
 	"azurechute.example/azurechute/internal/chutecost"
 	"azurechute.example/azurechute/internal/chutefleet"
+	"azurechute.example/azurechute/internal/chuteoverdue"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroom"
 )
@@ -32,6 +33,8 @@
 	Rooms []chuteroom.View `json:",omitempty"`
 	// Rollouts are the pools that are being moved to another version, or were last.
 	Rollouts []RolloutView `json:",omitempty"`
+	// Overdue is what is known of the durations of calls by pool and pipeline, where calls can be overdue.
+	Overdue []chuteoverdue.View `json:",omitempty"`
 	// Quarantined are the judgements of the requests that are quarantined.
 	Quarantined []chutequarantine.Judgement `json:",omitempty"`
 	// Work describes the exchange of work among nodes; nil if there is none.
@@ -120,6 +123,7 @@
 		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
 		Quarantined: s.quarantine.Quarantined(now), Evacuated: s.fleet.EvacuatedZones(),
 		Budgets: s.budgetViews(now), Rooms: s.roomViews(now), Rollouts: s.rolloutViews(), Work: s.workView(now), Costs: s.costView(now),
+		Overdue: s.overdue.Views(now),
 	}
 	for i := s.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
