--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -52,7 +52,7 @@
 	r.sends++
 	r.possibleRuns++
 	r.current = attempt{
-		id: st.newID(), upstream: u, tokens: choice.Tokens, tokensAhead: choice.Outstanding + choice.Tokens, sentAt: st.now, bound: !r.Binding.IsZero(), watch: st.newWatch(r, u),
+		id: st.newID(), upstream: u, tokens: choice.Tokens, tokensAhead: choice.Outstanding + choice.Tokens, sentAt: st.now, bound: !r.Binding.IsZero(), watch: st.newWatch(r, choice),
 	}
 	st.fleet = st.fleet.WithCallSent(u.ID, choice.Tokens, st.now)
 	st.countRolloutCall(u, r.Pipeline.Name, r.atMostOnce())
--- a/internal/chuterelay/overdue.go
+++ b/internal/chuterelay/overdue.go
@@ -55,8 +55,8 @@
 }
 
 // newWatch returns the watch of a call that is about to be sent.
-func (st *reduction) newWatch(r request, u chutefleet.Upstream) watch {
-	expected, ok := st.fleet.ExpectedFirstEvent(u.ID, r.PromptTokens, st.now)
+func (st *reduction) newWatch(r request, c chutefleet.Choice) watch {
+	expected, ok := st.fleet.ExpectedFirstEvent(c.ID, c.Tokens, st.now)
 	if !ok {
 		return watch{}
 	}
