Look up what is known of an upstream's work once per comparison

The cost of a candidate looked the same record up four times, and the choice was described anew for each better candidate.

--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -79,19 +79,18 @@
 		home = min(homeCandidates, len(candidates))
 	}
 	compared := appendDrawn(candidates[:home:home], candidates[home:], tieBreak)
-	var best Choice
-	bestCost := math.Inf(1)
+	best, bestRank, bestCost := 0, 0, math.Inf(1)
 	for i := range compared {
 		rank := 0
-		if q.Affinity != "" && i < home {
+		if i < home {
 			rank = i + 1
 		}
 		if cost := f.workCost(&compared[i], q, rank, now); cost < bestCost {
-			best, bestCost = f.choiceOf(&compared[i], q, rank, now), cost
+			best, bestRank, bestCost = i, rank, cost
 		}
 	}
 
-	return best, true
+	return f.choiceOf(&compared[best], q, bestRank, now), true
 }
 
 // appendDrawn appends drawnCandidates of the rest, or all if it has no more. It begins at a random one, since the first of
@@ -118,8 +117,8 @@
 	firstEvent, _ := f.ExpectedFirstEvent(c.ID, tokens, now)
 
 	return Choice{
-		FirstEvent: firstEvent, Upstream: c.Upstream, Tokens: tokens, Outstanding: int64(f.outstandingTokens(c.member, now)),
-		Speed: f.speed(c.member), Pace: w.paceFactor(now), Rank: rank,
+		FirstEvent: firstEvent, Upstream: c.Upstream, Tokens: tokens, Outstanding: int64(w.outstandingTokens(c.member, now)),
+		Speed: f.speedOf(c.member, w), Pace: w.paceFactor(now), Rank: rank,
 	}
 }
 
@@ -133,12 +132,12 @@
 	} else {
 		tokens += (rereadFactor - 1) * shared
 	}
-	calls := f.calls(c.member, now)
-	work := f.outstandingTokens(c.member, now) + tokens + callTokens*c.penalty(now)
+	calls := w.callsAt(c.member, now)
+	work := w.outstandingTokens(c.member, now) + tokens + callTokens*c.penalty(now)
 	if free := float64(c.Slots) - calls; free < 1 {
 		work += waitingTokens * (1 - free)
 	}
-	slowness := w.paceFactor(now) / f.speed(c.member)
+	slowness := w.paceFactor(now) / f.speedOf(c.member, w)
 
 	return work*slowness + f.remoteWork(c, q) + f.streamDelay(q, calls, work*slowness)
 }
@@ -168,9 +167,8 @@
 	return late * streams * rate * float64(lateStreamTime/time.Millisecond)
 }
 
-// calls returns the number of calls at an upstream, those of other nodes as last reported.
-func (f Fleet) calls(m *member, now time.Time) float64 {
-	w, _ := f.work.Get(m.ID)
+// callsAt returns the number of calls at an upstream, those of other nodes as last reported.
+func (w work) callsAt(m *member, now time.Time) float64 {
 	if now.Sub(w.othersAt) >= chutework.ReportLifetime {
 		return m.estimatedLoad(now)
 	}
--- a/internal/chutefleet/work.go
+++ b/internal/chutefleet/work.go
@@ -226,6 +226,12 @@
 // speed returns an upstream's speed relative to the mean of its pool, rounded; 1 if it is unknown.
 func (f Fleet) speed(m *member) float64 {
 	w, _ := f.work.Get(m.ID)
+
+	return f.speedOf(m, w)
+}
+
+// speedOf returns the speed of an upstream of whose work w is known.
+func (f Fleet) speedOf(m *member, w work) float64 {
 	i, pool := w.interval(), f.workPools[m.Pool]
 	if i.samples < minSpeedSamples || pool.known == 0 {
 		return 1
@@ -249,6 +255,12 @@
 // outstandingTokens returns the prompt tokens that the upstream has not processed, those of other nodes by the last report.
 func (f Fleet) outstandingTokens(m *member, now time.Time) float64 {
 	w, _ := f.work.Get(m.ID)
+
+	return w.outstandingTokens(m, now)
+}
+
+// outstandingTokens returns the prompt tokens that an upstream of whose work w is known has not processed.
+func (w work) outstandingTokens(m *member, now time.Time) float64 {
 	age := now.Sub(w.othersAt)
 	if w.others == 0 || age >= chutework.ReportLifetime {
 		return float64(m.unreadTokens)
@@ -280,7 +292,7 @@
 		return 0, false
 	}
 	w, _ := f.work.Get(id)
-	ms := (f.outstandingTokens(m, now) + float64(tokens)) / f.rate(m.Pool) / f.speed(m) * w.paceFactor(now)
+	ms := (w.outstandingTokens(m, now) + float64(tokens)) / f.rate(m.Pool) / f.speedOf(m, w) * w.paceFactor(now)
 
 	return firstEventOverhead + time.Duration(ms*float64(time.Millisecond)), true
 }
