Order only the neighbours of an affinity by it in large pools

In pools of more than 256, upstreams that were drawn at random for one call were ordered by the affinity too. One of them came first now and then, counted as caching the shared part, and got the prompt: with 1,024 idle upstreams, 50 calls of one prefix went to 6 of them. TestAffinityInLargePool failed with that before.

--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -69,14 +69,14 @@
 // chooseByWork selects the upstream that is expected to begin the answer first: its outstanding work and that of the call,
 // at its speed and pace. An upstream that caches the shared part of the prompt has that much less to do.
 func (f Fleet) chooseByWork(q Query, now time.Time, tieBreak float64) (Choice, bool) {
-	candidates := f.workCandidates(q, now, tieBreak)
+	candidates, neighbours := f.workCandidates(q, now, tieBreak)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	home := 0
 	if q.Affinity != "" {
-		f.sortByAffinity(candidates, q.Affinity)
-		home = min(homeCandidates, len(candidates))
+		f.sortByAffinity(candidates[:neighbours], q.Affinity)
+		home = min(homeCandidates, neighbours)
 	}
 	compared := appendDrawn(candidates[:home:home], candidates[home:], tieBreak)
 	best, bestRank, bestCost := 0, 0, math.Inf(1)
@@ -187,12 +187,15 @@
 }
 
 // workCandidates returns the upstreams that may get the call: all of a small pool, and of a large one the neighbours of the
-// affinity in the ring of its zone, and a random part of the preferred zone.
-func (f Fleet) workCandidates(q Query, now time.Time, tieBreak float64) []candidate {
+// affinity in the ring of its zone, and a random part of the preferred zone. The first of them, by the returned number, are
+// those that may cache the affinity's prompts; they don't depend on tieBreak.
+func (f Fleet) workCandidates(q Query, now time.Time, tieBreak float64) ([]candidate, int) {
 	if f.index(q.Pool, q.Use).size <= maxScanned {
-		return withoutUnreachable(f.candidates(q, now), q.Unreachable)
+		candidates := withoutUnreachable(f.candidates(q, now), q.Unreachable)
+
+		return candidates, len(candidates)
 	}
-	var candidates []candidate
+	candidates := make([]candidate, 0, affinityWindow+otherZoneSample)
 	if q.Affinity != "" {
 		for _, zone := range f.zonesByAffinity(q) {
 			candidates = f.appendSample(candidates, q, zone, affinityPosition(q.Affinity), affinityWindow, now)
@@ -201,19 +204,21 @@
 			}
 		}
 	}
+	neighbours := len(candidates)
 	for _, zone := range f.zonesByPreference(q, tieBreak) {
-		drawn := f.appendSample(nil, q, zone, uint64(tieBreak*(1<<63))*2, otherZoneSample, now)
-		for i := range drawn {
-			if !slices.ContainsFunc(candidates, func(c candidate) bool { return c.ID == drawn[i].ID }) {
-				candidates = append(candidates, drawn[i])
-			}
-		}
+		first := len(candidates)
+		candidates = f.appendSample(candidates, q, zone, uint64(tieBreak*(1<<63))*2, otherZoneSample, now)
+		drawn := slices.DeleteFunc(candidates[first:], func(c candidate) bool {
+			return slices.ContainsFunc(candidates[:first], func(known candidate) bool { return known.member == c.member })
+		})
+		candidates = candidates[:first+len(drawn)]
 		if len(candidates) >= otherZoneSample {
 			break
 		}
 	}
 
-	return withoutUnreachable(candidates, q.Unreachable)
+	// The neighbours are in reachable zones, so they stay the first.
+	return withoutUnreachable(candidates, q.Unreachable), neighbours
 }
 
 // sortByAffinity sorts candidates by rendezvous hashing weighted by their speeds, so that faster upstreams cache more prompts.
--- a/internal/chutefleet/choosework_test.go
+++ b/internal/chutefleet/choosework_test.go
@@ -189,3 +189,19 @@
 		f.WithWork(reports, start)
 	}
 }
+
+// Guards against prompts that share a part and are spread over the upstreams of a large pool: one that was drawn at random
+// was taken for the one that caches the part.
+func TestAffinityInLargePool(t *testing.T) {
+	c := qt.New(t)
+	f := benchmarkFleet(4 * maxScanned)
+	for _, affinity := range []string{"a", "b", "c", "d"} {
+		chosen := map[string]int{}
+		for i := range 50 {
+			got, ok := f.ChooseCall(Query{Pool: "p", Affinity: affinity, Tokens: 9000, SharedTokens: 8000}, start, float64(i)/50)
+			c.Assert(ok, qt.IsTrue)
+			chosen[got.ID]++
+		}
+		c.Assert(chosen, qt.HasLen, 1, qt.Commentf("affinity %s: %v", affinity, chosen))
+	}
+}
