--- a/internal/chutefleet/choosework_test.go
+++ b/internal/chutefleet/choosework_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -205,3 +206,36 @@
 		c.Assert(chosen, qt.HasLen, 1, qt.Commentf("affinity %s: %v", affinity, chosen))
 	}
 }
+
+// maxChoiceBytes bounds what one choice allocates (Requirement 10), maxReportsBytes what a full message of reports does.
+const maxChoiceBytes, maxReportsBytes = 2 << 10, 256 << 10
+
+// expectAllocated fails if a function allocates more bytes than the bound on average.
+func expectAllocated(t *testing.T, bound uint64, f func(i int)) {
+	t.Helper()
+	const runs = 500
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for i := range runs {
+		f(i)
+	}
+	runtime.ReadMemStats(&after)
+	got := (after.TotalAlloc - before.TotalAlloc) / runs
+	t.Logf("%d bytes", got)
+	qt.Assert(t, got <= bound, qt.IsTrue, qt.Commentf("%d bytes", got))
+}
+
+// Guards against choices and messages that allocate so much that the garbage collector takes the time of a busy node.
+func TestAllocatedBytes(t *testing.T) {
+	f, reports := benchmarkFleet(10_000), workReports(chutework.MaxReports)
+	for _, affinity := range []string{"", "prefix"} {
+		t.Run("choice, affinity "+affinity, func(t *testing.T) {
+			expectAllocated(t, maxChoiceBytes, func(i int) {
+				f.ChooseCall(Query{Pool: "p", Affinity: affinity, Tokens: 9000, SharedTokens: 4000, Pause: 300 * time.Millisecond}, start, float64(i)/500)
+			})
+		})
+	}
+	t.Run("reports", func(t *testing.T) {
+		expectAllocated(t, maxReportsBytes, func(int) { f.WithWork(reports, start) })
+	})
+}
