--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -71,47 +71,48 @@
 // chooseByWork selects the upstream that is expected to begin the answer first: its outstanding work and that of the call,
 // at its speed and pace. An upstream that caches the shared part of the prompt has that much less to do.
 func (f Fleet) chooseByWork(q Query, now time.Time, tieBreak float64) (Choice, bool) {
-	candidates := f.workCandidates(q, now, tieBreak)
+	candidates, neighbours := f.workCandidates(q, now, tieBreak)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	home := 0
 	if q.Affinity != "" {
-		f.sortByAffinity(candidates, q.Affinity)
-		home = min(homeCandidates, len(candidates))
+		f.sortByAffinity(candidates[:neighbours], q.Affinity)
+		home = min(homeCandidates, neighbours)
 	}
 	compared := appendDrawn(candidates[:home:home], inResultZone(candidates[home:], q), drawnCandidates, tieBreak)
-	var best Choice
-	bestCost := math.Inf(1)
+	best, bestRank, bestCost := 0, 0, math.Inf(1)
 	for i := range compared {
 		rank := 0
-		if q.Affinity != "" && i < home {
+		if i < home {
 			rank = i + 1
 		}
 		if cost := f.workCost(&compared[i], q, rank, now); cost < bestCost {
-			best, bestCost = f.choiceOf(&compared[i], q, rank, now), cost
+			best, bestRank, bestCost = i, rank, cost
 		}
 	}
 
-	return best, true
+	return f.choiceOf(&compared[best], q, bestRank, now), true
 }
 
-// inResultZone returns the candidates in the zone with the results of the call's stages, or all if there are none.
+// inResultZone returns the candidates in the zone with the results of the call's stages, or all if there are none. It reorders
+// them.
 func inResultZone(candidates []candidate, q Query) []candidate {
 	if q.Zone == "" {
 		return candidates
 	}
-	inZone := make([]candidate, 0, len(candidates))
+	n := 0
 	for i := range candidates {
 		if candidates[i].Zone == q.Zone {
-			inZone = append(inZone, candidates[i])
+			candidates[n], candidates[i] = candidates[i], candidates[n]
+			n++
 		}
 	}
-	if len(inZone) == 0 {
+	if n == 0 {
 		return candidates
 	}
 
-	return inZone
+	return candidates[:n]
 }
 
 // appendDrawn appends a number of the rest, or all if there are no more. It begins at a random one, since the first of
@@ -139,8 +140,8 @@
 	firstEvent, _ := f.ExpectedFirstEvent(c.ID, tokens, now)
 
 	return Choice{
-		FirstEvent: firstEvent, Upstream: c.Upstream, Tokens: tokens, Outstanding: int64(f.outstandingTokens(c.member, now)),
-		Speed: f.speed(c.member), Pace: w.paceFactor(now), Rank: rank,
+		FirstEvent: firstEvent, Upstream: c.Upstream, Tokens: tokens, Outstanding: int64(w.outstandingTokens(c.member, now)),
+		Speed: f.speedOf(c.member, w), Pace: w.paceFactor(now), Rank: rank,
 	}
 }
 
@@ -154,12 +155,12 @@
 	} else {
 		tokens += (rereadFactor - 1) * shared
 	}
-	calls := f.calls(c.member, now)
-	work := f.outstandingTokens(c.member, now) + tokens + callTokens*c.penalty(now)
+	calls := w.callsAt(c.member, now)
+	work := w.outstandingTokens(c.member, now) + tokens + callTokens*c.penalty(now)
 	if free := float64(c.Slots) - calls; free < 1 {
 		work += waitingTokens * (1 - free)
 	}
-	slowness := w.paceFactor(now) / f.speed(c.member)
+	slowness := w.paceFactor(now) / f.speedOf(c.member, w)
 
 	return work*slowness + f.remoteWork(c, q) + f.streamDelay(q, calls, work*slowness)
 }
@@ -189,9 +190,8 @@
 	return late * streams * rate * float64(lateStreamTime/time.Millisecond)
 }
 
-// calls returns the number of calls at an upstream, those of other nodes as last reported.
-func (f Fleet) calls(m *member, now time.Time) float64 {
-	w, _ := f.work.Get(m.ID)
+// callsAt returns the number of calls at an upstream, those of other nodes as last reported.
+func (w work) callsAt(m *member, now time.Time) float64 {
 	if now.Sub(w.othersAt) >= chutework.ReportLifetime {
 		return m.estimatedLoad(now)
 	}
@@ -210,12 +210,15 @@
 }
 
 // workCandidates returns the upstreams that may get the call: all of a small pool, and of a large one the neighbours of the
-// affinity in the ring of its zone, and a random part of the preferred zone.
-func (f Fleet) workCandidates(q Query, now time.Time, tieBreak float64) []candidate {
+// affinity in the ring of its zone, and a random part of the preferred zone. The first of them, by the returned number, are
+// those that may cache the affinity's prompts; they don't depend on tieBreak.
+func (f Fleet) workCandidates(q Query, now time.Time, tieBreak float64) ([]candidate, int) {
 	if f.index(q.Pool, q.Use).size <= maxScanned {
-		return withoutUnreachable(f.candidates(q, now), q.Unreachable)
+		candidates := withoutUnreachable(f.candidates(q, now), q.Unreachable)
+
+		return candidates, len(candidates)
 	}
-	var candidates []candidate
+	candidates := make([]candidate, 0, affinityWindow+otherZoneSample)
 	if q.Affinity != "" {
 		for _, zone := range f.zonesByAffinity(q) {
 			candidates = f.appendSample(candidates, q, zone, affinityPosition(q.Affinity), affinityWindow, now)
@@ -224,19 +227,21 @@
 			}
 		}
 	}
+	neighbours := len(candidates)
 	for _, zone := range f.zonesByPreference(q, tieBreak) {
-		drawn := f.appendSample(nil, q, zone, uint64(tieBreak*(1<<63))*2, otherZoneSample, now)
-		for i := range drawn {
-			if !slices.ContainsFunc(candidates, func(c candidate) bool { return c.ID == drawn[i].ID }) {
-				candidates = append(candidates, drawn[i])
-			}
-		}
+		first := len(candidates)
+		candidates = f.appendSample(candidates, q, zone, uint64(tieBreak*(1<<63))*2, otherZoneSample, now)
+		drawn := slices.DeleteFunc(candidates[first:], func(c candidate) bool {
+			return slices.ContainsFunc(candidates[:first], func(known candidate) bool { return known.member == c.member })
+		})
+		candidates = candidates[:first+len(drawn)]
 		if len(candidates) >= otherZoneSample {
 			break
 		}
 	}
 
-	return withoutUnreachable(candidates, q.Unreachable)
+	// The neighbours are in reachable zones, so they stay the first.
+	return withoutUnreachable(candidates, q.Unreachable), neighbours
 }
 
 // sortByAffinity sorts candidates by rendezvous hashing weighted by their speeds, so that faster upstreams cache more prompts.
--- a/internal/chutefleet/work.go
+++ b/internal/chutefleet/work.go
@@ -224,6 +224,12 @@
 // speed returns an upstream's speed relative to the mean of its pool, rounded; 1 if it is unknown.
 func (f Fleet) speed(m *member) float64 {
 	w, _ := f.work.Get(m.ID)
+
+	return f.speedOf(m, w)
+}
+
+// speedOf returns the speed of an upstream of whose work w is known.
+func (f Fleet) speedOf(m *member, w work) float64 {
 	i, pool := w.interval(), f.workPools[m.Pool]
 	if i.samples < minSpeedSamples || pool.known == 0 {
 		return 1
@@ -247,6 +253,12 @@
 // outstandingTokens returns the prompt tokens that the upstream has not processed, those of other nodes by the last report.
 func (f Fleet) outstandingTokens(m *member, now time.Time) float64 {
 	w, _ := f.work.Get(m.ID)
+
+	return w.outstandingTokens(m, now)
+}
+
+// outstandingTokens returns the prompt tokens that an upstream of whose work w is known has not processed.
+func (w work) outstandingTokens(m *member, now time.Time) float64 {
 	age := now.Sub(w.othersAt)
 	if w.others == 0 || age >= chutework.ReportLifetime {
 		return float64(m.unreadTokens)
@@ -264,8 +276,9 @@
 	firstEventOverhead = 60 * time.Millisecond
 	// newestRateWeight is the weight of the newest call in a pool's learned rate.
 	newestRateWeight = 1.0 / 32
-	// minRateTokens is the number of prompt tokens from which on a call says something about the rate.
-	minRateTokens = 500
+	// minRateTokens is the number of prompt tokens from which on a call says something about the rate: the rest of the time to
+	// the first event is short beside processing them.
+	minRateTokens = 2000
 	// minRate and maxRate bound a learned rate in tokens per millisecond.
 	minRate, maxRate = 1.0, 1000.0
 )
@@ -278,7 +291,7 @@
 		return 0, false
 	}
 	w, _ := f.work.Get(id)
-	ms := (f.outstandingTokens(m, now) + float64(tokens)) / f.rate(m.Pool) / f.speed(m) * w.paceFactor(now)
+	ms := (w.outstandingTokens(m, now) + float64(tokens)) / f.rate(m.Pool) / f.speedOf(m, w) * w.paceFactor(now)
 
 	return firstEventOverhead + time.Duration(ms*float64(time.Millisecond)), true
 }
@@ -287,10 +300,10 @@
 // and took some time until its first event.
 func (f Fleet) WithFirstEvent(id string, tokens int64, took time.Duration) Fleet {
 	m, ok := f.members.Get(id)
-	if !ok || !f.PlacesByWork(m.Pool) || tokens < minRateTokens || took <= firstEventOverhead {
+	if !ok || !f.PlacesByWork(m.Pool) || tokens < minRateTokens || took <= 0 {
 		return f
 	}
-	sample := float64(tokens) / float64((took-firstEventOverhead)/time.Millisecond+1) / f.speed(m)
+	sample := float64(tokens) / (float64(took) / float64(time.Millisecond)) / f.speed(m)
 	pool := f.workPools[m.Pool]
 	rate := f.rate(m.Pool)
 	pool.rate = rate * math.Pow(min(max(minRate, sample), maxRate)/rate, newestRateWeight)
--- a/internal/chuteoverdue/table.go
+++ b/internal/chuteoverdue/table.go
@@ -126,7 +126,8 @@
 	if !ok || known.ratios.samples(now) < minSamples-0.5 {
 		return Limit{}, false
 	}
-	quantile := known.ratios.quantile(likelyQuantile)
+	// Ratios below 1 are those of light calls, most of whose expected time is overhead. They say nothing about heavy ones.
+	quantile := max(1, known.ratios.quantile(likelyQuantile))
 	likely := time.Duration(quantile * float64(expected))
 
 	return newLimit(firstEventFloor, likely, quantile), true
