Draw upstreams of large pools evenly for calls placed by work

In pools of more than 256, the eight neighbours of a random position were compared. Positions are hashes of names, so some upstreams were drawn several times as often as others and had more prompts than they can process. Entries are now drawn with equal probability; all of a zone with at most eight are taken.

TestRingDraw: 100 entries drawn 50,000 times are within a quarter of the mean.

--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -205,13 +206,9 @@
 		}
 	}
 	neighbours := len(candidates)
+	random := rand.NewPCG(math.Float64bits(tieBreak), 0)
 	for _, zone := range f.zonesByPreference(q, tieBreak) {
-		first := len(candidates)
-		candidates = f.appendSample(candidates, q, zone, uint64(tieBreak*(1<<63))*2, otherZoneSample, now)
-		drawn := slices.DeleteFunc(candidates[first:], func(c candidate) bool {
-			return slices.ContainsFunc(candidates[:first], func(known candidate) bool { return known.member == c.member })
-		})
-		candidates = candidates[:first+len(drawn)]
+		candidates = f.appendRandom(candidates, q, zone, random, now)
 		if len(candidates) >= otherZoneSample {
 			break
 		}
@@ -221,6 +218,35 @@
 	return withoutUnreachable(candidates, q.Unreachable), neighbours
 }
 
+// appendRandom appends up to otherZoneSample candidates of a zone that are drawn at random and are not among the candidates.
+func (f Fleet) appendRandom(candidates []candidate, q Query, zone string, random *rand.PCG, now time.Time) []candidate {
+	known := len(candidates)
+	r := f.index(q.Pool, q.Use).zoneRing(zone)
+	if r.size <= otherZoneSample {
+		// Draws could miss some of so few.
+		for id := range r.from(0) {
+			candidates = f.appendNew(candidates, q, id, now)
+		}
+
+		return candidates
+	}
+	for looked := 0; looked < maxLooked && len(candidates) < known+otherZoneSample; looked++ {
+		candidates = f.appendNew(candidates, q, r.draw(random), now)
+	}
+
+	return candidates
+}
+
+// appendNew appends an upstream if it is a candidate and not among the candidates.
+func (f Fleet) appendNew(candidates []candidate, q Query, id string, now time.Time) []candidate {
+	m, ok := f.members.Get(id)
+	if !ok || slices.ContainsFunc(candidates, func(c candidate) bool { return c.member == m }) || !f.isCandidate(m, q, now) {
+		return candidates
+	}
+
+	return append(candidates, newCandidate(m, now))
+}
+
 // sortByAffinity sorts candidates by rendezvous hashing weighted by their speeds, so that faster upstreams cache more prompts.
 func (f Fleet) sortByAffinity(candidates []candidate, affinity string) {
 	for i := range candidates {
--- a/internal/chutefleet/index.go
+++ b/internal/chutefleet/index.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"iter"
 	"maps"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -99,6 +100,18 @@
 	}
 }
 
+// draw returns the id of an entry of a ring that is not empty, each with the same probability: positions are not evenly
+// spaced, so that the neighbours of a random one would be drawn unevenly.
+func (r ring) draw(random *rand.PCG) string {
+	for {
+		n := random.Uint64()
+		chunk := r.chunks[n%uint64(len(r.chunks))]
+		if at := (n >> 32) % maxChunkEntries; at < uint64(len(chunk)) {
+			return chunk[at].id
+		}
+	}
+}
+
 // zoneRing holds a pool's upstreams of one zone.
 type zoneRing struct {
 	zone string
--- a/internal/chutefleet/index_test.go
+++ b/internal/chutefleet/index_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -47,6 +48,24 @@
 	})
 }
 
+// Guards against upstreams of a large pool that get several times the calls of others because of their place in the ring.
+func TestRingDraw(t *testing.T) {
+	var r ring
+	const entries, draws = 100, 50_000
+	for i := range entries {
+		r, _ = r.with(entryOf(&Upstream{ID: fmt.Sprint(i), Name: fmt.Sprint("u", i)}))
+	}
+	random, counts := rand.NewPCG(1, 1), map[string]int{}
+	for range draws {
+		counts[r.draw(random)]++
+	}
+	for i := range entries {
+		if n := counts[fmt.Sprint(i)]; n < draws/entries*3/4 || n > draws/entries*5/4 {
+			t.Fatalf("entry %d was drawn %d times, %d on average", i, n, draws/entries)
+		}
+	}
+}
+
 // Guards against a fleet that differs from the list after a series of changes of it.
 func TestListChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
