--- a/internal/chutefleet/work.go
+++ b/internal/chutefleet/work.go
@@ -23,8 +23,6 @@
 	minSpeedSamples = 3
 	// newestIntervalWeight is the least weight of the newest streams in a learned event interval.
 	newestIntervalWeight = 0.1
-	// maxIntervalSamples bounds the weight of what was learned before.
-	maxIntervalSamples = 1 / newestIntervalWeight
 )
 
 // work is what is known of the outstanding work of an upstream and of how fast it does it. It is kept apart from
