Learn a pool's rate from calls with little outstanding before them

Cause: an engine that interleaves prompts begins a light one before the heavy one that it has; its tokens and those of the heavy one, over its time, gave a rate of up to 600 tokens per millisecond, and heavy calls were taken for overdue.

--- a/internal/chutefleet/work.go
+++ b/internal/chutefleet/work.go
@@ -279,6 +279,8 @@
 	// minRateTokens is the number of prompt tokens from which on a call says something about the rate: the rest of the time to
 	// the first event is short beside processing them.
 	minRateTokens = 2000
+	// maxOutstandingDivisor is the part of a call's tokens, a quarter, that may be outstanding before it for the same.
+	maxOutstandingDivisor = 4
 	// minRate and maxRate bound a learned rate in tokens per millisecond.
 	minRate, maxRate = 1.0, 1000.0
 )
@@ -296,14 +298,14 @@
 	return firstEventOverhead + time.Duration(ms*float64(time.Millisecond)), true
 }
 
-// WithFirstEvent learns a pool's rate from a call that had tokens to process, those outstanding when it was sent among them,
-// and took some time until its first event.
-func (f Fleet) WithFirstEvent(id string, tokens int64, took time.Duration) Fleet {
+// WithFirstEvent learns a pool's rate from a call with tokens to process that took some time until its first event. A call with
+// much outstanding before it says nothing: engines that interleave prompts begin a short one before a long one.
+func (f Fleet) WithFirstEvent(id string, tokens, outstanding int64, took time.Duration) Fleet {
 	m, ok := f.members.Get(id)
-	if !ok || !f.PlacesByWork(m.Pool) || tokens < minRateTokens || took <= 0 {
+	if !ok || !f.PlacesByWork(m.Pool) || tokens < minRateTokens || outstanding > tokens/maxOutstandingDivisor || took <= 0 {
 		return f
 	}
-	sample := float64(tokens) / (float64(took) / float64(time.Millisecond)) / f.speed(m)
+	sample := float64(tokens+outstanding) / (float64(took) / float64(time.Millisecond)) / f.speed(m)
 	pool := f.workPools[m.Pool]
 	rate := f.rate(m.Pool)
 	pool.rate = rate * math.Pow(min(max(minRate, sample), maxRate)/rate, newestRateWeight)
--- a/internal/chuterelay/attempt.go
+++ b/internal/chuterelay/attempt.go
@@ -52,7 +52,7 @@
 	r.sends++
 	r.possibleRuns++
 	r.current = attempt{
-		id: st.newID(), upstream: u, tokens: choice.Tokens, tokensAhead: choice.Outstanding + choice.Tokens, sentAt: st.now, bound: !r.Binding.IsZero(), watch: st.newWatch(r, choice),
+		id: st.newID(), upstream: u, tokens: choice.Tokens, outstanding: choice.Outstanding, sentAt: st.now, bound: !r.Binding.IsZero(), watch: st.newWatch(r, choice),
 	}
 	st.fleet = st.fleet.WithCallSent(u.ID, choice.Tokens, st.now)
 	st.countRolloutCall(u, r.Pipeline.Name, r.atMostOnce())
@@ -132,7 +132,7 @@
 	st.recordLimit(r.current.upstream, e.Limit, r.current.sentAt)
 	st.recordBrittle(r.current.upstream, e.Brittle, r.current.sentAt)
 	st.recordReply(r.current.upstream.Zone)
-	st.fleet = st.fleet.WithFirstEvent(r.current.upstream.ID, r.current.tokensAhead, took)
+	st.fleet = st.fleet.WithFirstEvent(r.current.upstream.ID, r.current.tokens, r.current.outstanding, took)
 	st.fleet = st.fleet.WithTokensRead(r.current.upstream.ID, r.current.tokens).WithSuccess(r.current.upstream.ID, st.now)
 	r.current.tokens = 0
 	r = st.watchBegan(r)
--- a/internal/chuterelay/request.go
+++ b/internal/chuterelay/request.go
@@ -43,9 +43,9 @@
 	// there is none.
 	peer   Peer
 	tokens int64
-	// tokensAhead is the number of prompt tokens that the upstream had to process until the first event, as far as known
-	// when the call was sent.
-	tokensAhead int64
+	// outstanding is the number of prompt tokens that the upstream had to process before, as far as known when the call was
+	// sent.
+	outstanding int64
 	sentAt      time.Time
 	// began says that the first event of its answer has arrived, at beganAt.
 	began   bool
