--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -78,8 +78,8 @@
 	}
 	home := 0
 	if q.Affinity != "" {
-		f.sortByAffinity(candidates[:neighbours], q.Affinity)
 		home = min(homeCandidates, neighbours)
+		f.moveFirstByAffinity(candidates[:neighbours], q.Affinity, home)
 	}
 	compared := appendDrawn(candidates[:home:home], inResultZone(candidates[home:], q), drawnCandidates, tieBreak)
 	best, bestRank, bestCost := 0, 0, math.Inf(1)
@@ -270,11 +270,23 @@
 	return append(candidates, newCandidate(m, now))
 }
 
-// sortByAffinity sorts candidates by rendezvous hashing weighted by their speeds, so that faster upstreams cache more prompts.
-func (f Fleet) sortByAffinity(candidates []candidate, affinity string) {
+// moveFirstByAffinity moves the first candidates in the order of an affinity to the front: rendezvous hashing weighted by their
+// speeds, so that faster upstreams cache more prompts. A whole sort would take longer than all the rest of a choice.
+func (f Fleet) moveFirstByAffinity(candidates []candidate, affinity string, count int) {
 	for i := range candidates {
 		uniform := (float64(pairHash(affinity, candidates[i].Name)) + 1) / (math.MaxUint64 + 2)
-		candidates[i].affinity = -math.Log(uniform) / math.Pow(f.speed(candidates[i].member), homeSpeedExponent)
+		candidates[i].affinity = -math.Log(uniform)
+		if speed := f.speed(candidates[i].member); speed != 1 {
+			candidates[i].affinity /= math.Pow(speed, homeSpeedExponent)
+		}
+	}
+	for n := range count {
+		first := n
+		for i := n + 1; i < len(candidates); i++ {
+			if candidates[i].affinity < candidates[first].affinity {
+				first = i
+			}
+		}
+		candidates[n], candidates[first] = candidates[first], candidates[n]
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.affinity, b.affinity) })
 }
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -242,20 +242,9 @@
 		if count == 0 && !a.bind(answer) {
 			return count, errOtherVersion
 		}
-		if !a.progress.begin(a.node.Now()) {
-			<-ctx.Done()
-
-			return count, errOverdue
-		}
-		if err := a.acquire(ctx, int64(len(event.bytes))); err != nil {
+		if err := a.passOn(ctx, answer, event.bytes); err != nil {
 			return count, err
 		}
-		if !a.emitHead(ctx, answer) || !a.emit(ctx, streamPiece{event: event.bytes}) {
-			a.request.incoming.Memory.Release(int64(len(event.bytes)))
-
-			return count, ctx.Err()
-		}
-		a.progress.passedOn(a.node.Now())
 		a.request.lastEventID = event.id
 		if count == 0 {
 			a.node.sendEvent(chuterelay.AttemptBegan{
@@ -266,6 +255,26 @@
 	}
 }
 
+// passOn passes an event of a stream to the caller, once there is memory for it, unless the call was given up before.
+func (a *attempt) passOn(ctx context.Context, answer Answer, event []byte) error {
+	if !a.progress.begin(a.node.Now()) {
+		<-ctx.Done()
+
+		return errOverdue
+	}
+	if err := a.acquire(ctx, int64(len(event))); err != nil {
+		return err
+	}
+	if !a.emitHead(ctx, answer) || !a.emit(ctx, streamPiece{event: event}) {
+		a.request.incoming.Memory.Release(int64(len(event)))
+
+		return ctx.Err()
+	}
+	a.progress.passedOn(a.node.Now())
+
+	return nil
+}
+
 // emitHead passes the head of the answer on unless that has been done; false means that the attempt was cancelled.
 func (a *attempt) emitHead(ctx context.Context, answer Answer) bool {
 	if !a.request.headSent {
