--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -275,10 +275,8 @@
 func (f Fleet) moveFirstByAffinity(candidates []candidate, affinity string, count int) {
 	for i := range candidates {
 		uniform := (float64(pairHash(affinity, candidates[i].Name)) + 1) / (math.MaxUint64 + 2)
-		candidates[i].affinity = -math.Log(uniform)
-		if speed := f.speed(candidates[i].member); speed != 1 {
-			candidates[i].affinity /= math.Pow(speed, homeSpeedExponent)
-		}
+		w, _ := f.work.Get(candidates[i].ID)
+		candidates[i].affinity = -math.Log(uniform) / homeWeights[f.speedClass(candidates[i].member, w)+maxSpeedClass]
 	}
 	for n := range count {
 		first := n
--- a/internal/chutefleet/work.go
+++ b/internal/chutefleet/work.go
@@ -39,6 +39,9 @@
 	// unless it is in heard already.
 	heard interval
 	own   interval
+	// logInterval is the logarithm of the interval learned by all nodes, kept since each choice needs it; 0 if too few
+	// streams are known.
+	logInterval float64
 }
 
 // interval is a learned time between two events of a stream, in milliseconds.
@@ -183,11 +186,15 @@
 	w, _ := f.work.Get(m.ID)
 	before := w.interval()
 	change(&w)
+	after := w.interval()
+	if after != before {
+		w.logInterval = after.log()
+	}
 	f.work = f.work.Set(m.ID, w)
 	if w.own.samples > 0 {
 		f.reportable = f.reportable.Set(m.ID, struct{}{})
 	}
-	if after := w.interval(); after != before {
+	if after != before {
 		f = f.withPoolWork(m.Pool, f.workPools[m.Pool].with(before, -1).with(after, 1))
 	}
 
@@ -197,13 +204,22 @@
 // with returns the pool with an interval added or, if n is negative, removed.
 func (p poolWork) with(i interval, n int) poolWork {
 	if i.samples >= minSpeedSamples {
-		p.logSum += float64(n) * math.Log(i.ms)
+		p.logSum += float64(n) * i.log()
 		p.known += n
 	}
 
 	return p
 }
 
+// log returns the logarithm of an interval; 0 if too few streams are known.
+func (i interval) log() float64 {
+	if i.samples < minSpeedSamples {
+		return 0
+	}
+
+	return math.Log(i.ms)
+}
+
 // interval returns the event interval learned by all nodes.
 func (w work) interval() interval {
 	return w.heard.with(w.own)
@@ -230,14 +246,33 @@
 
 // speedOf returns the speed of an upstream of whose work w is known.
 func (f Fleet) speedOf(m *member, w work) float64 {
-	i, pool := w.interval(), f.workPools[m.Pool]
-	if i.samples < minSpeedSamples || pool.known == 0 {
-		return 1
+	return speeds[f.speedClass(m, w)+maxSpeedClass]
+}
+
+// maxSpeedClass is the class of maxSpeed.
+const maxSpeedClass = speedSteps
+
+// speeds and homeWeights hold, by the class of a speed, the speed and the weight of an upstream in the order for a prompt.
+var speeds, homeWeights = speedTables()
+
+func speedTables() (speeds, weights [2*maxSpeedClass + 1]float64) {
+	for i := range speeds {
+		speeds[i] = min(max(minSpeed, math.Exp2(float64(i-maxSpeedClass)/speedSteps)), maxSpeed)
+		weights[i] = math.Pow(speeds[i], homeSpeedExponent)
+	}
+
+	return speeds, weights
+}
+
+// speedClass returns the class of an upstream's speed, from -maxSpeedClass to maxSpeedClass; 0 if it is unknown.
+func (f Fleet) speedClass(m *member, w work) int {
+	pool := f.workPools[m.Pool]
+	if w.heard.samples+w.own.samples < minSpeedSamples || pool.known == 0 {
+		return 0
 	}
-	ratio := math.Exp(pool.logSum/float64(pool.known)) / i.ms
-	rounded := math.Exp2(math.Round(math.Log2(ratio)*speedSteps) / speedSteps)
+	log2Ratio := (pool.logSum/float64(pool.known) - w.logInterval) / math.Ln2
 
-	return min(max(minSpeed, rounded), maxSpeed)
+	return int(math.Round(min(max(-1, log2Ratio), 1) * speedSteps))
 }
 
 // paceFactor returns how long work takes at the moment as a multiple of the usual time.
