Weigh the expected length of the answer in the choice by work; metric and state dump of placement

Change: the time of the expected events counts a twentieth of the time until the first one. azurechute_placed_by_work_total by pool and rank; Work of each upstream in the state dump.

--- a/internal/chutefleet/choose.go
+++ b/internal/chutefleet/choose.go
@@ -38,6 +38,8 @@
 	// upstream which caches the prefix does not process.
 	Tokens       int64
 	SharedTokens int64
+	// Events is the number of events that the answer is expected to have; 0 if it is no stream or unknown.
+	Events float64
 	// Pause is the longest time between two events of a stream of the pool that is not late; 0 if there is no bound.
 	Pause time.Duration
 }
--- a/internal/chutefleet/choosework.go
+++ b/internal/chutefleet/choosework.go
@@ -36,6 +36,9 @@
 	// pauseShare is the share of the longest pause from which on prompts that are processed between two events of a stream
 	// count as a delay of the streams there, and latePause the share at which they count in full.
 	pauseShare, latePause = 0.6, 1.2
+	// answerShare is the weight of the time that the answer's events take, beside the time until the first one: callers wait for
+	// the first, and a stream that takes long meets more of what delays it.
+	answerShare = 0.05
 	// lateStreamTime is how much later a call may begin elsewhere to keep one stream from a pause that makes it late.
 	lateStreamTime = 150 * time.Millisecond
 )
@@ -161,9 +164,20 @@
 	if free := float64(c.Slots) - calls; free < 1 {
 		work += waitingTokens * (1 - free)
 	}
-	slowness := w.paceFactor(now) / f.speedOf(c.member, w)
+	speed := f.speedOf(c.member, w)
+	slowness := w.paceFactor(now) / speed
 
-	return work*slowness + f.remoteWork(c, q) + f.streamDelay(q, calls, work*slowness)
+	return work*slowness + f.remoteWork(c, q) + f.streamDelay(q, calls, work*slowness) + f.answerWork(q)/speed
+}
+
+// answerWork returns what the events of the answer count as at an upstream of the pool's mean speed.
+func (f Fleet) answerWork(q Query) float64 {
+	pool := f.workPools[q.Pool]
+	if q.Events <= 0 || pool.known == 0 {
+		return 0
+	}
+
+	return answerShare * q.Events * math.Exp(pool.logSum/float64(pool.known)) * f.rate(q.Pool)
 }
 
 // remoteWork returns the work that the distance of an upstream counts as.
--- a/internal/chutefleet/choosework_test.go
+++ b/internal/chutefleet/choosework_test.go
@@ -239,3 +239,22 @@
 		expectAllocated(t, maxReportsBytes, func(int) { f.WithWork(reports, start) })
 	})
 }
+
+// Guards against long answers at slow upstreams, whose streams meet more pauses, while faster ones are as idle.
+func TestLongAnswers(t *testing.T) {
+	f := fleetOf(upstream("slow", "z1"), upstream("fast", "z1")).WithPace("slow", usualPace, start).WithPace("fast", usualPace, start)
+	for range minSpeedSamples {
+		f = f.WithEventInterval("slow", 30*time.Millisecond).WithEventInterval("fast", 12*time.Millisecond)
+	}
+	// The shared part is cached at the slow one for this affinity.
+	query := Query{Pool: "p", Tokens: 1000, SharedTokens: 500}
+	for i := 0; ; i++ {
+		query.Affinity = fmt.Sprint("prompt", i)
+		if c, ok := f.ChooseCall(query, start, 0.5); ok && c.ID == "slow" {
+			break
+		}
+	}
+	query.Events = 200
+	c, _ := f.ChooseCall(query, start, 0.5)
+	qt.Assert(t, c.ID, qt.Equals, "fast")
+}
--- a/internal/chutefleet/fleet.go
+++ b/internal/chutefleet/fleet.go
@@ -342,6 +342,8 @@
 	SaysLeaving bool `json:",omitempty"`
 	// RestUntil is when the rest that it has asked this node for is over; zero if it asked for none.
 	RestUntil time.Time `json:",omitzero"`
+	// Work is what is known of its outstanding work; nil unless its pool is placed by work.
+	Work *WorkView `json:",omitempty"`
 	// Availability is the reason why it gets no calls now, empty if it does.
 	Availability
 }
@@ -358,6 +360,9 @@
 		if m.limit.isSet {
 			view.Limit = &m.limit.Limit
 		}
+		if f.PlacesByWork(m.Pool) {
+			view.Work = f.workView(m, now)
+		}
 		views = append(views, view)
 	}
 	slices.SortFunc(views, func(a, b UpstreamView) int {
--- a/internal/chutefleet/work.go
+++ b/internal/chutefleet/work.go
@@ -366,3 +366,24 @@
 
 	return int64(f.outstandingTokens(m, now))
 }
+
+// WorkView is what is known of the outstanding work of an upstream, for a state dump.
+type WorkView struct {
+	// Outstanding is the number of prompt tokens that it has not processed, Calls the number of calls there, of all nodes.
+	Outstanding int64
+	Calls       int
+	// Speed is relative to its pool's mean, Pace how long work takes at the moment as a multiple of the usual time.
+	Speed float64
+	Pace  float64
+	// EventInterval is the learned time between two events of a stream; 0 if it is unknown.
+	EventInterval time.Duration
+}
+
+func (f Fleet) workView(m *member, now time.Time) *WorkView {
+	w, _ := f.work.Get(m.ID)
+
+	return &WorkView{
+		Outstanding: int64(w.outstandingTokens(m, now)), Calls: m.inFlight + w.calls, Speed: f.speedOf(m, w), Pace: w.paceFactor(now),
+		EventInterval: time.Duration(w.interval().ms * float64(time.Millisecond)),
+	}
+}
--- a/internal/chutemeter/meter.go
+++ b/internal/chutemeter/meter.go
@@ -46,6 +46,7 @@
 	workspaces map[string]map[chuterelay.Step]int64
 	repeats    map[repeatSeries]int64
 	overdue    map[overdueSeries]int64
+	placements map[placementSeries]int64
 	// gauges are read when the figures are written.
 	gauges []gauge
 }
@@ -60,7 +61,7 @@
 	return &Meter{
 		counts: map[series]int64{}, ages: map[series]*hdrhistogram.Histogram{},
 		workspaces: map[string]map[chuterelay.Step]int64{}, repeats: map[repeatSeries]int64{},
-		overdue: map[overdueSeries]int64{},
+		overdue: map[overdueSeries]int64{}, placements: map[placementSeries]int64{},
 	}
 }
 
@@ -81,6 +82,7 @@
 	m.noteWorkspace(n)
 	m.noteRepeat(n)
 	m.noteOverdue(n)
+	m.notePlacement(n)
 	if _, known := m.counts[s]; !known && len(m.counts) >= maxSeries {
 		s.pipeline, s.pool = other, other
 	}
@@ -127,6 +129,9 @@
 	if err := m.writeRepeats(w); err != nil {
 		return err
 	}
+	if err := m.writePlacements(w); err != nil {
+		return err
+	}
 	if err := m.writeOverdue(w); err != nil {
 		return err
 	}
--- a/internal/chuterelay/arrive.go
+++ b/internal/chuterelay/arrive.go
@@ -129,6 +129,9 @@
 	if r.Pipeline.Affinity {
 		query.Affinity = r.Affinity
 	}
+	if r.Pipeline.Streams && st.fleet.PlacesByWork(r.pool) {
+		query.Events = st.expectedCost(r).Events
+	}
 
 	return st.fleet.ChooseCall(query, st.now, st.randomFraction())
 }
