Move the reading of prompt parts and token counts out of platform/

Change: what reads "ID:TOKENS" and token counts, which names nothing of the platform, is in chuteprompt, with its tests and its fuzz target. The names of the header fields stay in platform/. A test's comment says what it guards against.

--- a/internal/chutefleet/choosework_test.go
+++ b/internal/chutefleet/choosework_test.go
@@ -13,8 +13,7 @@
 	"azurechute.example/azurechute/internal/chutework"
 )
 
-// Guards against pools without a pace whose calls are placed in another way than before (Requirement 9): the figures of
-// prompts then decide nothing.
+// Guards against placement by work in pools whose upstreams report no pace: the sizes of prompts must decide nothing there.
 func TestChoiceWithoutPace(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f, list := New("z1"), map[string]Upstream{}
--- a/platform/promptparts.go
+++ b/internal/chuteprompt/parts.go
@@ -1,4 +1,4 @@
-package chuteplatform
+package chuteprompt
 
 import (
 	"slices"
@@ -18,9 +18,9 @@
 	hexDigits      = "0123456789abcdef"
 )
 
-// promptParts returns the ids of the parts of a prompt that other prompts may share: all but the last one, each once.
+// SharedParts returns the ids of the parts of a prompt that other prompts may share: all but the last one, each once.
 // Several spellings of an id are the same part.
-func promptParts(fields []string) []string {
+func SharedParts(fields []string) []string {
 	list := strings.TrimRight(strings.Join(fields, ","), ", \t")
 	var parts []string
 	for len(parts) < maxPromptParts {
--- a/platform/promptparts_test.go
+++ b/internal/chuteprompt/parts_test.go
@@ -1,4 +1,4 @@
-package chuteplatform
+package chuteprompt
 
 import (
 	"fmt"
@@ -13,7 +13,7 @@
 func TestPromptParts(t *testing.T) {
 	expectParts := func(t *testing.T, fields []string, want ...string) {
 		t.Helper()
-		qt.Assert(t, promptParts(fields), qt.DeepEquals, want)
+		qt.Assert(t, SharedParts(fields), qt.DeepEquals, want)
 	}
 	for _, test := range []struct {
 		name   string
@@ -39,13 +39,13 @@
 		for i := range 1000 {
 			list = append(list, fmt.Sprintf("%x:1", i+1))
 		}
-		parts := promptParts([]string{strings.Join(list, ",")})
+		parts := SharedParts([]string{strings.Join(list, ",")})
 		qt.Assert(t, parts, qt.HasLen, maxPromptParts)
 		qt.Assert(t, parts[0], qt.Equals, "1")
 	})
 
 	t.Run("ids that are not hexadecimal are the same in JSON and in keys", func(t *testing.T) {
-		parts := promptParts([]string{"\xff:1,\xfe:1,\x00/x:1,e4:250"})
+		parts := SharedParts([]string{"\xff:1,\xfe:1,\x00/x:1,e4:250"})
 		qt.Assert(t, parts, qt.HasLen, 3)
 		for _, id := range parts {
 			qt.Assert(t, id, qt.Matches, "hash:[0-9a-f]+")
@@ -54,7 +54,7 @@
 
 	t.Run("long ids are told apart", func(t *testing.T) {
 		long := strings.Repeat("a", 200)
-		parts := promptParts([]string{long + "1:1," + long + "2:1,e4:250"})
+		parts := SharedParts([]string{long + "1:1," + long + "2:1,e4:250"})
 		qt.Assert(t, parts, qt.HasLen, 2)
 		for _, id := range parts {
 			qt.Assert(t, len(id) <= maxPartIDBytes, qt.IsTrue)
--- a/platform/tokens.go
+++ b/internal/chuteprompt/tokens.go
@@ -1,4 +1,4 @@
-package chuteplatform
+package chuteprompt
 
 import (
 	"strconv"
@@ -19,17 +19,17 @@
 	return int64(n), true //nolint:gosec // at most maxTokens
 }
 
-// parseMaxOutputTokens returns the most tokens that an answer may have by "prompt,maximum"; 0 if it is malformed or does
+// MaxOutputTokens returns the most tokens that an answer may have by "prompt,maximum"; 0 if it is malformed or does
 // not say.
-func parseMaxOutputTokens(value string) int64 {
+func MaxOutputTokens(value string) int64 {
 	_, maximum, _ := strings.Cut(value, ",")
 	n, _ := parseTokens(maximum)
 
 	return n
 }
 
-// parseLengthHint returns the caller's estimate of the answer's tokens; 0 if there is none, several or a malformed one.
-func parseLengthHint(fields []string) int64 {
+// LengthHint returns the caller's estimate of the answer's tokens; 0 if there is none, several or a malformed one.
+func LengthHint(fields []string) int64 {
 	if len(fields) != 1 {
 		return 0
 	}
@@ -38,9 +38,9 @@
 	return n
 }
 
-// sharedPromptTokens returns the number of a prompt's tokens that are in the parts "ID:TOKENS" that other prompts may
+// SharedTokens returns the number of a prompt's tokens that are in the parts "ID:TOKENS" that other prompts may
 // share, all but the last one, and at most promptTokens. It is 0 if the number of one of these parts is malformed.
-func sharedPromptTokens(fields []string, promptTokens int64) int64 {
+func SharedTokens(fields []string, promptTokens int64) int64 {
 	list := strings.TrimRight(strings.Join(fields, ","), ", \t")
 	shared := int64(0)
 	for {
@@ -60,3 +60,14 @@
 		shared += n
 	}
 }
+
+// PromptTokens returns the number of prompt tokens in "prompt,answer"; 0 if it is malformed.
+func PromptTokens(value string) int64 {
+	prompt, _, _ := strings.Cut(value, ",")
+	n, err := strconv.ParseInt(strings.TrimSpace(prompt), 10, 64)
+	if err != nil {
+		return 0
+	}
+
+	return n
+}
