Keep probing while a node is cut off from all upstreams

Cause: only probes bring back a node that is cut off, and each probe scheduled the next one. When the list had no ready upstream, probeLinks returned without scheduling any, and nothing else looked at the state again.

The reducer alone, with each probe answered, emits no further ProbeLinks once the list is empty (TestLinksWithoutUpstreams); that rules out probes that go on and fail, and results lost on the way to the event loop.

Change: after each event the reducer checks that a node that is cut off has a probe scheduled. A probe without upstreams waits for its time and finds nothing. Since when a node is cut off, by which upstreams, and when it probes next are in the state dump; two counters and a log line say that probes go on.

Why it works: whatever the last probe found, and whatever event came since, the state has a probe scheduled, so the first two that reach an upstream end it, at most a second after one accepts connections.

--- a/internal/chutegate/forward.go
+++ b/internal/chutegate/forward.go
@@ -132,7 +132,9 @@
 		return
 	}
 	probed := chuterelay.LinksProbed{Reached: n.anyAccepts(ctx, e.Upstreams)}
+	n.linkProbes.Add(1)
 	if !probed.Reached {
+		n.failedLinkProbes.Add(1)
 		for _, u := range e.Upstreams {
 			probed.Failed = append(probed.Failed, u.ID)
 		}
@@ -160,16 +162,18 @@
 	return false
 }
 
-// logLinks logs that this node reaches no upstream any more, or that it does again.
+// logLinks logs that this node reaches no upstream any more, that none is left to probe, or that it reaches some again.
 func (n *Node) logLinks(e chuterelay.LogLinks) {
-	n.cutOff.Store(e.CutOff)
-	if e.CutOff {
+	wasCutOff := n.cutOff.Swap(e.CutOff)
+	switch {
+	case !e.CutOff:
+		n.log.Info().Time("Since", e.Since).Msg("upstreams can be reached again")
+	case wasCutOff:
+		n.log.Warn().Time("Since", e.Since).Msg("no upstream can be reached, and none is ready")
+	default:
 		n.cutOffs.Add(1)
 		n.log.Warn().Strs("Failed", e.Failed).Msg("no upstream can be reached; requests are forwarded to other nodes")
-
-		return
 	}
-	n.log.Info().Msg("upstreams can be reached again")
 }
 
 // witnessUpstreams is the number of other upstreams of which one has to accept a connection before an
--- a/internal/chutegate/gate.go
+++ b/internal/chutegate/gate.go
@@ -109,6 +109,9 @@
 	cutOff          atomic.Bool
 	cutOffs         atomic.Int64
 	forwardedServed atomic.Int64
+	// linkProbes counts probes of whether this node reaches any upstream, failedLinkProbes those that reached none.
+	linkProbes       atomic.Int64
+	failedLinkProbes atomic.Int64
 	// evacuatedZoneCount is the number of zones that are evacuated now.
 	evacuatedZoneCount atomic.Int64
 	storeCalls         storeCalls
--- a/internal/chutegate/metrics.go
+++ b/internal/chutegate/metrics.go
@@ -64,9 +64,7 @@
 		return float64(inProgress)
 	})
 	n.meter.Gauge("nodes_listed", func() float64 { return float64(len(n.listedPeers())) })
-	n.meter.Gauge("cut_off_from_upstreams", func() float64 { return boolToFloat(n.cutOff.Load()) })
-	n.meter.Gauge("cut_off_from_upstreams_total", func() float64 { return float64(n.cutOffs.Load()) })
-	n.meter.Gauge("forwarded_requests_served_total", func() float64 { return float64(n.forwardedServed.Load()) })
+	n.addLinkGauges()
 	n.meter.Gauge("peer_bytes_sent_total", func() float64 { return float64(n.peers.Traffic.Sent()) })
 	n.meter.Gauge("peer_bytes_received_total", func() float64 { return float64(n.peers.Traffic.Received()) })
 	n.meter.Gauge("events_waiting", func() float64 { return float64(len(n.messages)) })
@@ -78,6 +76,15 @@
 	})
 }
 
+// addLinkGauges registers the gauges about this node's links to upstreams and what other nodes do without theirs.
+func (n *Node) addLinkGauges() {
+	n.meter.Gauge("cut_off_from_upstreams", func() float64 { return boolToFloat(n.cutOff.Load()) })
+	n.meter.Gauge("cut_off_from_upstreams_total", func() float64 { return float64(n.cutOffs.Load()) })
+	n.meter.Gauge("upstream_link_probes_total", func() float64 { return float64(n.linkProbes.Load()) })
+	n.meter.Gauge("upstream_link_probes_failed_total", func() float64 { return float64(n.failedLinkProbes.Load()) })
+	n.meter.Gauge("forwarded_requests_served_total", func() float64 { return float64(n.forwardedServed.Load()) })
+}
+
 // addUpstreamGauges registers the gauges about upstreams.
 func (n *Node) addUpstreamGauges() {
 	n.meter.Gauge("upstreams_cold", func() float64 {
--- a/internal/chuterelay/forward_sim_test.go
+++ b/internal/chuterelay/forward_sim_test.go
@@ -169,7 +169,10 @@
 	w.after(w.dialTime(i), func() {
 		probed := LinksProbed{Reached: true}
 		if w.cut[i] {
-			probed = LinksProbed{Failed: []string{e.Upstreams[0].ID}}
+			probed = LinksProbed{}
+			for _, u := range e.Upstreams {
+				probed.Failed = append(probed.Failed, u.ID)
+			}
 		}
 		w.on(i, probed)
 	})
--- a/internal/chuterelay/forward_test.go
+++ b/internal/chuterelay/forward_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"azurechute.example/azurechute/internal/chutebatch"
+	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chutequarantine"
 	"azurechute.example/azurechute/internal/chuteroute"
 )
@@ -83,6 +84,45 @@
 	})
 }
 
+// Guards against nodes that stay cut off for good: the list was empty, or had no ready upstream, when a probe was due.
+func TestLinksWithoutUpstreams(t *testing.T) {
+	leaving := testUpstreams()
+	for i := range leaving {
+		leaving[i].State = chutefleet.StateLeaving
+	}
+	for name, list := range map[string][]chutefleet.Upstream{"empty": nil, "all leaving": leaving} {
+		t.Run(name, func(t *testing.T) {
+			n := newCutOffNode(t, peerIn("n2", "z1"))
+			n.on(UpstreamsListed{Upstreams: list})
+			for range 3 {
+				n.on(LinksProbed{})
+				n.Assert(takeOne[ProbeLinks](n).At, qt.Equals, n.now.Add(linkProbeInterval))
+			}
+			returned := testUpstreams()
+			for i := range returned {
+				returned[i].ID, returned[i].Name = returned[i].ID+"-new", returned[i].Name+"-new"
+			}
+			n.on(UpstreamsListed{Upstreams: returned})
+			n.on(LinksProbed{})
+			for range returnProbes {
+				n.Assert(takeOne[ProbeLinks](n).Upstreams, qt.Not(qt.HasLen), 0)
+				n.on(LinksProbed{Reached: true})
+			}
+			n.Assert(n.state.CutOff(), qt.IsFalse)
+			n.effects = nil
+			n.on(Arrived{Submission: plainRequest(1, chuteroute.Repeatable)})
+			n.Assert(takeOne[Send](n).Upstream.Pool, qt.Equals, plainPool)
+		})
+	}
+
+	t.Run("a node that is not cut off has nothing to probe", func(t *testing.T) {
+		n := newNode(t)
+		n.on(UpstreamsListed{})
+		n.Assert(n.state.CutOff(), qt.IsFalse)
+		expectNo[ProbeLinks](n)
+	})
+}
+
 func TestForward(t *testing.T) {
 	t.Run("a request is forwarded on arrival, first within the zone", func(t *testing.T) {
 		n := newCutOffNode(t, peerIn("far", "z2"), peerIn("near", "z1"))
--- a/internal/chuterelay/links.go
+++ b/internal/chuterelay/links.go
@@ -34,10 +34,13 @@
 	failed map[string]time.Time
 	// cutOff says that probes have shown that this node reaches no upstream.
 	cutOff bool
-	// cutOffAt is when that was shown last.
-	cutOffAt time.Time
-	// probing says that a probe is under way, reached counts those in a row that reached upstreams.
+	// cutOffSince is when they first did, lastFailed the upstreams that the last probe tried in vain.
+	cutOffSince time.Time
+	lastFailed  []string
+	// probing says that a probe is scheduled or under way, probeAt is when it begins, and reached counts those in
+	// a row that reached upstreams.
 	probing bool
+	probeAt time.Time
 	reached int
 }
 
@@ -88,11 +91,21 @@
 		return
 	}
 	upstreams := st.fleet.RandomUpstreams(linkProbes, st.randomFraction())
-	if len(upstreams) == 0 {
+	if len(upstreams) == 0 && !st.links.cutOff {
+		// Without upstreams nothing says that the links are cut.
 		return
 	}
-	st.links.probing = true
-	st.emit(ProbeLinks{Upstreams: upstreams, At: st.now.Add(pause)})
+	st.links.probing, st.links.probeAt = true, st.now.Add(pause)
+	st.emit(ProbeLinks{Upstreams: upstreams, At: st.links.probeAt})
+}
+
+// keepProbing has a probe scheduled at all times while this node is cut off.
+//
+// It is called after each event, whatever the event was: a successful probe alone ends the state.
+func (st *reduction) keepProbing() {
+	if st.links.cutOff {
+		st.probeLinks(linkProbeInterval)
+	}
 }
 
 // linksProbed decides by a probe whether this node is cut off from all upstreams.
@@ -101,19 +114,21 @@
 	switch {
 	case !e.Reached:
 		st.links.reached = 0
-		if !st.links.cutOff {
+		switch {
+		case !st.links.cutOff:
 			st.cutOff(e)
+		case len(e.Failed) == 0 && len(st.links.lastFailed) > 0:
+			st.emit(LogLinks{CutOff: true, Since: st.links.cutOffSince})
 		}
-		st.links.cutOffAt = st.now
-		st.probeLinks(linkProbeInterval)
+		st.links.lastFailed = e.Failed
 	case !st.links.cutOff:
 		st.links.failed = nil
 	case st.links.reached+1 < returnProbes:
 		st.links.reached++
 		st.probeLinks(linkProbeInterval / 2)
 	default:
+		st.emit(LogLinks{Since: st.links.cutOffSince})
 		st.links, st.peers.cutOff = upstreamLinks{}, false
-		st.emit(LogLinks{})
 		st.fillAllLanes()
 	}
 }
@@ -121,8 +136,8 @@
 // cutOff hands over what needs upstreams, and forgets what was held against those that could not be
 // reached.
 func (st *reduction) cutOff(e LinksProbed) {
-	st.links.cutOff, st.peers.cutOff = true, true
-	st.emit(LogLinks{CutOff: true, Failed: e.Failed})
+	st.links.cutOff, st.peers.cutOff, st.links.cutOffSince = true, true, st.now
+	st.emit(LogLinks{CutOff: true, Failed: e.Failed, Since: st.now})
 	for id := range st.links.failed {
 		st.fleet = st.fleet.WithSuccess(id, st.now)
 	}
@@ -153,7 +168,8 @@
 	return s.links.cutOff
 }
 
-// ProbeLinks checks, at a time, whether any of some upstreams accepts connections.
+// ProbeLinks checks, at a time, whether any of some upstreams accepts connections. There are none if no upstream is
+// ready; then none is reached.
 type ProbeLinks struct {
 	Upstreams []chutefleet.Upstream
 	At        time.Time
@@ -166,11 +182,31 @@
 	Failed  []string
 }
 
-// LogLinks logs that this node reaches no upstream any more, or that it does again. Failed are the upstreams
-// that were probed in vain.
+// LogLinks logs that this node reaches no upstream any more, that it still does not and no upstream is left to probe, or
+// that it reaches some again.
 type LogLinks struct {
 	CutOff bool
+	// Failed are the upstreams that were probed in vain; empty if none was listed.
 	Failed []string
+	// Since is when the node found out that it reaches none.
+	Since time.Time
+}
+
+// LinksView describes in a state dump that a node reaches no upstream.
+type LinksView struct {
+	CutOffSince time.Time
+	// Failed are the upstreams that the last probe tried in vain; empty if none was listed.
+	Failed      []string
+	NextProbeAt time.Time
+}
+
+// linksView returns the node's links for a state dump; nil unless it is cut off.
+func (s State) linksView() *LinksView {
+	if !s.links.cutOff {
+		return nil
+	}
+
+	return &LinksView{CutOffSince: s.links.cutOffSince, Failed: s.links.lastFailed, NextProbeAt: s.links.probeAt}
 }
 
 func (ProbeLinks) relayEffect() {}
--- a/internal/chuterelay/state.go
+++ b/internal/chuterelay/state.go
@@ -175,6 +175,7 @@
 	st := reduction{State: s, now: now}
 	st.apply(event)
 	st.startWorkExchange()
+	st.keepProbing()
 
 	return st.State, st.effects
 }
--- a/internal/chuterelay/view.go
+++ b/internal/chuterelay/view.go
@@ -39,6 +39,8 @@
 	Quarantined []chutequarantine.Judgement `json:",omitempty"`
 	// Work describes the exchange of work among nodes; nil if there is none.
 	Work *WorkView `json:",omitempty"`
+	// Links describes that this node reaches no upstream; nil if it does.
+	Links *LinksView `json:",omitempty"`
 }
 
 // RequestView describes one request in flight.
@@ -123,7 +125,7 @@
 		Version: s.config.Version, Draining: s.draining, InFlight: s.requests.Len(), Upstreams: s.fleet.Views(now),
 		Quarantined: s.quarantine.Quarantined(now), Evacuated: s.fleet.EvacuatedZones(),
 		Budgets: s.budgetViews(now), Rooms: s.roomViews(now), Rollouts: s.rolloutViews(), Work: s.workView(now), Costs: s.costView(now),
-		Overdue: s.overdue.Views(now),
+		Overdue: s.overdue.Views(now), Links: s.linksView(),
 	}
 	for i := s.requests.Iterator(); !i.Done(); {
 		_, r, _ := i.Next()
