Probe upstreams of all zones before a node counts as cut off

Callers saw: with one service in two zones, the loss of the first zone had nodes of the other one count themselves as cut off, refuse requests and forward them, though they reached the upstreams of their own zone.

Cause: RandomUpstreams computed the zone of a turn from the turn twice over, so that with one pool and two zones it drew from the first alone; it stopped after max(n, pools) turns, so that ready upstreams were overlooked where others left.

Change: it goes through the rings of all pools and zones until it has as many as asked for or there are no more. Upstreams of evacuated zones are not drawn.

Why it works: each ring appears once in a round and a round that adds none ends the draw, so that nothing ready is left out.

At 10,000 upstreams: 26 pools in 5 zones are 130 rings, looked at when a node suspects its links; an upstream that leaves costs a step on the way.

--- a/internal/chutefleet/sample.go
+++ b/internal/chutefleet/sample.go
@@ -153,29 +153,60 @@
 	return names
 }
 
-// RandomUpstreams returns up to n upstreams that are listed, from all pools and zones in turn, beginning at
-// a place given by a random number. They may be unavailable.
+// RandomUpstreams returns up to n ready upstreams of zones that are not evacuated, spread over pools and zones: one of each
+// pool in turn, in another zone each time, beginning at a place given by a random number. They may be unavailable.
 func (f Fleet) RandomUpstreams(n int, random float64) []Upstream {
 	var chosen []Upstream
-	names := slices.Sorted(maps.Keys(f.pools))
-	for i := range max(n, len(names)) {
-		if len(names) == 0 || len(chosen) == n {
-			break
-		}
-		turn := i + int(random*float64(len(names)))
-		pool := f.pools[names[turn%len(names)]]
-		if len(pool.zones) == 0 {
-			continue
+	position := uint64(random*(1<<63)) * 2
+	rings := f.ringsByTurn(random)
+	for added := true; added; {
+		added = false
+		for _, r := range rings {
+			if len(chosen) == n {
+				return chosen
+			}
+			if u, ok := f.readyFrom(r, position, chosen); ok {
+				chosen, added = append(chosen, u), true
+			}
 		}
-		zone := pool.zones[(turn/len(names)+i)%len(pool.zones)]
-		for id := range zone.from(uint64(random*(1<<63)) * 2) {
-			if m, ok := f.members.Get(id); ok && m.State == StateReady && !slices.ContainsFunc(chosen, func(u Upstream) bool { return u.ID == id }) {
-				chosen = append(chosen, m.Upstream)
+	}
 
-				break
+	return chosen
+}
+
+// ringsByTurn returns the rings of all pools and zones that are not evacuated: first one of each pool, in a different zone
+// each, then the next one of each.
+func (f Fleet) ringsByTurn(random float64) []ring {
+	names := slices.Sorted(maps.Keys(f.pools))
+	mostZones := 0
+	for _, name := range names {
+		mostZones = max(mostZones, len(f.pools[name].zones))
+	}
+	var rings []ring
+	for turn := range mostZones {
+		for i := range names {
+			at := i + int(random*float64(len(names)))
+			zones := f.pools[names[at%len(names)]].zones
+			if turn >= len(zones) {
+				continue
+			}
+			if z := zones[(turn+at)%len(zones)]; !f.evacuated[z.zone] {
+				rings = append(rings, z.ring)
 			}
 		}
 	}
 
-	return chosen
+	return rings
+}
+
+// readyFrom returns the first ready upstream of a ring from a position on that is not among others; false if there is none.
+func (f Fleet) readyFrom(r ring, position uint64, others []Upstream) (Upstream, bool) {
+	for id := range r.from(position) {
+		m, ok := f.members.Get(id)
+		if ok && m.State == StateReady && !slices.ContainsFunc(others, func(u Upstream) bool { return u.ID == id }) {
+			return m.Upstream, true
+		}
+	}
+
+	return Upstream{}, false
 }
