Drop upstreams that left during a zone's cut before the node is in touch

And up to 0.3 s long nodes did not use live upstreams whose entries had come back.

Cause: entries expire during a cut, so a node keeps what is missing for 2.2 s from its own first read. That read came up to 2 s after the link's return (a pause of up to 1.5 s, a lost dial of 0.5 s), and the end of the period was looked at up to 0.8 s late. With an early first read the period ended before the read that brings an entry back which returned after two seconds.

Change: reads that the store does not answer are repeated 0.6 s after their start; those that it refuses keep their growing pause. The first answer after a failure wakes the reads of other tables. At the end of the period the list is read once more and looked at by a timer.

Why it works: the first answer comes at most 0.6 s after the link's return, and what is missing is dropped 2.2 s later: within the 3 s after which the node counts as in touch, and not before live entries are back and read.

At 1,000 nodes: in a cut one node a zone reads at 1.7 reads a second and table; one read a node after each return.

--- a/internal/chutegate/lists.go
+++ b/internal/chutegate/lists.go
@@ -115,6 +115,7 @@
 	update := serialized(list.update)
 	list.updateAgain = update
 	list.guard.check = func() { update() }
+	n.spawn(func(ctx context.Context) { n.dropUnsettled(ctx, local, update) })
 	n.keepCurrent(ctx, local, 0, upstreamsReadInterval, update)
 }
 
--- a/internal/chutegate/localtable.go
+++ b/internal/chutegate/localtable.go
@@ -10,10 +10,6 @@
 	"azurechute.example/azurechute/internal/chuteshare"
 )
 
-// settlePeriod is how long upstreams that are missing from the list are kept after the store's
-// return. Live ones are in the list again about two seconds after it.
-const settlePeriod = 2200 * time.Millisecond
-
 // localTable is this node's copy of one of the store's tables.
 type localTable struct {
 	name string
@@ -72,6 +68,8 @@
 	// storeReturnedAt is when the store last answered again after failed reads, or its rows were first
 	// those of a new era.
 	storeReturnedAt time.Time
+	// returned signals that storeReturnedAt has changed.
+	returned chan struct{}
 	// wasSettling is true if the rows were settling when they were last looked at, so that rows
 	// missing from the table may have been kept then.
 	wasSettling bool
@@ -81,9 +79,27 @@
 	return &localTable{
 		name: name, keepaliveInterval: chuteshare.FollowKeepaliveInterval, staleAfter: staleAfter,
 		now: now, onRestored: func(_, _ chutefeed.Table) {}, changed: make(chan struct{}),
+		returned: make(chan struct{}, 1),
 	}
 }
 
+// setStoreReturned records that the store has answered again, or first had rows of a new era; the caller holds mu.
+func (local *localTable) setStoreReturned(now time.Time) {
+	local.storeReturnedAt = now
+	select {
+	case local.returned <- struct{}{}:
+	default:
+	}
+}
+
+// settlesAt returns when the list has settled after the store's last return.
+func (local *localTable) settlesAt() time.Time {
+	local.mu.Lock()
+	defer local.mu.Unlock()
+
+	return local.storeReturnedAt.Add(settlePeriod)
+}
+
 // snapshot returns the present state of the table.
 func (local *localTable) snapshot() chutefeed.Table {
 	local.mu.Lock()
@@ -251,7 +267,7 @@
 	if local.table.Version() > 0 && c.Era > local.table.Era() {
 		// Rows of the same values are looked at too: their versions are those of another era.
 		first = true
-		local.storeReturnedAt = local.now()
+		local.setStoreReturned(local.now())
 		local.retainRows(next)
 		local.onRestored(local.table, next)
 	}
@@ -406,7 +422,7 @@
 
 	changed := local.storeLost == answered
 	if answered && local.storeLost {
-		local.storeReturnedAt = now
+		local.setStoreReturned(now)
 	}
 	local.storeLost = !answered
 
--- a/internal/chutegate/platform.go
+++ b/internal/chutegate/platform.go
@@ -215,6 +215,9 @@
 	More bool
 }
 
+// ErrStoreRefused is returned if the store has answered a call without carrying it out.
+var ErrStoreRefused = errors.New("the store refused the call")
+
 // ErrCompacted is returned by AwaitChanges if the store has dropped the requested history; the
 // whole table has to be read again.
 var ErrCompacted = errors.New("the store no longer has these changes")
--- a/internal/chutegate/reach.go
+++ b/internal/chutegate/reach.go
@@ -13,6 +13,20 @@
 	answeredSentAt time.Time
 	failedSentAt   time.Time
 	failedEndedAt  time.Time
+	// returned is closed and replaced when the store answers after a failed read.
+	returned chan struct{}
+}
+
+// returnedSignal returns a channel that is closed when the store answers after a failed read.
+func (r *storeReach) returnedSignal() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.returned == nil {
+		r.returned = make(chan struct{})
+	}
+
+	return r.returned
 }
 
 // record records the end of a read that was sent at a time.
@@ -22,6 +36,10 @@
 
 	switch {
 	case answered && sentAt.After(r.answeredSentAt):
+		if r.returned != nil && r.failedSentAt.After(r.answeredSentAt) && sentAt.After(r.failedSentAt) {
+			close(r.returned)
+			r.returned = nil
+		}
 		r.answeredSentAt = sentAt
 	case !answered && sentAt.After(r.failedSentAt):
 		r.failedSentAt, r.failedEndedAt = sentAt, endedAt
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -33,11 +33,16 @@
 	// readTimeout bounds a read that is not a long poll. The store may take sixty times its usual 4
 	// ms.
 	readTimeout = 800 * time.Millisecond
-	// readRetryPause is the pause after a failed read; it doubles with each further failure up to
-	// maxReadRetryPause. All nodes retry at once while the store is unavailable, and each call
+	// readRetryPause is the pause after a read that the store has refused; it doubles with each further
+	// failure up to maxReadRetryPause. All nodes retry at once while the store is unavailable, and each call
 	// costs; after the store's return there are seconds left for a change to be in force.
 	readRetryPause    = 250 * time.Millisecond
 	maxReadRetryPause = 1500 * time.Millisecond
+	// unansweredRetryInterval is the time from the start of a read that the store did not answer to the next
+	// one, and unansweredRetryPause the least time between them. Such a read takes as long as an attempt to
+	// connect, and what left while this node was cut off is known only after the first answer.
+	unansweredRetryInterval = 600 * time.Millisecond
+	unansweredRetryPause    = 100 * time.Millisecond
 )
 
 // maxCatchUp bounds the time for which a read collects pages of changes before it applies them: each
@@ -230,14 +235,40 @@
 		storeAnswered = err == nil && !behind
 		delay := minInterval - n.Now().Sub(began)
 		if failedReads = failuresAfter(err, failedReads); failedReads > 0 {
-			delay = min(maxReadRetryPause, readRetryPause<<min(failedReads-1, 8))
+			delay = retryDelay(err, failedReads, n.Now().Sub(began))
 		}
-		if delay > 0 && !behind && !n.sleep(ctx, delay) {
+		if delay > 0 && !behind && !n.sleepUntilReturn(ctx, delay, failedReads > 0) {
 			return
 		}
 	}
 }
 
+// retryDelay returns the pause after a failed read, which took a time, with the number of failures in a row.
+func retryDelay(err error, failures int, took time.Duration) time.Duration {
+	if errors.Is(err, ErrStoreRefused) {
+		return min(maxReadRetryPause, readRetryPause<<min(failures-1, 8))
+	}
+
+	return max(unansweredRetryPause, unansweredRetryInterval-took)
+}
+
+// sleepUntilReturn waits for d, and returns false if ctx ended first. After a failed read it also ends when the store
+// answers a read of another table.
+func (n *Node) sleepUntilReturn(ctx context.Context, d time.Duration, afterFailure bool) bool {
+	if !afterFailure {
+		return n.sleep(ctx, d)
+	}
+	returned := n.reach.returnedSignal()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-returned:
+	case <-n.clock.After(d):
+	}
+
+	return true
+}
+
 // failuresAfter returns the number of reads that have failed in a row, after one more with the error.
 func failuresAfter(err error, failures int) int {
 	if err == nil {
--- a/internal/chutegate/region_test.go
+++ b/internal/chutegate/region_test.go
@@ -40,6 +40,8 @@
 	staleVersion map[string]uint64
 	// cutOff is the set of nodes whose calls, including open ones, are never answered.
 	cutOff map[string]bool
+	// dialTimeout is how long a call of a node that is cut off takes to fail; 0 if it waits until its context ends.
+	dialTimeout time.Duration
 	// pageRows bounds the rows of an answer with changes; 0 is no limit.
 	pageRows int
 	// answerDelay is how long the answers to a node are on their way.
@@ -131,11 +133,16 @@
 // nil at once.
 func (s *memoryStore) waitIfCutOff(ctx context.Context, node string) error {
 	s.mu.Lock()
-	cut := s.cutOff[node]
+	cut, dialTimeout := s.cutOff[node], s.dialTimeout
 	s.mu.Unlock()
 	if !cut {
 		return nil
 	}
+	if dialTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+	}
 	<-ctx.Done()
 
 	return ctx.Err()
