Ignore a lost read that fails after a later one was answered

Cause: two goroutines read a table. A read that was lost during a cut fails half a second after the link's return; the other's later read may have been answered by then. The failure counted as the newer sign.

Change: a failure of a read that was sent before the last answered one of the same table is left out.

Red before: the new subtest of TestSettling.

Why it works: what a read shows of the store is as old as its sending.

--- a/internal/chutegate/follow_test.go
+++ b/internal/chutegate/follow_test.go
@@ -1,6 +1,7 @@
 package chutegate
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -26,8 +27,44 @@
 		c.Assert(local.needsReview(now.Add(settlePeriod)), qt.IsTrue)
 		c.Assert(local.needsReview(now.Add(settlePeriod)), qt.IsFalse)
 	})
+
+	t.Run("a read that was lost before the return does not begin the period anew", func(t *testing.T) {
+		// Two goroutines read the list. One of them waits for an answer that was lost when the other one gets its own.
+		c := qt.New(t)
+		n, _ := newTestNode(testDecoders())
+		clock := n.clock.(*clockwork.FakeClock)
+		local := n.localTables["u"]
+		var fail func()
+		n.store.AwaitChanges = func(context.Context, string, uint64, time.Duration) (Page, error) { return newPage(2), nil }
+		n.store.ReadAll = func(context.Context, string) (Page, error) {
+			if fail != nil {
+				fail()
+
+				return Page{}, context.DeadlineExceeded
+			}
+
+			return newPage(1), nil
+		}
+		read := func() { _, _ = n.readStoreOrPeer(context.Background(), local, 0, callRead, func() {}) }
+		fail = func() { clock.Advance(dialTime) }
+		read()
+		fail = func() {
+			fail = nil
+			clock.Advance(dialTime / 2)
+			read()
+			clock.Advance(dialTime / 2)
+		}
+		read()
+		returned := n.Now().Add(-dialTime / 2)
+		c.Assert(local.settlesAt(), qt.Equals, returned.Add(settlePeriod))
+		c.Assert(local.isSettling(returned.Add(settlePeriod)), qt.IsFalse)
+		c.Assert(local.stateForFollowers(n.Now()).Current, qt.IsTrue)
+	})
 }
 
+// dialTime is how long an attempt to connect takes that is lost.
+const dialTime = 500 * time.Millisecond
+
 func TestDrainingNodeKeepsSource(t *testing.T) {
 	// Guards against nodes that read all tables from the store while they shut down. If all nodes
 	// of a zone restart in turn, each restart changes a table: on 82 nodes that made a thousand
--- a/internal/chutegate/localtable.go
+++ b/internal/chutegate/localtable.go
@@ -42,8 +42,10 @@
 	allChanged  bool
 	// synced is true if the table is complete up to its version.
 	synced bool
-	// storeLost is true if the last read of the store failed.
-	storeLost bool
+	// storeLost is true if the last read of the store failed, answeredSentAt is when the latest read was sent
+	// that was answered.
+	storeLost      bool
+	answeredSentAt time.Time
 	// behind is true if the last read left changes for the next one. The table is then an earlier state
 	// of the store, in which rows may be missing that have come back since.
 	behind bool
@@ -414,6 +416,19 @@
 	local.behind = behind
 }
 
+// isLateFailure reports whether a read that was sent at a time failed after a later one was answered: it was lost before,
+// and shows nothing of the store now.
+func (local *localTable) isLateFailure(answered bool, sentAt time.Time) bool {
+	local.mu.Lock()
+	defer local.mu.Unlock()
+
+	if answered && sentAt.After(local.answeredSentAt) {
+		local.answeredSentAt = sentAt
+	}
+
+	return !answered && sentAt.Before(local.answeredSentAt)
+}
+
 // recordStoreResult records whether the store answered, and reports whether that differs from the
 // last time.
 func (local *localTable) recordStoreResult(answered bool, now time.Time) bool {
--- a/internal/chutegate/read.go
+++ b/internal/chutegate/read.go
@@ -323,6 +323,9 @@
 	}
 	rowsChanged := result.rowsChanged
 	n.reach.record(askedAt, n.Now(), err == nil)
+	if local.isLateFailure(err == nil, askedAt) {
+		return result.behind, err
+	}
 	local.setCurrent(err == nil, n.Now())
 	if !result.behind && local.recordStoreResult(err == nil, n.Now()) {
 		n.log.Info().Str("Table", local.name).Bool("Reached", err == nil).AnErr("Cause", err).Msg("store")
