Refuse requests whose number of parts no job may have

Callers saw: one request with a negative number of parts, on a route with a stage, ended the process of the stage's collector with all that ran there.

Cause: what the header says went to the reducer unchecked; make([]Result, -1) panics in Collector.WithJob. Only jobs from other nodes were checked.

Change: where a request is matched to its pipeline, each stage's number has to be from 0 to 10,000, for callers' and for forwarded requests; 400 otherwise, with the stage and the range. The bound is chutebatch.MaxParts, which the check of other nodes' jobs uses too.

Why it works: every request passes that place before the reducer sees it.

--- a/internal/chutebatch/collector.go
+++ b/internal/chutebatch/collector.go
@@ -10,6 +10,9 @@
 	"azurechute.example/azurechute/internal/chuteroute"
 )
 
+// MaxParts bounds the parts of one job; usual requests have a few dozen.
+const MaxParts = 10_000
+
 // Job describes one stage of one request, whose parts the collector runs.
 type Job struct {
 	ID      uint64
@@ -21,7 +24,7 @@
 	Regions chuteroute.Regions
 	// Stage is the index of the stage in its pipeline.
 	Stage int
-	// Parts is the number of parts; they are numbered from 0.
+	// Parts is the number of parts, from 1 to MaxParts; they are numbered from 0.
 	Parts int
 	// Key names the input of a stage that does not depend on another stage.
 	Key string
--- a/internal/chutegate/serve.go
+++ b/internal/chutegate/serve.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"azurechute.example/azurechute/internal/chutebatch"
 	"azurechute.example/azurechute/internal/chuterelay"
 	"azurechute.example/azurechute/internal/chuteroute"
 	"azurechute.example/azurechute/internal/chutestream"
@@ -164,6 +166,9 @@
 			Kind: chuterelay.RefusedKey, Reason: "the key is missing or unknown",
 		}
 	}
+	if refusal := refusePartCounts(in.Parts, len(pipeline.Stages)); refusal != nil {
+		return chuterelay.Submission{}, refusal
+	}
 	wait := pipeline.Timeout
 	if in.Wait > 0 && (wait <= 0 || in.Wait < wait) {
 		wait = in.Wait
@@ -177,6 +182,21 @@
 	}, nil
 }
 
+// refusePartCounts returns the refusal of a request one of whose stages has a number of parts that no job may have; nil if
+// there is none.
+func refusePartCounts(parts []int, stages int) *chuterelay.Refusal {
+	for stage, count := range parts[:min(len(parts), stages)] {
+		if count < 0 || count > chutebatch.MaxParts {
+			return &chuterelay.Refusal{
+				Kind:   chuterelay.RefusedInput,
+				Reason: fmt.Sprintf("the number of parts of stage %d, %d, is not a number from 0 to %d", stage, count, chutebatch.MaxParts),
+			}
+		}
+	}
+
+	return nil
+}
+
 // writeAnswer writes to the caller what the request's attempts emit, and its result at the end.
 func (n *Node) writeAnswer(ctx context.Context, handle uint64, req *request, out Output) {
 	callerGone := ctx.Done()
--- a/internal/chuteshare/server.go
+++ b/internal/chuteshare/server.go
@@ -26,8 +26,6 @@
 	// connKeepalive is both how long a connection may be idle before gRPC pings the peer and
 	// how long gRPC waits for the reply before it closes the connection to a vanished peer.
 	connKeepalive = 2 * time.Second
-	// maxParts bounds the parts of one job; usual requests have a few dozen.
-	maxParts = 10_000
 )
 
 // JobUpdate reports the results of a job or its failure.
@@ -145,7 +143,7 @@
 
 // Make runs one job and keeps its results until the caller ends the stream.
 func (s service) Make(request *chutesharepb.MakeRequest, stream grpc.ServerStreamingServer[chutesharepb.MakeUpdate]) error {
-	if parts := request.GetParts(); parts <= 0 || parts > maxParts || request.GetPool() == "" || request.GetRequest() == "" {
+	if parts := request.GetParts(); parts <= 0 || parts > chutebatch.MaxParts || request.GetPool() == "" || request.GetRequest() == "" {
 		return status.Error(codes.InvalidArgument, "Parts, Pool or Request of the job is out of range")
 	}
 	token := s.handlers.NewToken()
