Pass on stream events with lines longer than the read buffer

Callers saw: a stream was broken off at an event with a line of 4,096 bytes or more, each time that it was taken up.

Cause: ReadSlice reports such a line as ErrBufferFull, which counted as an error of the stream; the limit of 1 MB an event was never reached.

Change: a line is put together from its pieces, and the limit is checked with each of them.

Why it works: the bytes that are passed on are still whole events, in the order in which they came, and at most maxEventBytes each are held.

--- a/internal/chutegate/events.go
+++ b/internal/chutegate/events.go
@@ -33,19 +33,23 @@
 // An incomplete event is never passed on, so that a resumed stream continues at an event boundary.
 func (e *eventReader) next() (streamEvent, error) {
 	next := streamEvent{id: -1}
+	lineStart := 0
 	for {
-		line, err := e.stream.ReadSlice('\n')
-		if err == io.EOF && len(next.bytes)+len(line) > 0 {
-			return streamEvent{}, io.ErrUnexpectedEOF
+		piece, err := e.stream.ReadSlice('\n')
+		if len(next.bytes)+len(piece) > e.maxBytes {
+			return streamEvent{}, errMalformedEvent
 		}
-		if err != nil {
+		next.bytes = append(next.bytes, piece...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err == io.EOF && len(next.bytes) > 0:
+			return streamEvent{}, io.ErrUnexpectedEOF
+		case err != nil:
 			return streamEvent{}, err
 		}
-		if len(next.bytes)+len(line) > e.maxBytes {
-			return streamEvent{}, errMalformedEvent
-		}
-		next.bytes = append(next.bytes, line...)
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(next.bytes[lineStart:], "\r\n")
+		lineStart = len(next.bytes)
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			if next.id, err = strconv.Atoi(string(bytes.TrimSpace(id))); err != nil {
 				return streamEvent{}, errMalformedEvent
