Close the connection of a peer that goes silent during a forwarded request

Callers saw: at a node that reaches no upstream, requests forwarded to one peer failed one after the other where the connection to it carried nothing any more.

Cause: calls between two nodes share a connection. All kinds but Forward close it when the peer shows no sign of life.

Change: the timer that gives the call up closes the connection, before the answer and in its body.

Red before: both subtests; the next request failed on the same connection.

Why it works: closeConn takes the connection out of the client's map, so that the next call dials anew.

--- a/internal/chuteshare/forward.go
+++ b/internal/chuteshare/forward.go
@@ -237,7 +237,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	body := &forwardBody{cancel: cancel}
 	if abandonSilent {
-		body.silence = time.AfterFunc(firstKeepaliveTimeout, func() { cancel(errPeerSilent) })
+		body.silence = time.AfterFunc(firstKeepaliveTimeout, func() {
+			cancel(errPeerSilent)
+			c.closeConn(address, conn)
+		})
 	}
 	forward := chutesharepb.NewShareClient(conn).Forward
 	if !request.Binding.IsZero() {
