Let a follower drop upstreams that are gone after an incomplete read

After an incomplete read, a node that followed another one from then on never dropped an upstream whose entry was gone, and told its followers that its table is out of date.

Cause: the mark of a table that lacks changes was taken away by the next read of the store alone, and a follower makes none.

Change: a status of the source that says that it is current takes the mark away.

Red before: TestFollowerIsNotBehind. Measured: it passes, with TestSettling.

Why it works: changes precede the status that they belong to, so a follower has the rows of a source that calls itself current.

--- a/internal/chutegate/follow_test.go
+++ b/internal/chutegate/follow_test.go
@@ -62,6 +62,24 @@
 	})
 }
 
+// Guards against a node that keeps upstreams which are gone for good: a read left changes for the next one, which failed, and
+// the node follows another one from then on.
+func TestFollowerIsNotBehind(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	local := newLocalTable("t", minStaleAfter, time.Now)
+	local.replaceAll(newPage(1))
+	local.setSource(chuterelay.Peer{Name: "n1"}, now)
+	local.setBehind(true)
+	c.Assert(local.isSettling(now), qt.IsTrue)
+	local.recordSourceStatus(false, time.Time{}, now)
+	c.Assert(local.isSettling(now), qt.IsTrue)
+	c.Assert(local.stateForFollowers(now).Current, qt.IsFalse)
+	local.recordSourceStatus(true, now, now)
+	c.Assert(local.isSettling(now), qt.IsFalse)
+	c.Assert(local.stateForFollowers(now).Current, qt.IsTrue)
+}
+
 // dialTime is how long an attempt to connect takes that is lost.
 const dialTime = 500 * time.Millisecond
 
--- a/internal/chutegate/localtable.go
+++ b/internal/chutegate/localtable.go
@@ -347,6 +347,10 @@
 		}
 		local.mu.Unlock()
 	}
+	if current {
+		// The source's table is complete, and this one is the same.
+		local.setBehind(false)
+	}
 
 	return local.setCurrent(current, now) && !current
 }
