Drop a quarantine of a part once other quarantines explain its crashes

Callers saw: sound requests refused for an hour ("upstreams ended each time that they ran this request") for a part of their prompts that crashes nothing.

Cause: two requests that crash upstreams, for reasons of their own, shared a part by chance. It had four crashes before either cause had three, had never been answered, and what is refused is never answered. The verdict stayed though both causes were found within 4 s.

Change: a verdict on parts is dropped when each of its crashes is put down to another verdict, on other elements, that has crashes beside these; a late announcement of it is left out for the same reason.

Red before: three subtests of TestPartOfTwoCauses. Measured: TestInnocents and TestInnocentParts with 20,000 sequences each, the package's tests and the simulations of the quarantine in chuterelay pass.

Why it works: what was running at crashes of two causes by chance is at no crash without them; a part that does crash upstreams is, and takes three more.

Between its third crash and the verdicts on both causes the part is still refused, so the soak can still fail by chance.

--- a/internal/chutequarantine/quarantine.go
+++ b/internal/chutequarantine/quarantine.go
@@ -294,7 +294,7 @@
 	}
 	q.judgements = q.judgements.Set(j.Fingerprint, judgementRecord{Judgement: j, reportedAt: now})
 	if j.Verdict == VerdictQuarantined {
-		return q.withVerdict(j), true
+		return q.withVerdict(j).withoutExplained(j), true
 	}
 	for _, e := range j.judgedElements() {
 		q = q.withVoidEvidence(e, j.Upstreams)
@@ -350,8 +350,12 @@
 }
 
 // refutes reports whether a quarantine's evidence is not enough by what this node knows of the crashes: too much of it
-// is doubtful, or another request that upstreams survived less often was running at all of them.
+// is doubtful, another request that upstreams survived less often was running at all of them, or other quarantines
+// explain them all.
 func (q Quarantine) refutes(j Judgement) bool {
+	if q.isExplained(j) {
+		return true
+	}
 	if !j.IsOnParts() && len(j.Upstreams) < minCrashesOfPair && q.hasRival(j.Fingerprint, j.judgedElements(), j.Upstreams, 0) {
 		return true
 	}
--- a/internal/chutequarantine/verdict.go
+++ b/internal/chutequarantine/verdict.go
@@ -122,6 +122,40 @@
 	})
 }
 
+// isExplained reports whether each crash of a quarantine on parts is put down to another quarantine too, which has crashes
+// beside these. A part that was in the prompts of two causes by chance was running at the crashes of both.
+func (q Quarantine) isExplained(j Judgement) bool {
+	return j.IsOnParts() && !slices.ContainsFunc(j.Upstreams, func(u string) bool { return !q.hasOtherCause(u, j) })
+}
+
+// hasOtherCause reports whether a crash is put down to a quarantine on none of the elements of another one, with crashes that
+// this one does not have.
+func (q Quarantine) hasOtherCause(upstream string, j Judgement) bool {
+	c, _ := q.crashes.Get(upstream)
+
+	return slices.ContainsFunc(c.attributedTo, func(key string) bool {
+		other, _ := q.judgements.Get(key)
+
+		return !slices.ContainsFunc(other.judgedElements(), func(e string) bool { return slices.Contains(j.judgedElements(), e) }) &&
+			!containsAll(j.Upstreams, other.Upstreams)
+	})
+}
+
+// withoutExplained drops the quarantines whose crashes are explained by a new one and others.
+func (q Quarantine) withoutExplained(by Judgement) Quarantine {
+	upstreams, _ := q.upstreamsBySuspect.Get(by.judgedElements()[0])
+	for _, u := range upstreams {
+		c, _ := q.crashes.Get(u)
+		for _, key := range c.attributedTo {
+			if j, known := q.judgements.Get(key); known && key != by.Fingerprint && q.isExplained(j.Judgement) {
+				q = q.withoutJudgement(j.Judgement)
+			}
+		}
+	}
+
+	return q
+}
+
 // isSame reports whether a judgement says nothing that is not known.
 func (j Judgement) isSame(other Judgement) bool {
 	return j.Verdict == other.Verdict && slices.Equal(j.Upstreams, other.Upstreams) &&
