Take streams up by the content of their requests

Cause: records of which version began a stream were looked for under the sending that brought the first event, which such a take-up does not name.

Change: a record's ID has two halves, the content of the request and the sending. Holders follow from the first, and a take-up that names no sending goes on if all nodes that are asked know one version for its content.

Why it works: what a request asks for is the same each time that it is sent, and where streams of two versions were begun alike the answer is a refusal.

--- a/internal/chutegate/send_test.go
+++ b/internal/chutegate/send_test.go
@@ -123,7 +123,7 @@
 		n := New(Settings{}, clockwork.NewFakeClock(), zerolog.Nop(), Store{}, Decoders{}, Upstreams{})
 		defer n.Stop()
 		req := newTestRequest()
-		id := chutestream.NewID("w", "p", "r")
+		id := chutestream.NewID("w", "p", "r", "r")
 		req.stream = &id
 		a := &attempt{node: n, request: req, progress: &progress{}, send: chuterelay.Send{
 			Upstream: chutefleet.Upstream{Name: "u1", Pool: "p", Version: "v1"}, Deadline: n.Now().Add(time.Second),
--- a/internal/chutegate/streams.go
+++ b/internal/chutegate/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -125,10 +126,10 @@
 		return nil
 	}
 	first := in.ID
-	if !s.Binding.IsZero() {
+	if !s.Binding.IsZero() && in.Resumes != "" {
 		first = in.Resumes
 	}
-	id := chutestream.NewID(s.Workspace.Name, s.Pipeline.Name, first)
+	id := chutestream.NewID(s.Workspace.Name, s.Pipeline.Name, s.Fingerprint, first)
 
 	return &id
 }
@@ -143,7 +144,7 @@
 		return n.refuseTakeUp(in, "streams of pipeline "+s.Pipeline.Name+" can't be taken up")
 	}
 	line := n.log.Info().Str("Request", in.ID).Str("Resumes", in.Resumes[:min(len(in.Resumes), maxLoggedID)]).Int("LastEvent", in.LastEventID)
-	record, from, known := n.findStream(ctx, chutestream.NewID(s.Workspace.Name, s.Pipeline.Name, in.Resumes))
+	record, from, known := n.findStream(ctx, chutestream.NewID(s.Workspace.Name, s.Pipeline.Name, s.Fingerprint, in.Resumes))
 	if known {
 		n.streams.known.Add(1)
 		s.Binding = record.Binding
@@ -173,13 +174,19 @@
 	record chutestream.Record
 	from   string
 	known  bool
+	// ambiguous says that it may be any of several streams with different bindings.
+	ambiguous bool
 }
 
 // findStream returns the record of a stream and the node that knows it, empty for this one; false if none does.
+//
+// Where the ID names no request, all nodes that may know have to agree.
 func (n *Node) findStream(ctx context.Context, id chutestream.ID) (chutestream.Record, string, bool) {
 	state := n.streams.snapshot()
-	if record, known := state.Find(id, n.Now()); known {
-		return record, "", true
+	var found streamAnswer
+	found.record, found.known = state.Find(id, n.Now())
+	if found.known && id.NamesRequest() || found.record.IsAmbiguous() {
+		return found.record, "", found.known
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -189,17 +196,27 @@
 		go func() { answers <- n.askForStream(ctx, node, id) }()
 	}
 	for range nodes {
-		if answer := <-answers; answer.known {
+		answer := <-answers
+		switch {
+		case id.NamesRequest() && answer.known:
 			return answer.record, answer.from, true
+		case answer.ambiguous && !id.NamesRequest(), answer.known && found.known && !found.record.Binding.Allows(answer.record.Binding):
+			return chutestream.Record{}, "", false
+		case !answer.known:
+		default:
+			found = answer
 		}
 	}
 
-	return chutestream.Record{}, "", false
+	return found.record, found.from, found.known
 }
 
 // askForStream asks a node for what it knows of a stream.
 func (n *Node) askForStream(ctx context.Context, node chutestream.Node, id chutestream.ID) streamAnswer {
 	record, known, err := n.peers.FindStream(ctx, node.Address, id, n.Now())
+	if errors.Is(err, chutestream.ErrAmbiguous) {
+		return streamAnswer{from: node.Name, ambiguous: true}
+	}
 	if err != nil && ctx.Err() == nil {
 		n.log.Info().Err(err).Str("Peer", node.Name).Msg("a node could not be asked for a stream")
 		n.reduceStreams(chutestream.AskFailed{Node: node})
--- a/internal/chuteshare/streams.go
+++ b/internal/chuteshare/streams.go
@@ -47,6 +47,9 @@
 		return nil, status.Errorf(codes.InvalidArgument, "Id has %d bytes, not %d", len(request.GetId()), chutestream.IDBytes)
 	}
 	record, known := s.handlers.OnFindStream(id)
+	if record.IsAmbiguous() {
+		return nil, status.Error(codes.FailedPrecondition, chutestream.ErrAmbiguous.Error())
+	}
 	if !known {
 		return &chutesharepb.FindStreamReply{}, nil
 	}
@@ -81,7 +84,8 @@
 	return errorContext.Wrap(err)
 }
 
-// FindStream returns what a peer knows of a stream, or false if it does not know it.
+// FindStream returns what a peer knows of a stream, or false if it does not know it; chutestream.ErrAmbiguous if it may be any of
+// several.
 func (c *Client) FindStream(ctx context.Context, address string, id chutestream.ID, now time.Time) (chutestream.Record, bool, error) {
 	errorContext := oops.In("share").With("step", "find stream", "peer", address)
 	conn, err := c.connTo(address)
@@ -91,6 +95,9 @@
 	ctx, cancel := c.limitCall(ctx, findStreamTimeout)
 	defer cancel()
 	reply, err := chutesharepb.NewShareClient(conn).FindStream(ctx, &chutesharepb.FindStreamRequest{Id: id[:]})
+	if status.Code(err) == codes.FailedPrecondition {
+		return chutestream.Record{}, false, errorContext.Wrap(chutestream.ErrAmbiguous)
+	}
 	if err != nil {
 		return chutestream.Record{}, false, errorContext.Wrap(err)
 	}
--- a/internal/chuteshare/streams_test.go
+++ b/internal/chuteshare/streams_test.go
@@ -21,7 +21,7 @@
 
 func testRecord(n int) chutestream.Record {
 	return chutestream.Record{
-		ID:      chutestream.NewID("w", "p", fmt.Sprint(n)),
+		ID:      chutestream.NewID("w", "p", fmt.Sprint(n), fmt.Sprint(n)),
 		Binding: chutestream.Binding{Pool: "reef-llm", Version: "v1.1", Upstream: "i-ae34ab937d"}, Until: startTime.Add(8 * time.Second),
 	}
 }
--- a/internal/chutestream/agenda.go
+++ b/internal/chutestream/agenda.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -22,7 +23,7 @@
 type idHasher struct{}
 
 func (idHasher) Hash(id ID) uint32 {
-	return uint32(id[0]) | uint32(id[1])<<8 | uint32(id[2])<<16 | uint32(id[3])<<24
+	return binary.LittleEndian.Uint32(id[:]) ^ binary.LittleEndian.Uint32(id[halfIDBytes:])
 }
 
 func (idHasher) Equal(a, b ID) bool {
--- a/internal/chutestream/holders.go
+++ b/internal/chutestream/holders.go
@@ -128,9 +128,9 @@
 	return nodes
 }
 
-// rank returns a number that orders names for an ID, alike at all nodes.
+// rank returns a number that orders names for an ID, alike at all nodes, whether or not the ID names its request.
 func rank(id ID, name string) uint64 {
 	var buffer [128]byte
 
-	return xxhash.Sum64(append(append(buffer[:0], id[:]...), name...))
+	return xxhash.Sum64(append(append(buffer[:0], id[:halfIDBytes]...), name...))
 }
--- a/internal/chutestream/sim_test.go
+++ b/internal/chutestream/sim_test.go
@@ -189,7 +189,7 @@
 		}
 		s.begun++
 		stream := &simStream{
-			id: NewID("w", "p", fmt.Sprint(s.begun)), binding: Binding{Pool: "p", Version: s.versions[s.random.IntN(len(s.versions))]},
+			id: NewID("w", "p", fmt.Sprint(s.begun), fmt.Sprint(s.begun)), binding: Binding{Pool: "p", Version: s.versions[s.random.IntN(len(s.versions))]},
 			node: n, ends: s.now.Add(s.drawTime(simStreamTime)),
 		}
 		s.on(n, Began{ID: stream.id, Binding: stream.binding, Until: s.now.Add(10 * time.Second)})
--- a/internal/chutestream/state_test.go
+++ b/internal/chutestream/state_test.go
@@ -71,16 +71,64 @@
 // TestNewID guards against a caller that takes up the stream of another workspace or pipeline.
 func TestNewID(t *testing.T) {
 	c := qt.New(t)
-	c.Assert(NewID("w", "p", "r"), qt.Equals, NewID("w", "p", "r"))
-	c.Assert(NewID("w", "p", "r"), qt.Not(qt.Equals), NewID("x", "p", "r"))
-	c.Assert(NewID("w", "p", "r"), qt.Not(qt.Equals), NewID("w", "q", "r"))
-	c.Assert(NewID("w", "pr", ""), qt.Not(qt.Equals), NewID("w", "p", "r"))
+	c.Assert(NewID("w", "p", "r", "r"), qt.Equals, NewID("w", "p", "r", "r"))
+	c.Assert(NewID("w", "p", "r", "r"), qt.Not(qt.Equals), NewID("x", "p", "r", "r"))
+	c.Assert(NewID("w", "p", "r", "r"), qt.Not(qt.Equals), NewID("w", "q", "r", "r"))
+	c.Assert(NewID("w", "pr", "", ""), qt.Not(qt.Equals), NewID("w", "p", "r", "r"))
+}
+
+// TestFindByContent guards against a take-up that names no request and goes on at the version of another stream of the same
+// content, and against one that is refused though all of them have the same version.
+func TestFindByContent(t *testing.T) {
+	v1, v2 := Binding{Pool: "p", Version: "1"}, Binding{Pool: "p", Version: "2"}
+	any := NewID("w", "p", "c", "")
+	begin := func(n *node, request string, b Binding, lifetime time.Duration) {
+		n.on(Began{ID: NewID("w", "p", "c", request), Binding: b, Until: n.now.Add(lifetime)})
+	}
+	for _, test := range []struct {
+		name  string
+		begin func(n *node)
+		found bool
+	}{
+		{"none", func(*node) {}, false},
+		{"of another content", func(n *node) { n.on(Began{ID: NewID("w", "p", "d", "1"), Binding: v1, Until: n.now.Add(time.Minute)}) }, false},
+		{"one", func(n *node) { begin(n, "1", v1, time.Minute) }, true},
+		{"two of a version", func(n *node) { begin(n, "1", v1, time.Minute); begin(n, "2", v1, time.Minute) }, true},
+		{"two of two versions", func(n *node) { begin(n, "1", v1, time.Minute); begin(n, "2", v2, time.Minute) }, false},
+		{"the other one has expired", func(n *node) {
+			begin(n, "1", v2, time.Second)
+			begin(n, "2", v1, time.Minute)
+			n.now = n.now.Add(time.Second)
+		}, true},
+		{"one that is ambiguous", func(n *node) { begin(n, "1", v1, time.Minute); begin(n, "1", v2, time.Minute) }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := newNode(t, 1)
+			test.begin(n)
+			record, found := n.state.Find(any, n.now)
+			n.Assert(found, qt.Equals, test.found)
+			if found {
+				n.Assert(record.Binding, qt.Equals, v1)
+			}
+		})
+	}
+
+	t.Run("nothing is kept of what has expired", func(t *testing.T) {
+		n := newNode(t, 1)
+		begin(n, "1", v1, time.Second)
+		begin(n, "2", v1, time.Second)
+		n.now = n.now.Add(time.Second)
+		begin(n, "3", v1, time.Second)
+		n.Assert(n.state.byContent.Len(), qt.Equals, 1)
+		ids, _ := n.state.byContent.Get(any)
+		n.Assert(ids, qt.HasLen, 1)
+	})
 }
 
 // TestRecords guards against a record that outlives its time or the room for records, or that is found although
 // it is ambiguous.
 func TestRecords(t *testing.T) {
-	id := NewID("w", "p", "r")
+	id := NewID("w", "p", "r", "r")
 
 	t.Run("a stream that began here is known at once", func(t *testing.T) {
 		n := newNode(t, 8)
@@ -116,7 +164,7 @@
 		n := newNode(t, 1)
 		n.begin(id)
 		for i := range maxRecords {
-			n.on(Began{ID: NewID("w", "p", fmt.Sprint(i)), Binding: Binding{Pool: "p"}, Until: n.now.Add(time.Minute)})
+			n.on(Began{ID: NewID("w", "p", fmt.Sprint(i), fmt.Sprint(i)), Binding: Binding{Pool: "p"}, Until: n.now.Add(time.Minute)})
 		}
 		n.Assert(n.state.Stats().Held, qt.Equals, maxRecords)
 		n.Assert(n.state.Stats().Dropped, qt.Equals, int64(1))
@@ -127,14 +175,14 @@
 		n := newNode(t, 1)
 		n.begin(id)
 		n.now = n.now.Add(time.Minute)
-		n.begin(NewID("w", "p", "other"))
+		n.begin(NewID("w", "p", "other", "other"))
 		n.Assert(n.state.Stats().Held, qt.Equals, 1)
 	})
 }
 
 // TestAnnounce guards against streams that no other node knows of, and against records that nobody needs.
 func TestAnnounce(t *testing.T) {
-	id := NewID("w", "p", "r")
+	id := NewID("w", "p", "r", "r")
 
 	t.Run("a stream that goes on is announced in two zones", func(t *testing.T) {
 		n := newNode(t, 9)
@@ -171,7 +219,7 @@
 	t.Run("streams that begin together are announced together", func(t *testing.T) {
 		n := newNode(t, 2)
 		for i := range 100 {
-			n.begin(NewID("w", "p", fmt.Sprint(i)))
+			n.begin(NewID("w", "p", fmt.Sprint(i), fmt.Sprint(i)))
 		}
 		n.now = n.now.Add(announceDelay)
 		n.on(Ticked{})
@@ -208,7 +256,7 @@
 		n.on(Announced{Records: []Record{{ID: id, Binding: Binding{Pool: "p", Version: "v1"}, Until: n.now.Add(time.Second)}}})
 		n.on(DrainStarted{})
 		n.Assert(takeAll[Announce](n), qt.HasLen, 2)
-		n.begin(NewID("w", "p", "later"))
+		n.begin(NewID("w", "p", "later", "later"))
 		n.Assert(takeAll[Announce](n), qt.HasLen, 2)
 	})
 }
@@ -224,7 +272,7 @@
 				views[i] = holders{self: all[i]}.withNodes(all)
 			}
 			for i := range 300 {
-				id := NewID("w", "p", fmt.Sprint(i))
+				id := NewID("w", "p", fmt.Sprint(i), fmt.Sprint(i))
 				from, to := views[i*7%len(views)], views[i*13%len(views)]
 				known := append(from.announceTo(id, start), from.self)
 				asked := append(to.toAsk(id, start), to.self)
