Count records of streams by content instead of listing them

The records of one content were a list that is copied when one is added or expires, up to 16,384 entries where many callers send the same request.

Change: for each content the bindings, the number of their records and the time of the last one. The search by content and by request are two functions.

Measured: TestFindByContent, with the same streams begun 32,768 times, and the tests of the package, TestTakeUpWithoutRequest and TestStreamKeepsVersion pass.

Why it works: what a take-up without its request needs is whether there is one binding, and until when.

--- a/internal/chutegate/streams.go
+++ b/internal/chutegate/streams.go
@@ -179,14 +179,12 @@
 }
 
 // findStream returns the record of a stream and the node that knows it, empty for this one; false if none does.
-//
-// Where the ID names no request, all nodes that may know have to agree.
 func (n *Node) findStream(ctx context.Context, id chutestream.ID) (chutestream.Record, string, bool) {
 	state := n.streams.snapshot()
-	var found streamAnswer
-	found.record, found.known = state.Find(id, n.Now())
-	if found.known && id.NamesRequest() || found.record.IsAmbiguous() {
-		return found.record, "", found.known
+	var own streamAnswer
+	own.record, own.known = state.Find(id, n.Now())
+	if own.known && id.NamesRequest() || own.record.IsAmbiguous() {
+		return own.record, "", own.known
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -195,20 +193,41 @@
 	for _, node := range nodes {
 		go func() { answers <- n.askForStream(ctx, node, id) }()
 	}
-	for range nodes {
+	found := agreed
+	if id.NamesRequest() {
+		found = firstKnown
+	}
+	answer := found(own, answers, len(nodes))
+
+	return answer.record, answer.from, answer.known
+}
+
+// firstKnown returns the first of count answers that knows the stream; this node's own, which does not, if none does.
+func firstKnown(own streamAnswer, answers <-chan streamAnswer, count int) streamAnswer {
+	for range count {
+		if answer := <-answers; answer.known {
+			return answer
+		}
+	}
+
+	return own
+}
+
+// agreed returns an answer with the binding that this node and all of count others have that know the stream; the zero value
+// if none does, or not all have the same.
+func agreed(own streamAnswer, answers <-chan streamAnswer, count int) streamAnswer {
+	found := own
+	for range count {
 		answer := <-answers
 		switch {
-		case id.NamesRequest() && answer.known:
-			return answer.record, answer.from, true
-		case answer.ambiguous && !id.NamesRequest(), answer.known && found.known && !found.record.Binding.Allows(answer.record.Binding):
-			return chutestream.Record{}, "", false
-		case !answer.known:
-		default:
+		case answer.ambiguous, answer.known && found.known && !found.record.Binding.Allows(answer.record.Binding):
+			return streamAnswer{}
+		case answer.known:
 			found = answer
 		}
 	}
 
-	return found.record, found.from, found.known
+	return found
 }
 
 // askForStream asks a node for what it knows of a stream.
--- a/internal/chutestream/state.go
+++ b/internal/chutestream/state.go
@@ -31,8 +31,8 @@
 type State struct {
 	holders holders
 	records *immutable.Map[ID, Record]
-	// byContent holds the IDs of the records of each content.
-	byContent *immutable.Map[ID, []ID]
+	// byContent holds the bindings of the records of each content.
+	byContent *immutable.Map[ID, []contentBinding]
 	// expiries are when the records expire.
 	expiries agenda
 	// unannounced are the streams that began here and were not announced, with the times at which they are due.
@@ -47,7 +47,8 @@
 func NewState(self Node) State {
 	return State{
 		holders: holders{self: self}.withNodes([]Node{self}),
-		records: immutable.NewMap[ID, Record](idHasher{}), byContent: immutable.NewMap[ID, []ID](idHasher{}), expiries: newAgenda(), unannounced: newAgenda(),
+		records: immutable.NewMap[ID, Record](idHasher{}), byContent: immutable.NewMap[ID, []contentBinding](idHasher{}),
+		expiries: newAgenda(), unannounced: newAgenda(),
 	}
 }
 
@@ -64,24 +65,6 @@
 	return record, ok && !record.ambiguous && now.Before(record.Until)
 }
 
-// findContent returns a record of a content, or false if there is none or not all have the same binding.
-func (s State) findContent(content ID, now time.Time) (Record, bool) {
-	var found Record
-	ids, _ := s.byContent.Get(content)
-	for _, id := range ids {
-		record, _ := s.records.Get(id)
-		switch {
-		case !now.Before(record.Until):
-		case record.ambiguous || !found.Binding.IsZero() && !found.Binding.Allows(record.Binding):
-			return Record{ID: content, ambiguous: true}, false
-		default:
-			found = record
-		}
-	}
-
-	return found, !found.Binding.IsZero()
-}
-
 // ToAsk returns the other nodes that know the binding of a stream if any does.
 func (s State) ToAsk(id ID, now time.Time) []Node {
 	return s.holders.toAsk(id, now)
@@ -158,30 +141,24 @@
 	if !st.now.Before(record.Until) {
 		return
 	}
-	if known, ok := st.records.Get(record.ID); ok {
+	known, ok := st.records.Get(record.ID)
+	st.addContent(record, !ok)
+	if ok {
 		record = known.withConfirmed(record)
 	} else if st.records.Len() >= maxRecords {
 		first, _, _ := st.expiries.first()
 		st.remove(first)
 		st.dropped++
 	}
-	if _, known := st.records.Get(record.ID); !known {
-		ids, _ := st.byContent.Get(record.ID.content())
-		st.byContent = st.byContent.Set(record.ID.content(), append(slices.Clip(ids), record.ID))
-	}
 	st.records = st.records.Set(record.ID, record)
 	st.expiries = st.expiries.with(record.ID, record.Until)
 }
 
 func (st *reduction) remove(id ID) {
+	record, _ := st.records.Get(id)
+	st.removeContent(record)
 	st.records = st.records.Delete(id)
 	st.expiries = st.expiries.without(id)
-	ids, _ := st.byContent.Get(id.content())
-	if ids = slices.DeleteFunc(slices.Clone(ids), func(other ID) bool { return other == id }); len(ids) > 0 {
-		st.byContent = st.byContent.Set(id.content(), ids)
-	} else {
-		st.byContent = st.byContent.Delete(id.content())
-	}
 }
 
 func (st *reduction) dropExpired() {
--- a/internal/chutestream/state_test.go
+++ b/internal/chutestream/state_test.go
@@ -89,18 +89,20 @@
 		name  string
 		begin func(n *node)
 		found bool
+		// ambiguous says that several streams with different bindings are known.
+		ambiguous bool
 	}{
-		{"none", func(*node) {}, false},
-		{"of another content", func(n *node) { n.on(Began{ID: NewID("w", "p", "d", "1"), Binding: v1, Until: n.now.Add(time.Minute)}) }, false},
-		{"one", func(n *node) { begin(n, "1", v1, time.Minute) }, true},
-		{"two of a version", func(n *node) { begin(n, "1", v1, time.Minute); begin(n, "2", v1, time.Minute) }, true},
-		{"two of two versions", func(n *node) { begin(n, "1", v1, time.Minute); begin(n, "2", v2, time.Minute) }, false},
+		{"none", func(*node) {}, false, false},
+		{"of another content", func(n *node) { n.on(Began{ID: NewID("w", "p", "d", "1"), Binding: v1, Until: n.now.Add(time.Minute)}) }, false, false},
+		{"one", func(n *node) { begin(n, "1", v1, time.Minute) }, true, false},
+		{"two of a version", func(n *node) { begin(n, "1", v1, time.Minute); begin(n, "2", v1, time.Minute) }, true, false},
+		{"two of two versions", func(n *node) { begin(n, "1", v1, time.Minute); begin(n, "2", v2, time.Minute) }, false, true},
 		{"the other one has expired", func(n *node) {
 			begin(n, "1", v2, time.Second)
 			begin(n, "2", v1, time.Minute)
 			n.now = n.now.Add(time.Second)
-		}, true},
-		{"one that is ambiguous", func(n *node) { begin(n, "1", v1, time.Minute); begin(n, "1", v2, time.Minute) }, false},
+		}, true, false},
+		{"one that is ambiguous", func(n *node) { begin(n, "1", v1, time.Minute); begin(n, "1", v2, time.Minute) }, false, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			n := newNode(t, 1)
@@ -110,18 +112,29 @@
 			if found {
 				n.Assert(record.Binding, qt.Equals, v1)
 			}
+			n.Assert(record.IsAmbiguous(), qt.Equals, test.ambiguous)
 		})
 	}
 
 	t.Run("nothing is kept of what has expired", func(t *testing.T) {
 		n := newNode(t, 1)
 		begin(n, "1", v1, time.Second)
+		begin(n, "1", v2, time.Second)
 		begin(n, "2", v1, time.Second)
 		n.now = n.now.Add(time.Second)
-		begin(n, "3", v1, time.Second)
+		n.on(Began{ID: NewID("w", "p", "d", "3"), Binding: v1, Until: n.now.Add(time.Second)})
 		n.Assert(n.state.byContent.Len(), qt.Equals, 1)
-		ids, _ := n.state.byContent.Get(any)
-		n.Assert(ids, qt.HasLen, 1)
+	})
+
+	t.Run("many streams of one content", func(t *testing.T) {
+		// A list of them would be copied at each beginning of one.
+		n := newNode(t, 1)
+		for i := range 2 * maxRecords {
+			n.on(Began{ID: NewID("w", "p", "c", fmt.Sprint(i)), Binding: v1, Until: n.now.Add(time.Minute)})
+		}
+		all, _ := n.state.byContent.Get(any)
+		n.Assert(all, qt.HasLen, 1)
+		n.Assert(all[0].records, qt.Equals, maxRecords)
 	})
 }
 
