Ignore a follower's lost read that fails after its source had an answer

Cause, by reading: a follower's own read that was lost during a cut may fail after the node that it follows had an answer and said so. It counted as the newer sign, and the period in which missing entries are kept began anew with the source's next status.

Change: a current status of the source counts like an answered read, as of the time that it is confirmed for.

Red before: TestLostReadOfFollower.

Why it works: what a read shows of the store is as old as its sending, whoever sent it.

--- a/internal/chutegate/follow_test.go
+++ b/internal/chutegate/follow_test.go
@@ -62,6 +62,21 @@
 	})
 }
 
+// Guards against a period that begins anew at a follower, whose own read was lost before the node that it follows had an answer.
+func TestLostReadOfFollower(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	local := newLocalTable("t", minStaleAfter, time.Now)
+	local.replaceAll(newPage(1))
+	local.setSource(chuterelay.Peer{Name: "n1"}, now)
+	sentAt := now
+	local.recordSourceStatus(true, now.Add(dialTime/2), now.Add(dialTime/2))
+	c.Assert(local.isLateFailure(false, sentAt), qt.IsTrue)
+	c.Assert(local.isLateFailure(false, now.Add(dialTime)), qt.IsFalse)
+	local.recordSourceStatus(false, now.Add(2*dialTime), now.Add(2*dialTime))
+	c.Assert(local.isLateFailure(false, now.Add(dialTime)), qt.IsFalse)
+}
+
 // Guards against a node that keeps upstreams which are gone for good: a read left changes for the next one, which failed, and
 // the node follows another one from then on.
 func TestFollowerIsNotBehind(t *testing.T) {
--- a/internal/chutegate/localtable.go
+++ b/internal/chutegate/localtable.go
@@ -43,7 +43,7 @@
 	// synced is true if the table is complete up to its version.
 	synced bool
 	// storeLost is true if the last read of the store failed, answeredSentAt is when the latest read was sent
-	// that was answered.
+	// that was answered, by this node or the one that it follows.
 	storeLost      bool
 	answeredSentAt time.Time
 	// behind is true if the last read left changes for the next one. The table is then an earlier state
@@ -345,6 +345,9 @@
 		if confirmedAt.After(local.sourceConfirmedAt) {
 			local.sourceConfirmedAt = confirmedAt
 		}
+		if current && confirmedAt.After(local.answeredSentAt) {
+			local.answeredSentAt = confirmedAt
+		}
 		local.mu.Unlock()
 	}
 	if current {
