--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,6 +22,7 @@
 	"path":     playPath,
 	"route":    playRoute,
 	"extra":    playExtra,
+	"leave":    playLeave,
 	"settings": playSettings,
 }
 
