--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,6 +23,7 @@
 	"route":    playRoute,
 	"extra":    playExtra,
 	"leave":    playLeave,
+	"part":     playPart,
 	"settings": playSettings,
 }
 
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -181,6 +181,20 @@
 	panic(cannot{"no loopback address is free"})
 }
 
+// beside runs f in a goroutine; what keeps it from going on ends the case as one that could not run.
+func (g *rig) beside(f func()) {
+	go func() {
+		defer func() {
+			if problem := recover(); problem != nil {
+				g.note("the case can't run: %v", problem)
+				g.end()
+				os.Exit(exitCannot)
+			}
+		}()
+		f()
+	}()
+}
+
 // end kills all processes.
 func (g *rig) end() {
 	for _, n := range g.nodes {
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -64,6 +64,15 @@
 	s.notify()
 }
 
+// remove deletes a row as the platform does.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.write(row{Table: table, Key: key, RowVersion: s.version, Deleted: true})
+	s.notify()
+}
+
 // write applies one change; the caller holds mu.
 func (s *store) write(r row) {
 	k := rowKey{r.Table, r.Part, r.Key}
