Tell the reset of a connection from its end while a request is being written

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of the body and reset the connection. The caller got that part as a complete answer; of a stream, the events until then and its end.

Cause: the kernel reports a reset once, to whichever of reader and writer asks first. Long bodies are written in a goroutine of their own; if that one gets ECONNRESET, the reader gets 0 bytes, io.EOF, which ends a body without a length. net/http's client has the same race: a write to the store, or of an object, counted as done whose service had answered 200 and reset the connection. Evidence: TCP_INFO after such an end: state CLOSE and as many bytes received as read; after a FIN one more is received, also if a reset follows it. Change: chuteanswer.NewReader returns io.EOF only if the peer has sent a FIN, the reset otherwise. chuteconn, the store's client and that of table, objects and VM list read through it. Why: the decision rests on what the kernel has received, not on which goroutine asked first or on how far the upload is.

--- a/internal/chuteconn/pool.go
+++ b/internal/chuteconn/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"azurechute.example/azurechute/internal/chuteanswer"
 )
 
 const (
@@ -105,7 +107,7 @@
 		return nil, err
 	}
 
-	source := &limitedSource{Reader: opened}
+	source := &limitedSource{Reader: chuteanswer.NewReader(opened)}
 
 	return &conn{
 		Conn: opened, pool: p, address: address, idleLimit: maxIdleTime, source: source,
--- a/internal/chutetable/endpoint.go
+++ b/internal/chutetable/endpoint.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"azurechute.example/azurechute/internal/chuteanswer"
 )
 
 const (
@@ -59,7 +61,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 3},
 	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         chuteanswer.WrapDial(dialer.DialContext),
 		TLSHandshakeTimeout: timeout,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
