Reject answers whose status is not one of an HTTP answer

Callers saw: an upstream sent a head with status 000, and an answer behind it; the caller got that one as the upstream's answer. Status 600 and 999 were passed on with their body.

Cause: http.ReadResponse takes any three characters that are a number from 0 to 999, a sign included. chuteconn skipped every status below 200 like an interim head and read on, also behind 101 and behind interim heads that announce a body, whose bytes were read as the next head. Change: chuteanswer.CheckHead decides before anything is read from a head: final answers have a status from 200 to 599, interim ones from 100 to 199 and no body, and 101 is none. A head that another node passes on is checked as well. Why: the rule is the range of the protocol, so no status is skipped or passed on that none of the parties has a meaning for. A malformed head proves nothing: the exchange fails as one that may have run. Not needed: the clients of store, table, engines, services and nodes accept named statuses only.

--- a/internal/chuteconn/exchange.go
+++ b/internal/chuteconn/exchange.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"azurechute.example/azurechute/internal/chuteanswer"
 )
 
 const (
@@ -153,7 +155,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		if err := chuteanswer.CheckHead(response); err != nil {
+			return nil, err
+		}
+		if !chuteanswer.IsInterim(response) {
 			return response, nil
 		}
 	}
--- a/internal/chutegate/forward.go
+++ b/internal/chutegate/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 
+	"azurechute.example/azurechute/internal/chuteanswer"
 	"azurechute.example/azurechute/internal/chutecore"
 	"azurechute.example/azurechute/internal/chutefleet"
 	"azurechute.example/azurechute/internal/chuterelay"
@@ -38,6 +39,12 @@
 		}, nil
 	}
 
+	if err := chuteanswer.CheckFinal(answer.Status); err != nil {
+		_ = answer.Body.Close() // the call is given up
+
+		return Answer{}, nil, &SendError{Err: err}
+	}
+
 	// The peer has checked whose answer it is, and that the upstream has signed it.
 	return Answer{Status: answer.Status, Header: answer.Header, Signed: true, IsEventStream: answer.Streams, Binding: answer.Binding, Body: answer.Body}, nil, nil
 }
