Reject answers with fields whose names are no tokens

Callers saw: an upstream sent a head in which the name of a field held a blank, and they got the answer; where the blank hid a length or a coding, with framing bytes, or bytes from past the end, in the body.

Cause: textproto refuses other bytes that may not be in a name, and keeps names with a blank as they are: "Content-Length " is an unknown field to all that look for lengths, "X-Request-Id " to those that look for the id. Why: the rule is the grammar of names and values, in one place. Not needed: tabs, control bytes, NUL, empty names, missing colons, contradicting lengths and unknown codings failed already; their cases stay as tests.

--- a/internal/chuteconn/head_test.go
+++ b/internal/chuteconn/head_test.go
@@ -32,8 +32,8 @@
 	u := startSending(c.TB, text)
 	r, err := pool.Do(c.Context(), u.address, request("1", nil), Options{Matches: matchesID("1")})
 	if err == nil {
-		body, bodyErr := io.ReadAll(r.Body)
-		c.Fatalf("%d %v %q %v", r.StatusCode, r.Header, body, bodyErr)
+		_ = r.Body.Close()
+		c.Fatalf("%d %v", r.StatusCode, r.Header)
 	}
 	var failure *Error
 	c.Assert(errors.As(err, &failure), qt.IsTrue)
@@ -61,3 +61,44 @@
 		})
 	}
 }
+
+// Guards against a field whose name is no token: it is passed on, or hides the length or the coding of the body.
+func TestInvalidFields(t *testing.T) {
+	const length, ok = "Content-Length: 2\r\n", "ok"
+	for name, fields := range map[string]string{
+		"a blank in a name":              "A B: x\r\n" + length,
+		"a blank before the colon":       "A : x\r\n" + length,
+		"a length behind a blank":        "Content-Length : 2\r\n",
+		"a coding behind a blank":        "Transfer-Encoding : chunked\r\n" + length,
+		"an id behind a blank":           "Id : 2\r\n" + length,
+		"a tab in a name":                "A\tB: x\r\n" + length,
+		"a control byte in a name":       "A\x01B: x\r\n" + length,
+		"a NUL in a name":                "A\x00: x\r\n" + length,
+		"a carriage return in a name":    "A\rB: x\r\n" + length,
+		"a byte over 127 in a name":      "A\xffB: x\r\n" + length,
+		"an empty name":                  ": x\r\n" + length,
+		"no colon":                       "A\r\n" + length,
+		"a folded name":                  "A\r\n B: x\r\n" + length,
+		"a NUL in a value":               "A: x\x00\r\n" + length,
+		"a carriage return in a value":   "A: x\rB: y\r\n" + length,
+		"a control byte in a value":      "A: \x01\r\n" + length,
+		"two lengths":                    length + "Content-Length: 3\r\n",
+		"a list of lengths":              "Content-Length: 2, 3\r\n",
+		"a signed length":                "Content-Length: +2\r\n",
+		"an unknown coding":              "Transfer-Encoding: gzip, chunked\r\n",
+		"two codings":                    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"a blank before the first field": " A: x\r\n" + length,
+	} {
+		t.Run(name, func(t *testing.T) {
+			expectMalformed(qt.New(t), "HTTP/1.1 200 OK\r\n"+fields+"Id: 1\r\n\r\n"+ok)
+		})
+	}
+
+	t.Run("in an interim head", func(t *testing.T) {
+		expectMalformed(qt.New(t), "HTTP/1.1 103 Early Hints\r\nA B: x\r\n\r\n"+response("1", ok))
+	})
+
+	t.Run("in an answer to another request", func(t *testing.T) {
+		expectMalformed(qt.New(t), "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length : 40\r\nContent-Length: 0\r\n\r\n"+response("1", ok))
+	})
+}
--- a/internal/chutegate/forward.go
+++ b/internal/chutegate/forward.go
@@ -39,7 +39,7 @@
 		}, nil
 	}
 
-	if err := chuteanswer.CheckFinal(answer.Status); err != nil {
+	if err := chuteanswer.CheckFinal(answer.Status, answer.Header); err != nil {
 		_ = answer.Body.Close() // the call is given up
 
 		return Answer{}, nil, &SendError{Err: err}
--- a/internal/chutegate/forwardhead_test.go
+++ b/internal/chutegate/forwardhead_test.go
@@ -25,6 +25,8 @@
 	}{
 		{"no status", 0, nil},
 		{"a status over 599", 600, nil},
+		{"a blank in a name", 200, http.Header{"A B": {"x"}}},
+		{"a NUL in a value", 200, http.Header{"A": {"x\x00"}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/chutetable/endpoint.go
+++ b/internal/chutetable/endpoint.go
@@ -132,7 +132,7 @@
 
 // exchange sends the request and reads the whole answer.
 func (e *endpoint) exchange(r *http.Request) (answer, error) {
-	resp, err := e.client.Do(r)
+	resp, err := chuteanswer.Checked(e.client.Do(r)) //nolint:bodyclose // closed below
 	if err != nil {
 		return answer{}, err
 	}
--- a/internal/chuteupstream/control.go
+++ b/internal/chuteupstream/control.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/oops"
 
+	"azurechute.example/azurechute/internal/chuteanswer"
 	"azurechute.example/azurechute/internal/chuterequest"
 )
 
@@ -204,7 +205,8 @@
 		conn = asTracked(info.Conn)
 		conn.begin(transport == c.fresh)
 	}}
-	resp, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	resp, err := chuteanswer.Checked(transport.RoundTrip(r)) //nolint:bodyclose // closed below
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/chuteupstream/send.go
+++ b/internal/chuteupstream/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 
+	"azurechute.example/azurechute/internal/chuteanswer"
 	"azurechute.example/azurechute/internal/chuterequest"
 )
 
@@ -119,7 +120,7 @@
 	if a.call.isStream() {
 		r.Header.Set("Accept", "text/event-stream")
 	}
-	resp, err := transport.RoundTrip(r)
+	resp, err := chuteanswer.Checked(transport.RoundTrip(r))
 	if err != nil {
 		return nil, err
 	}
