Reject bodies whose framing the head does not tell

Callers would have seen: chunk framing in the body of a signed 200, if an upstream answers in HTTP/1.0 with a transfer coding; an answer taken from inside the body of a late one to another request.

Cause: http.ReadResponse ignores and deletes a transfer coding in HTTP/1.0. chuteconn dropped 1 MB of a mismatched response and read on behind it, whether that was its end or not; to a HEAD request it took every mismatched response for one without a body. Change: HTTP/1.0 is read without a coding only, other versions but 1.1 not at all; a mismatched response whose end is not reached, or that meets a HEAD request, ends the exchange. Test: FuzzHead compared field values with the blanks around them, which a folded line leaves and which are no part of a value (RFC 9110, section 5.5); it trims them now. Why: the next head is read only where the end of the last response is known.

--- a/internal/chuteconn/exchange.go
+++ b/internal/chuteconn/exchange.go
@@ -134,24 +134,34 @@
 			return response, nil
 		}
 		x.notReusable = true
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if !x.isDelimited(response) {
 			return nil, errNoMatch
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes+1))
+		if err != nil {
 			return nil, err
 		}
+		if n > maxMismatchedBytes {
+			return nil, errNoMatch
+		}
 	}
 
 	return nil, errNoMatch
 }
 
+// isDelimited reports whether the end of a mismatched response can be found. One to a request of another method than HEAD has a
+// body that one to HEAD does not have.
+func (x *exchange) isDelimited(response *http.Response) bool {
+	return x.request.Method != http.MethodHead && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+}
+
 // readFinalResponse reads the next response and skips interim (1xx) responses. All heads together have at most
 // maxHeadBytes.
 func (x *exchange) readFinalResponse() (*http.Response, error) {
 	x.conn.source.setLimit(maxHeadBytes)
 	defer x.conn.source.unlimit()
 	for {
-		response, err := http.ReadResponse(x.conn.reader, x.request)
+		response, err := x.conn.readResponse(x.request)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/chuteconn/fuzz_test.go
+++ b/internal/chuteconn/fuzz_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"testing"
 	"time"
 
@@ -64,7 +65,8 @@
 		_, _ = fmt.Fprintf(&again, "HTTP/1.1 %d X\r\n", r.StatusCode)
 		for name, values := range r.Header {
 			c.Assert(httpguts.ValidHeaderFieldName(name), qt.IsTrue, qt.Commentf("%q", name))
-			for _, value := range values {
+			for i, value := range values {
+				values[i] = textproto.TrimString(value) // optional whitespace is no part of a value
 				_, _ = fmt.Fprintf(&again, "%s: %s\r\n", name, value)
 			}
 		}
--- a/internal/chuteconn/head_test.go
+++ b/internal/chuteconn/head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -102,3 +103,54 @@
 		expectMalformed(qt.New(t), "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length : 40\r\nContent-Length: 0\r\n\r\n"+response("1", ok))
 	})
 }
+
+// Guards against the body of an answer to another request that is read on as the next head.
+func TestDroppedBody(t *testing.T) {
+	for name, dropped := range map[string]string{
+		"longer than what is dropped": "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 2000000\r\n\r\n" + strings.Repeat("x", maxMismatchedBytes),
+		"in chunks, longer than what is dropped": "HTTP/1.1 200 OK\r\nId: old\r\nTransfer-Encoding: chunked\r\n\r\n1E8480\r\n" +
+			strings.Repeat("x", maxMismatchedBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			expectMalformed(qt.New(t), dropped+response("1", "ok"))
+		})
+	}
+
+	t.Run("of a request without HEAD, before the answer to HEAD", func(t *testing.T) {
+		c := qt.New(t)
+		pool := newPool(t)
+		u := startSending(t, "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 41\r\n\r\n"+response("1", "ok"))
+		r := request("1", nil)
+		r.Method = http.MethodHead
+		c.Assert(expectFailure(c, pool, u, r, Options{Matches: matchesID("1")}).Step, qt.Equals, "read")
+	})
+}
+
+// Guards against an answer in a version of the protocol that has no chunks, or that is not spoken, and whose body is passed
+// on with its framing.
+func TestOtherVersions(t *testing.T) {
+	const chunked = "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	for name, text := range map[string]string{
+		"HTTP/1.0 with a coding":                 "HTTP/1.0 200 OK\r\n" + chunked,
+		"HTTP/1.0 with a coding, behind a field": "HTTP/1.0 200 OK\r\nA: " + strings.Repeat("x", 2*readBufferSize) + "\r\n" + chunked,
+		"HTTP/1.0 with a length and a coding":    "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n" + chunked,
+		"HTTP/1.0 behind an interim head":        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\n" + chunked,
+		"HTTP/2.0":                               "HTTP/2.0 200 OK\r\nContent-Length: 2\r\nId: 1\r\n\r\nok",
+		"HTTP/0.9":                               "HTTP/0.9 200 OK\r\nContent-Length: 2\r\nId: 1\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			expectMalformed(qt.New(t), text)
+		})
+	}
+
+	for name, text := range map[string]string{
+		"HTTP/1.0 with a length":    "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.0 without a length": "HTTP/1.0 200 OK\r\nId: 1\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			u := startEarly(t, text, func(conn *net.TCPConn, _ *bufio.Reader) { _ = conn.CloseWrite() })
+			expectBody(c, newPool(t), u, "1", "ok")
+		})
+	}
+}
--- a/internal/chuteconn/limit.go
+++ b/internal/chuteconn/limit.go
@@ -12,6 +12,21 @@
 
 	isLimited   bool
 	limit, left int
+	// recorded holds what was read since record was called, with the bytes given to it; nil if nothing is recorded.
+	recorded []byte
+}
+
+// record has reads append to a copy of some bytes, until stopRecording is called.
+func (s *limitedSource) record(start []byte) {
+	s.recorded = append(make([]byte, 0, readBufferSize), start...)
+}
+
+// stopRecording returns the bytes recorded.
+func (s *limitedSource) stopRecording() []byte {
+	recorded := s.recorded
+	s.recorded = nil
+
+	return recorded
 }
 
 // setLimit has reads fail after n bytes, until unlimit is called.
@@ -34,6 +49,9 @@
 	}
 	n, err := s.Reader.Read(p)
 	s.left -= n
+	if s.recorded != nil {
+		s.recorded = append(s.recorded, p[:n]...)
+	}
 
 	return n, err
 }
