--- a/internal/chutegate/longevents_test.go
+++ b/internal/chutegate/longevents_test.go
@@ -26,7 +26,7 @@
 		t.Run(fmt.Sprint(length), func(t *testing.T) {
 			c := qt.New(t)
 			text := longEvent(length) + "id: 2\ndata: y\n\n"
-			events := newEventReader(bufio.NewReaderSize(strings.NewReader(text), readerBufferBytes), maxEventBytes)
+			events := newEventReader(bufio.NewReaderSize(strings.NewReader(text), readerBufferBytes), maxEventBytes, unbounded)
 			var read string
 			for id := 1; id <= 2; id++ {
 				e, err := events.next()
@@ -42,15 +42,20 @@
 
 	t.Run("an event over the limit is none", func(t *testing.T) {
 		const limit = 2 * readerBufferBytes
-		_, err := newEventReader(bufio.NewReaderSize(strings.NewReader(longEvent(limit)), readerBufferBytes), limit).next()
+		_, err := newEventReader(bufio.NewReaderSize(strings.NewReader(longEvent(limit)), readerBufferBytes), limit, unbounded).next()
 		qt.Assert(t, err, qt.Equals, errMalformedEvent)
 	})
 
 	t.Run("an event that is cut off inside a long line is not passed on", func(t *testing.T) {
 		text := longEvent(3 * readerBufferBytes)
 		for cut := 1; cut < len(text); cut += 100 {
-			_, err := newEventReader(bufio.NewReaderSize(strings.NewReader(text[:cut]), readerBufferBytes), maxEventBytes).next()
+			_, err := newEventReader(bufio.NewReaderSize(strings.NewReader(text[:cut]), readerBufferBytes), maxEventBytes, unbounded).next()
 			qt.Assert(t, err, qt.Equals, io.ErrUnexpectedEOF, qt.Commentf("cut at %d", cut))
 		}
 	})
 }
+
+// unbounded books any number of bytes.
+func unbounded(int64) error {
+	return nil
+}
--- a/internal/chutegate/send.go
+++ b/internal/chutegate/send.go
@@ -224,7 +224,9 @@
 // relayStream passes a stream's events to the caller as they arrive, measures the times between them, and returns their
 // number.
 func (a *attempt) relayStream(ctx context.Context, answer Answer) (int, error) {
-	reader := newEventReader(bufio.NewReader(answer.Body), maxEventBytes)
+	reader := newEventReader(bufio.NewReader(answer.Body), maxEventBytes, func(bytes int64) error { return a.acquire(ctx, bytes) })
+	// Of an event that is passed on, all bytes are freed once it is written.
+	defer func() { a.request.incoming.Memory.Release(reader.booked) }()
 	count := 0
 	for {
 		event, err := reader.next()
@@ -242,9 +244,10 @@
 		if count == 0 && !a.bind(answer) {
 			return count, errOtherVersion
 		}
-		if err := a.passOn(ctx, answer, event.bytes); err != nil {
+		if err := a.passOn(ctx, answer, event.bytes, reader.booked); err != nil {
 			return count, err
 		}
+		reader.booked = 0
 		a.request.lastEventID = event.id
 		if count == 0 {
 			a.node.sendEvent(chuterelay.AttemptBegan{
@@ -255,18 +258,20 @@
 	}
 }
 
-// passOn passes an event of a stream to the caller, once there is memory for it, unless the call was given up before.
-func (a *attempt) passOn(ctx context.Context, answer Answer, event []byte) error {
+// passOn passes an event of a stream to the caller, once there is memory for what is not booked of it, unless the call was given
+// up before. What was booked stays so if it fails.
+func (a *attempt) passOn(ctx context.Context, answer Answer, event []byte, booked int64) error {
 	if !a.progress.begin(a.node.Now()) {
 		<-ctx.Done()
 
 		return errOverdue
 	}
-	if err := a.acquire(ctx, int64(len(event))); err != nil {
+	unbooked := int64(len(event)) - booked
+	if err := a.acquire(ctx, unbooked); err != nil {
 		return err
 	}
 	if !a.emitHead(ctx, answer) || !a.emit(ctx, streamPiece{event: event}) {
-		a.request.incoming.Memory.Release(int64(len(event)))
+		a.request.incoming.Memory.Release(unbooked)
 
 		return ctx.Err()
 	}
