Refuse take-ups by content where other nodes can't be asked

Callers would have seen: a stream that began at a new version through another node goes on at the earlier one at a node that is cut off from the others: it had begun a stream of the same content itself.

Cause: a node that could not be asked counted as one that knows nothing, and was not asked at all for the next two seconds. Change: take-ups that name no request go on if at most one of the nodes to ask is missing and one has answered; none before the nodes are listed. The rest is refused, not run. Why: a record is announced to nodes of two zones and the nodes to ask are among all, so one missing answer hides no record. A killed node therefore costs no take-up. Not covered: a record that was lost beside one of the same content.

--- a/internal/chutegate/streams.go
+++ b/internal/chutegate/streams.go
@@ -176,6 +176,8 @@
 	known  bool
 	// ambiguous says that it may be any of several streams with different bindings.
 	ambiguous bool
+	// failed says that the node could not be asked.
+	failed bool
 }
 
 // findStream returns the record of a stream and the node that knows it, empty for this one; false if none does.
@@ -193,11 +195,12 @@
 	for _, node := range nodes {
 		go func() { answers <- n.askForStream(ctx, node, id) }()
 	}
-	found := agreed
+	var answer streamAnswer
 	if id.NamesRequest() {
-		found = firstKnown
+		answer = firstKnown(own, answers, len(nodes))
+	} else {
+		answer = agreed(own, answers, len(nodes), state.PassedOver(id, n.Now()))
 	}
-	answer := found(own, answers, len(nodes))
 
 	return answer.record, answer.from, answer.known
 }
@@ -213,12 +216,25 @@
 	return own
 }
 
+// maxUnasked is the number of nodes that need not be asked for the binding of a content. Each record is announced to nodes of two
+// zones, and the nodes to ask are among all of them.
+const maxUnasked = 1
+
 // agreed returns an answer with the binding that this node and all of count others have that know the stream; the zero value
-// if none does, or not all have the same.
-func agreed(own streamAnswer, answers <-chan streamAnswer, count int) streamAnswer {
-	found := own
+// if none does, or not all have the same. passedOver further ones were not asked.
+//
+// It is the zero value as well if a record may be at nodes that were not asked: a node that is out of touch knows the streams
+// that it began alike itself, at a version that is not that of the caller's stream.
+func agreed(own streamAnswer, answers <-chan streamAnswer, count, passedOver int) streamAnswer {
+	found, unasked, answered := own, passedOver, 0
 	for range count {
 		answer := <-answers
+		if answer.failed {
+			unasked++
+
+			continue
+		}
+		answered++
 		switch {
 		case answer.ambiguous, answer.known && found.known && !found.record.Binding.Allows(answer.record.Binding):
 			return streamAnswer{}
@@ -226,6 +242,9 @@
 			found = answer
 		}
 	}
+	if unasked > maxUnasked || unasked > 0 && answered == 0 {
+		return streamAnswer{}
+	}
 
 	return found
 }
@@ -241,7 +260,7 @@
 		n.reduceStreams(chutestream.AskFailed{Node: node})
 	}
 
-	return streamAnswer{record: record, from: node.Name, known: known}
+	return streamAnswer{record: record, from: node.Name, known: known, failed: err != nil}
 }
 
 // upstreamBinding returns what the attempt's upstream would bind a stream to.
--- a/internal/chutestream/holders.go
+++ b/internal/chutestream/holders.go
@@ -101,6 +101,20 @@
 	return append(own, h.elsewhere(id, askedZones, now)...)
 }
 
+// passedOver returns the number of nodes that toAsk would return if they had answered.
+func (h holders) passedOver(id ID, now time.Time) int {
+	all := h
+	all.failedUntil = nil
+	count := 0
+	for _, node := range all.toAsk(id, now) {
+		if now.Before(h.failedUntil[node.Name]) {
+			count++
+		}
+	}
+
+	return count
+}
+
 // elsewhere returns the best node of each of count other zones that come first for an ID.
 func (h holders) elsewhere(id ID, count int, now time.Time) []Node {
 	zones := slices.DeleteFunc(slices.Clone(h.zones), func(zone string) bool { return zone == h.self.Zone })
--- a/internal/chutestream/state.go
+++ b/internal/chutestream/state.go
@@ -30,7 +30,9 @@
 // State is all that a node knows of streams. Copies are cheap and a State is never modified.
 type State struct {
 	holders holders
-	records *immutable.Map[ID, Record]
+	// nodesListed is true once the other nodes are known.
+	nodesListed bool
+	records     *immutable.Map[ID, Record]
 	// byContent holds the bindings of the records of each content.
 	byContent *immutable.Map[ID, []contentBinding]
 	// expiries are when the records expire.
@@ -70,6 +72,16 @@
 	return s.holders.toAsk(id, now)
 }
 
+// PassedOver returns the number of nodes that would be asked for a stream too but did not answer shortly before. Before the nodes
+// are listed it is 1, as there may be any.
+func (s State) PassedOver(id ID, now time.Time) int {
+	if !s.nodesListed {
+		return 1
+	}
+
+	return s.holders.passedOver(id, now)
+}
+
 // Stats returns the counts so far.
 func (s State) Stats() Stats {
 	return Stats{Held: s.records.Len(), Announced: s.announced, Dropped: s.dropped}
@@ -88,6 +100,7 @@
 	switch e := event.(type) {
 	case NodesListed:
 		st.holders = st.holders.withNodes(e.Nodes)
+		st.nodesListed = true
 	case Began:
 		st.began(e)
 	case Ended:
--- a/internal/chutestream/state_test.go
+++ b/internal/chutestream/state_test.go
@@ -260,8 +260,10 @@
 		asked := n.state.ToAsk(id, n.now)[0]
 		n.on(AskFailed{Node: asked})
 		n.Assert(slices.Contains(n.state.ToAsk(id, n.now), asked), qt.IsFalse)
+		n.Assert(n.state.PassedOver(id, n.now), qt.Equals, 1)
 		n.now = n.now.Add(failedPause)
 		n.Assert(slices.Contains(n.state.ToAsk(id, n.now), asked), qt.IsTrue)
+		n.Assert(n.state.PassedOver(id, n.now), qt.Equals, 0)
 	})
 
 	t.Run("a node that shuts down hands its records over", func(t *testing.T) {
