--- a/internal/chuteanswer/end.go
+++ b/internal/chuteanswer/end.go
@@ -44,6 +44,7 @@
 	return c.reader.Read(p)
 }
 
+// reader tells a reset of a connection from its end.
 type reader struct {
 	conn net.Conn
 	// received counts the bytes read.
@@ -62,8 +63,8 @@
 	return n, err
 }
 
-// hasFinished reports whether the peer of a connection that has reached its end has sent a FIN. Connections that are not the
-// kernel's have no other end.
+// hasFinished reports whether the peer of a connection that has reached its end has sent a FIN. Connections that are no sockets
+// have no other end.
 func (r *reader) hasFinished() bool {
 	socket, ok := r.conn.(syscall.Conn)
 	if !ok {
